--- /dev/null
+++ b/cmd/agentd/main.go
@@ -0,0 +1,4 @@
+// Command agentd is part of carobpulley.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is part of carobpulley.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/carobctl/main.go
@@ -0,0 +1,4 @@
+// Command carobctl is part of carobpulley.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/entryd/main.go
@@ -0,0 +1,4 @@
+// Command entryd is part of carobpulley.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is part of carobpulley.
+package main
+
+func main() {}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,77 @@
+package carobpulley
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind classifies an error across processes. The values are part of the
+// callers' API and of the inner protocol.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindInvalid is a malformed or oversized input.
+	KindInvalid Kind = "invalid"
+	// KindUnauthenticated is a missing or wrong token.
+	KindUnauthenticated Kind = "unauthenticated"
+	// KindForbidden is a job or service of another member.
+	KindForbidden Kind = "forbidden"
+	// KindNotFound is an unknown job.
+	KindNotFound Kind = "not_found"
+	// KindConflict is a known key with another body, or a stale base version.
+	KindConflict Kind = "conflict"
+	// KindImpossible is a job that can never run.
+	KindImpossible Kind = "impossible"
+	// KindQuota is a member or service over its limit.
+	KindQuota Kind = "quota"
+	// KindOverload is a full queue or a deadline that cannot be met.
+	KindOverload Kind = "overload"
+	// KindUnavailable is a shard without an active owner, or no authority.
+	KindUnavailable Kind = "unavailable"
+	// KindUnknown is an outcome that cannot be known.
+	KindUnknown Kind = "unknown"
+	// KindExpired is an answer that is no longer stored.
+	KindExpired Kind = "expired"
+	// KindCancelled is a task or job that its caller cancelled.
+	KindCancelled Kind = "cancelled"
+	// KindDeadline is a deadline that passed before the start.
+	KindDeadline Kind = "deadline"
+	// KindDraining is a process that takes no new work.
+	KindDraining Kind = "draining"
+	// KindBusy is an endpoint without a free slot.
+	KindBusy Kind = "busy"
+	// KindStaleEpoch is a dispatch of an older ownership epoch.
+	KindStaleEpoch Kind = "stale_epoch"
+	// KindStaleEcho is a dispatch whose echo of the agent's clock is too old.
+	KindStaleEcho Kind = "stale_echo"
+	// KindOutOfService is a dispatch to a failure domain that is out of service.
+	KindOutOfService Kind = "out_of_service"
+	// KindStarted is a repeated dispatch of a task that has started.
+	KindStarted Kind = "started"
+	// KindWrongAgent is a dispatch meant for another endpoint or incarnation.
+	KindWrongAgent Kind = "wrong_agent"
+	// KindFailed is a task that ran and failed at the endpoint.
+	KindFailed Kind = "failed"
+	// KindInternal is a fault of the dispatcher itself.
+	KindInternal Kind = "internal"
+)
+
+// Error is the error type of this package, and the one that crosses processes.
+type Error struct {
+	// Op names the failing operation, such as "submit".
+	Op string
+	// Kind classifies the error.
+	Kind Kind
+	// Msg is a sentence for a person.
+	Msg string
+	// NotRun is set only where a start is impossible from then on.
+	NotRun bool
+	// RetryAt is the earliest useful time of another try; zero if none is known.
+	RetryAt time.Time
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Op, e.Kind, e.Msg)
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector. Tests listed in KNOWN-RED.txt are
+# skipped and printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+skip=()
+if [ -f KNOWN-RED.txt ]; then
+	mapfile -t red < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
+	for name in "${red[@]}"; do
+		echo "known red, not run: $name"
+	done
+	if [ "${#red[@]}" -gt 0 ]; then
+		skip=(-skip "^($(IFS='|'; echo "${red[*]}"))\$")
+	fi
+fi
+
+packages=(./...)
+for m in cmd/*/; do
+	packages+=("./${m}...")
+done
+go test -race -count=1 -timeout 20m "${skip[@]}" "${packages[@]}"
