Add the job table

Cause: the entry needs the decisions on keys and tasks of the shards it owns.

Change: package owner implements JobTable. Opening and closing a shard cost its jobs.

Interfaces (additive): Rejected answers a submission or cancellation that has no job to show; Submitted.Epoch refuses copies received under an earlier epoch; Claim.Digest outlives the payloads; ClaimHeld.Answer tells which copy is held.

Ruled out: telling "not run" at once. Answers that are not complete wait for a second holder until the deadline.

Takeover is written and not yet tested.

--- a/job.go
+++ b/job.go
@@ -77,7 +77,8 @@
 	Index    int
 	Phase    Phase
 	Endpoint string
-	// Attempt is the number of the newest dispatch, from 1.
+	// Attempt identifies the newest dispatch. It grows with each dispatch,
+	// across epochs too; zero before the first one.
 	Attempt int
 	// Status is the endpoint's HTTP status; 0 if there was none.
 	Status int
@@ -114,6 +115,9 @@
 	Spec  JobSpec
 	Shard int
 	Epoch uint64
+	// Digest identifies the body; zero if it is to be computed from Spec. It
+	// stays when the payloads are dropped.
+	Digest uint64
 	// Answer is set once the job has ended.
 	Answer *Answer
 }
--- a/owner.go
+++ b/owner.go
@@ -53,11 +53,19 @@
 		// Receiver is the entry that holds a copy of the claim; empty or the
 		// owner's own name if there is none yet.
 		Receiver string
+		// Epoch is the shard's epoch that the receiver knew when the submission
+		// arrived; zero is not checked. An older copy is refused as unavailable,
+		// since an earlier owner may have answered the key as not run.
+		Epoch uint64
 		// Admit decides on a new key; it is not called for a known one.
 		Admit func(JobSpec) error
 	}
 	// ClaimHeld tells that a second holder has the claim of a job.
-	ClaimHeld struct{ Job JobID }
+	ClaimHeld struct {
+		Job JobID
+		// Answer is set if the copy held includes the answer.
+		Answer bool
+	}
 	// TaskEnded is the answer of an agent that started the task.
 	TaskEnded struct {
 		ID      TaskID
@@ -135,7 +143,15 @@
 
 // Actions of a JobTable.
 type (
-	// HoldClaim asks for a second holder of the claim; ClaimHeld follows.
+	// Rejected is the answer to a Submitted or Cancelled that has no job to
+	// show. A receiver other than the owner keeps a rejection with NotRun set as
+	// it keeps a claim.
+	Rejected struct {
+		Job JobID
+		Err *Error
+	}
+	// HoldClaim asks for a second holder of the claim; ClaimHeld follows. The
+	// holder refuses it if it has yielded the shard to a newer epoch.
 	HoldClaim struct{ Claim Claim }
 	// WriteJournal asks to append a claim or its answer to the journal.
 	WriteJournal struct{ Claim Claim }
@@ -167,6 +183,7 @@
 func (ShardClosed) jobEvent()    {}
 func (Tick) jobEvent()           {}
 
+func (Rejected) jobAction()     {}
 func (HoldClaim) jobAction()    {}
 func (WriteJournal) jobAction() {}
 func (QueueTask) jobAction()    {}
--- /dev/null
+++ b/owner/merge.go
@@ -0,0 +1,164 @@
+package owner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"carobpulley"
+)
+
+// openShard takes a shard over with all that was found of its jobs.
+func (t *Table) openShard(now time.Time, ev carobpulley.ShardOpened, out *[]carobpulley.Action) {
+	t.closeShard(ev.Shard, out)
+	sh := &shard{index: ev.Shard, epoch: ev.Epoch, jobs: map[carobpulley.JobID]*job{}}
+	t.shards[ev.Shard] = sh
+	if !ev.AllAgents && !ev.AllClaims {
+		sh.unknownUntil = now.Add(MaxDeadline + KeyRetention)
+	}
+	for _, c := range ev.Claims {
+		t.mergeClaim(sh, c)
+	}
+	for _, s := range ev.Started {
+		t.mergeStarted(now, sh, s)
+	}
+	for _, j := range sh.sorted() {
+		t.resume(now, j, ev.AllAgents && ev.AllClaims, out)
+	}
+}
+
+// closeShard forgets the jobs of a shard that another entry owns from now on.
+func (t *Table) closeShard(index int, out *[]carobpulley.Action) {
+	sh := t.shards[index]
+	if sh == nil {
+		return
+	}
+	for _, j := range sh.sorted() {
+		if j.held && !j.settled() && j.has(carobpulley.PhaseWaiting) {
+			*out = append(*out, carobpulley.DropTasks{Job: j.spec.ID})
+		}
+		t.forget(j)
+	}
+	t.shards[index] = nil
+}
+
+// sorted returns the jobs in the order of their ids.
+func (sh *shard) sorted() []*job {
+	jobs := make([]*job, 0, len(sh.jobs))
+	for _, j := range sh.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		if n := strings.Compare(a.spec.ID.Member, b.spec.ID.Member); n != 0 {
+			return n
+		}
+		return strings.Compare(a.spec.ID.Key, b.spec.ID.Key)
+	})
+	return jobs
+}
+
+// mergeClaim adds one copy of a claim. An answer prevails over a claim without
+// one, a complete answer over any other. Copies with different bodies come from
+// submissions in conflict of which the old owner took at most one; since it is
+// not known which, the job's outcome is unknown.
+func (t *Table) mergeClaim(sh *shard, c carobpulley.Claim) {
+	digest := c.Digest
+	if digest == 0 {
+		digest = Digest(c.Spec)
+	}
+	j := sh.jobs[c.Spec.ID]
+	if j == nil {
+		j = newJob(sh, c.Spec, digest)
+		j.held = true
+		t.store(j)
+	}
+	switch {
+	case c.Answer != nil && (j.merged == nil || prevails(c, *j.merged)):
+		j.merged, j.digest = &c, digest
+	case c.Answer == nil && j.merged == nil && j.digest != digest:
+		j.disputed = true
+	}
+}
+
+// prevails reports whether answer a is kept rather than b: a complete one, else
+// the newer one.
+func prevails(a, b carobpulley.Claim) bool {
+	complete := a.Answer.Outcome == carobpulley.OutcomeComplete
+	if complete != (b.Answer.Outcome == carobpulley.OutcomeComplete) {
+		return complete
+	}
+	return a.Epoch > b.Epoch
+}
+
+// mergeStarted adds what an agent reports of a task. A start without a known
+// claim makes the key's outcome unknown.
+func (t *Table) mergeStarted(now time.Time, sh *shard, s carobpulley.StartedTask) {
+	j := sh.jobs[s.ID.Job]
+	if j == nil {
+		j = newJob(sh, carobpulley.JobSpec{ID: s.ID.Job, Deadline: now}, 0)
+		j.disputed = true
+		t.store(j)
+	}
+	if s.ID.Index < 0 || s.ID.Index >= len(j.tasks) {
+		return
+	}
+	k := &j.tasks[s.ID.Index]
+	if k.phase == carobpulley.PhaseDone {
+		return
+	}
+	k.phase, k.endpoint, k.status, k.err = s.Phase, s.Endpoint, s.Status, s.Err
+	if s.Phase == carobpulley.PhaseDone {
+		k.result = s.Result
+	}
+}
+
+// resume continues a merged job. Tasks that no agent reports as started are
+// queued if every agent and every claim is known: without all agents they may
+// have started, without all claims the job may have been answered as not run.
+func (t *Table) resume(now time.Time, j *job, known bool, out *[]carobpulley.Action) {
+	if j.merged != nil {
+		t.restore(now, j)
+		return
+	}
+	j.open = 0
+	for i := range j.tasks {
+		k := &j.tasks[i]
+		if k.phase == carobpulley.PhaseWaiting && (!known || j.disputed) {
+			k.phase, k.err = carobpulley.PhaseUnknown, "the task may have started under an earlier owner"
+		}
+		if !k.phase.Ended() {
+			j.open++
+		}
+	}
+	for i := range j.tasks {
+		switch k := &j.tasks[i]; k.phase {
+		case carobpulley.PhaseWaiting:
+			*out = append(*out, t.queue(now, j, i))
+		case carobpulley.PhaseRunning:
+			k.attempt = int(j.shard.epoch) << attemptBits
+			k.lost = true
+			*out = append(*out, carobpulley.QueryTask{Dispatch: j.dispatch(i), At: now})
+		}
+	}
+	t.settle(now, j, out)
+}
+
+// restore sets a job to the answer that an earlier owner gave.
+func (t *Table) restore(now time.Time, j *job) {
+	a := j.merged.Answer
+	j.merged = nil
+	j.final, j.open = a.Outcome, 0
+	j.cancelled = a.Cancelled
+	j.err = a.Err
+	j.refused = a.Outcome == carobpulley.OutcomeNotRun && len(a.Tasks) == 0
+	if j.refused {
+		t.refusals++
+	}
+	j.tasks = make([]task, len(a.Tasks))
+	for i, k := range a.Tasks {
+		j.tasks[i] = task{
+			phase: k.Phase, attempt: k.Attempt, status: k.Status, endpoint: k.Endpoint, result: k.Result, err: k.Err,
+		}
+	}
+	t.retire(now, j)
+}
