Add placement by estimated finish with late binding

The entry needs a placement policy behind carobpulley.Placer. Package place ranks the endpoints of each service in a heap by distance, expected wait and learned run time, and stops at the slots plus a look-ahead of the tasks that are expected to end within a round trip. It also holds the circuit breaker and the slow start. Naive draws a random endpoint.

Response times are not measured yet.

--- /dev/null
+++ b/place/endpoint.go
@@ -0,0 +1,194 @@
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"carobpulley"
+)
+
+const (
+	// tieSpread is the random share added to a score, so that entries with the
+	// same view do not all choose the same endpoint.
+	tieSpread = 0.01
+	// refusalPause is the least time without new work after a refusal. It
+	// doubles with each further refusal in a row up to refusalPauseMax, so that
+	// an agent that refuses everything costs few messages.
+	refusalPause    = 2 * time.Millisecond
+	refusalPauseMax = 250 * time.Millisecond
+	// slowStartStep is the time in which the allowed places of an endpoint that
+	// returned double (design section 6).
+	slowStartStep = time.Second
+	// crowding is the exponent of the occupancy in the expected wait at an
+	// endpoint that seems to have a free slot: other entries may have taken it.
+	crowding = 4
+)
+
+// endpoint is the state of one endpoint. mine counts the places held by this
+// entry, others the tasks of other entries by the last report.
+type endpoint struct {
+	info     carobpulley.Endpoint
+	members  []*member
+	distance time.Duration
+	since    time.Time
+
+	inService bool
+	draining  bool
+	suspect   bool
+
+	mine     int
+	others   int
+	recent   int
+	lastSent time.Time
+
+	warm   bool
+	allow  int
+	growAt time.Time
+
+	refusals    int
+	pausedUntil time.Time
+	breaker     breaker
+
+	// speed is the run time at this endpoint over the mean of the service.
+	speed   float64
+	samples int
+
+	wake   int
+	wakeAt time.Time
+}
+
+func (e *endpoint) member(name string) *member {
+	for _, m := range e.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (e *endpoint) ahead() int {
+	return e.mine + e.others
+}
+
+// replace starts the endpoint anew under a larger incarnation.
+func (e *endpoint) replace(now time.Time) {
+	e.since = now
+	e.mine = 0
+	e.suspect = false
+	e.breaker = breaker{}
+	e.refusals = 0
+	e.restart(now)
+}
+
+// restart begins a slow start.
+func (e *endpoint) restart(now time.Time) {
+	e.warm = false
+	e.allow = 1
+	e.growAt = now.Add(slowStartStep)
+}
+
+func (e *endpoint) grow(n int) {
+	e.allow += n
+	if e.allow >= e.info.Slots {
+		e.warm = true
+	}
+}
+
+func (e *endpoint) reserve(now time.Time) {
+	if now.Sub(e.lastSent) > 2*e.distance {
+		e.recent = 0
+	}
+	e.recent++
+	e.lastSent = now
+	e.mine++
+	e.breaker.reserve()
+}
+
+// report takes the load that the agent saw. Tasks sent within the last round
+// trip may not have reached it yet.
+func (e *endpoint) report(now time.Time, l carobpulley.Load) {
+	if now.Sub(e.lastSent) > 2*e.distance {
+		e.recent = 0
+	}
+	seen := max(0, e.mine-e.recent)
+	e.others = max(0, l.Running+l.Queued-seen)
+}
+
+func (e *endpoint) usable(now time.Time) bool {
+	return e.inService && !e.draining && !e.suspect && !e.breaker.isOpen(now)
+}
+
+// room reports whether the endpoint may take another task with the given run
+// time. Without any task of its own there, the entry would get no reply that
+// tells of a free slot, so one place is always allowed.
+func (e *endpoint) room(now time.Time, run float64) bool {
+	if !e.usable(now) || now.Before(e.pausedUntil) {
+		return false
+	}
+	if e.breaker.halfOpen() {
+		return true
+	}
+	if !e.warm {
+		return e.mine < min(e.allow, max(1, e.info.Slots-e.others))
+	}
+	return e.mine == 0 || e.ahead() < e.info.Slots+e.lookAhead(run)
+}
+
+// lookAhead is the number of tasks expected to end within a round trip. As
+// many may be sent ahead of the slots that they free.
+func (e *endpoint) lookAhead(run float64) int {
+	if run <= 0 {
+		return 0
+	}
+	ending := float64(e.info.Slots) * 2 * float64(e.distance) / run
+	return int(math.Round(ending))
+}
+
+func (e *endpoint) refused(now time.Time) {
+	pause := min(refusalPauseMax, max(refusalPause, 2*e.distance)<<min(e.refusals, 10))
+	e.refusals++
+	e.pausedUntil = now.Add(pause)
+	e.breaker.released()
+}
+
+func (e *endpoint) succeeded(now time.Time) {
+	e.refusals = 0
+	if e.breaker.succeeded() {
+		e.restart(now)
+		return
+	}
+	if !e.warm {
+		e.grow(1)
+	}
+}
+
+func (e *endpoint) failed(now time.Time, weight float64, rng *rand.Rand) {
+	e.breaker.failed(now, weight, rng)
+}
+
+// tick handles the time events of the endpoint.
+func (e *endpoint) tick(now time.Time) {
+	e.breaker.tick(now)
+	if !e.warm && !e.growAt.After(now) {
+		e.grow(e.allow)
+		e.growAt = now.Add(slowStartStep)
+	}
+}
+
+// nextEvent returns the earliest time at which the state changes by itself, or
+// the zero time.
+func (e *endpoint) nextEvent(now time.Time) time.Time {
+	var at time.Time
+	consider := func(t time.Time) {
+		if t.After(now) && (at.IsZero() || t.Before(at)) {
+			at = t
+		}
+	}
+	consider(e.pausedUntil)
+	consider(e.breaker.until)
+	if !e.warm {
+		consider(e.growAt)
+	}
+	return at
+}
--- /dev/null
+++ b/place/estimate.go
@@ -0,0 +1,133 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// defaultRun is the first estimate where the catalogue declares none.
+	defaultRun = 300 * time.Millisecond
+	// serviceMemory and memberMemory are the numbers of results that the means
+	// of a service and of a service at one endpoint remember.
+	serviceMemory = 128
+	memberMemory  = 32
+	// speedMemory is the number of results that the speed of an endpoint
+	// remembers.
+	speedMemory = 64
+	// priorWeight is the number of results that the estimate from the service
+	// and the endpoint's speed counts for.
+	priorWeight = 8
+	// meanDrift is the relative change of a service's mean after which its
+	// endpoints are scored again.
+	meanDrift = 0.25
+	// failureMemory is the number of results that the failure rate of a service
+	// remembers.
+	failureMemory = 32
+)
+
+// service is the state of one service. Times are in nanoseconds.
+type service struct {
+	ready     readyHeap
+	endpoints int
+	// slots and busy are sums over the usable endpoints.
+	slots, busy int
+	// mean is the run time, base the mean at the last scoring.
+	mean, base float64
+	samples    int
+	failRate   float64
+}
+
+// declare sets the first estimate. It is ignored after the first result,
+// because declared run times may be ten times off.
+func (s *service) declare(run time.Duration) {
+	if s.samples > 0 {
+		return
+	}
+	if run <= 0 {
+		run = defaultRun
+	}
+	s.mean = float64(run)
+	s.base = s.mean
+}
+
+// failure is the weight of a failure: a service that fails everywhere says
+// little about an endpoint.
+func (s *service) failure() float64 {
+	return 1 - s.failRate
+}
+
+func (s *service) failed() {
+	s.failRate += (1 - s.failRate) / failureMemory
+}
+
+func (s *service) moved() bool {
+	return math.Abs(s.mean-s.base) > meanDrift*s.base
+}
+
+// member is a service at an endpoint.
+type member struct {
+	endpoint *endpoint
+	service  *service
+	name     string
+	score    float64
+	place    int
+	// slots and busy are this member's parts of the service's sums.
+	slots, busy int
+	estimate    estimate
+}
+
+// estimate is a mean run time in nanoseconds.
+type estimate struct {
+	mean    float64
+	samples int
+}
+
+func (m *member) count(slots, busy int) {
+	m.service.slots += slots - m.slots
+	m.service.busy += busy - m.busy
+	m.slots, m.busy = slots, busy
+}
+
+// run is the expected run time: the mean of the service at this endpoint,
+// weighted with what the service and the endpoint's speed say.
+func (m *member) run() float64 {
+	prior := m.service.mean
+	if m.endpoint.samples > 0 {
+		prior *= m.endpoint.speed
+	}
+	n := float64(min(m.estimate.samples, memberMemory))
+	return (priorWeight*prior + n*m.estimate.mean) / (priorWeight + n)
+}
+
+// learn takes an observed run time.
+func (m *member) learn(run float64) {
+	s, e := m.service, m.endpoint
+	s.failRate -= s.failRate / failureMemory
+	s.samples++
+	if s.samples == 1 {
+		s.mean = run
+	}
+	s.mean += (run - s.mean) / float64(min(s.samples, serviceMemory))
+	m.estimate.samples++
+	m.estimate.mean += (run - m.estimate.mean) / float64(min(m.estimate.samples, memberMemory))
+	if e.samples == 0 {
+		e.speed = 1
+	}
+	e.samples++
+	e.speed += (run/s.mean - e.speed) / float64(min(e.samples+priorWeight, speedMemory))
+}
+
+// finish is the expected time until a task sent now has been answered.
+func (m *member) finish() float64 {
+	e := m.endpoint
+	run := m.run()
+	slots := float64(max(1, e.info.Slots))
+	ahead := float64(e.ahead())
+	wait := math.Pow(min(1, ahead/slots), crowding) * run / slots
+	if ahead >= slots {
+		wait += (ahead - slots) * run / slots
+	}
+	raised := 1 + e.breaker.failures
+	return 2*float64(e.distance) + wait + run*raised
+}
--- /dev/null
+++ b/place/naive.go
@@ -0,0 +1,107 @@
+package place
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"carobpulley"
+)
+
+// Naive implements carobpulley.Placer with a random endpoint and without
+// learning. It is the reference for tests and measurements.
+type Naive struct {
+	rng       *rand.Rand
+	catalogue *carobpulley.Catalogue
+	endpoints []carobpulley.Endpoint
+	suspects  map[string]bool
+}
+
+var _ carobpulley.Placer = (*Naive)(nil)
+
+// NewNaive returns a Naive that draws endpoints from the source.
+func NewNaive(src rand.Source) *Naive {
+	return &Naive{
+		rng:       rand.New(src),
+		catalogue: &carobpulley.Catalogue{},
+		suspects:  map[string]bool{},
+	}
+}
+
+// Configure implements carobpulley.Placer.
+func (p *Naive) Configure(_ time.Time, c *carobpulley.Catalogue) {
+	p.catalogue = c
+}
+
+// Upsert implements carobpulley.Placer.
+func (p *Naive) Upsert(_ time.Time, e carobpulley.Endpoint, _ carobpulley.Load) {
+	i, found := p.find(e.ID)
+	switch {
+	case !found:
+		p.endpoints = slices.Insert(p.endpoints, i, e)
+	case e.Incarnation < p.endpoints[i].Incarnation:
+		return
+	default:
+		p.endpoints[i] = e
+	}
+	delete(p.suspects, e.ID)
+}
+
+// Remove implements carobpulley.Placer.
+func (p *Naive) Remove(_ time.Time, id string) {
+	if i, found := p.find(id); found {
+		p.endpoints = slices.Delete(p.endpoints, i, i+1)
+	}
+	delete(p.suspects, id)
+}
+
+// Suspect implements carobpulley.Placer.
+func (p *Naive) Suspect(_ time.Time, id string) {
+	p.suspects[id] = true
+}
+
+// Pick implements carobpulley.Placer.
+func (p *Naive) Pick(_ time.Time, service string) (carobpulley.Endpoint, bool) {
+	var usable []carobpulley.Endpoint
+	for _, e := range p.endpoints {
+		if p.usable(e) && slices.Contains(e.Services, service) {
+			usable = append(usable, e)
+		}
+	}
+	if len(usable) == 0 {
+		return carobpulley.Endpoint{}, false
+	}
+	return usable[p.rng.IntN(len(usable))], true
+}
+
+// Done implements carobpulley.Placer.
+func (p *Naive) Done(time.Time, carobpulley.Sample) {}
+
+// CanRun implements carobpulley.Placer.
+func (p *Naive) CanRun(service string) bool {
+	return slices.ContainsFunc(p.endpoints, func(e carobpulley.Endpoint) bool {
+		return slices.Contains(e.Services, service)
+	})
+}
+
+// Expect implements carobpulley.Placer with the declared run time.
+func (p *Naive) Expect(now time.Time, service string, _ int) time.Time {
+	if !p.CanRun(service) {
+		return time.Time{}
+	}
+	return now.Add(p.catalogue.Services[service].RunTime)
+}
+
+func (p *Naive) usable(e carobpulley.Endpoint) bool {
+	if e.Draining || p.catalogue.Draining[e.ID] || p.suspects[e.ID] {
+		return false
+	}
+	return p.catalogue.InService(e.Domain)
+}
+
+func (p *Naive) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(p.endpoints, id, func(e carobpulley.Endpoint, id string) int {
+		return cmp.Compare(e.ID, id)
+	})
+}
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,86 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carobpulley"
+	"carobpulley/place"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const service = "check"
+
+func catalogue(domains ...string) *carobpulley.Catalogue {
+	c := &carobpulley.Catalogue{
+		Services: map[string]carobpulley.Service{service: {Name: service, RunTime: 2 * time.Second}},
+		Domains:  map[string]carobpulley.Domain{},
+		Draining: map[string]bool{},
+	}
+	for _, d := range domains {
+		c.Domains[d] = carobpulley.Domain{Name: d, InService: true}
+	}
+	return c
+}
+
+func endpoint(i int, domain string) carobpulley.Endpoint {
+	return carobpulley.Endpoint{
+		ID: fmt.Sprintf("e%04d", i), Incarnation: 1, Domain: domain, Services: []string{service}, Slots: 8,
+	}
+}
+
+func fill(p carobpulley.Placer, now time.Time, n int) {
+	p.Configure(now, catalogue("a", "b", "c"))
+	for i := range n {
+		p.Upsert(now, endpoint(i, string("abc"[i%3])), carobpulley.Load{})
+	}
+}
+
+func sample(e carobpulley.Endpoint, at time.Time, run time.Duration) carobpulley.Sample {
+	return carobpulley.Sample{Endpoint: e.ID, Service: service, SentAt: at, EndedAt: at.Add(run), Run: run}
+}
+
+// Guards against a decision that allocates or scans all endpoints.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 300, 2600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := place.New(rand.NewPCG(1, 2), nil, "a")
+			fill(p, start, n)
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				e, ok := p.Pick(now, service)
+				if !ok {
+					b.Fatal("no endpoint")
+				}
+				p.Done(now, sample(e, now, 100*time.Millisecond))
+			}
+		})
+	}
+}
+
+// Guards against oversubscription: places taken beyond slots and look-ahead.
+func TestPickStopsAtSlots(t *testing.T) {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	fill(p, start, 3)
+	taken := map[string]int{}
+	for range 100 {
+		e, ok := p.Pick(start, service)
+		if !ok {
+			break
+		}
+		taken[e.ID]++
+	}
+	for id, n := range taken {
+		if n > 8 {
+			t.Errorf("%s took %d tasks on 8 slots", id, n)
+		}
+	}
+	if len(taken) != 3 {
+		t.Errorf("used %d endpoints, want 3", len(taken))
+	}
+}
