Add package inner: conversions, clients, servers and TLS settings

Entry and agent need one checked path between wire and domain types. Each conversion from a wire type checks the whole message and returns a *carobpulley.Error of kind invalid.

Ruled out: golang.org/x/net/http2, since net/http has h2c and ping timeouts.

No tests yet; they follow. No measurements yet.

--- /dev/null
+++ b/inner/doc.go
@@ -0,0 +1,6 @@
+// Package inner connects the project's processes: conversions between wire and
+// domain types, HTTP clients and servers, and their TLS settings.
+//
+// Every conversion from a wire type checks the whole message and returns a
+// *carobpulley.Error of kind KindInvalid that names the first bad field.
+package inner
--- /dev/null
+++ b/inner/entry.go
@@ -0,0 +1,406 @@
+package inner
+
+import (
+	"net/netip"
+	"time"
+
+	"carobpulley"
+	"carobpulley/wire"
+)
+
+// Contact is what a pair of entries tell each other every ContactInterval.
+type Contact struct {
+	Entry         string
+	Incarnation   uint64
+	ConfigVersion uint64
+	OwnersOffset  uint64
+	Draining      bool
+}
+
+// ContactAnswer is the answer to a Contact.
+type ContactAnswer struct {
+	Contact
+	// Vouch is set while the peer knows of no newer epoch for the asker's shards.
+	Vouch bool
+	// Config is the newest configuration record if the asker's is older; nil
+	// otherwise.
+	Config *ConfigRecord
+	// Claims are the ownership claims after the asker's offset, in log order.
+	Claims []OwnersRecord
+}
+
+// ConfigRecord is one accepted configuration.
+type ConfigRecord struct {
+	Version  uint64
+	ChangeID string
+	Document []byte
+	Offset   uint64
+}
+
+// OwnersRecord is an ownership claim in the log.
+type OwnersRecord struct {
+	Offset      uint64
+	ID          string
+	Entry       string
+	Incarnation uint64
+	Shards      []carobpulley.Ownership
+}
+
+// JournalRecord is a group of claims and answers in an entry's journal.
+type JournalRecord struct {
+	Entry       string
+	Incarnation uint64
+	Claims      []carobpulley.Claim
+	// End lists the shards whose journal is complete with this record.
+	End []carobpulley.Ownership
+}
+
+// Witnessing asks a second entry to hold claims.
+type Witnessing struct {
+	Owner  string
+	Claims []carobpulley.Claim
+}
+
+// Yielding asks a peer to stop vouching for older epochs of the shards.
+type Yielding struct {
+	Entry  string
+	Shards []carobpulley.Ownership
+}
+
+// YieldAnswer is the answer to a Yielding.
+type YieldAnswer struct {
+	Yielded bool
+	Claims  []carobpulley.Claim
+}
+
+// Announcement is what an agent tells each entry every second.
+type Announcement struct {
+	Endpoint carobpulley.Endpoint
+	Load     carobpulley.Load
+	// AgentTime is the agent's own clock in nanoseconds.
+	AgentTime int64
+	// Leaving is set in the last announcement.
+	Leaving bool
+}
+
+// AnnounceAnswer is the answer to an Announcement.
+type AnnounceAnswer struct {
+	ConfigVersion uint64
+	// InService is the state of the agent's domain at ConfigVersion.
+	InService bool
+}
+
+// ContactToWire converts a contact.
+func ContactToWire(v Contact) *wire.ContactRequest {
+	return &wire.ContactRequest{
+		Entry:         v.Entry,
+		Incarnation:   v.Incarnation,
+		ConfigVersion: v.ConfigVersion,
+		OwnersOffset:  v.OwnersOffset,
+		Draining:      v.Draining,
+	}
+}
+
+// ContactFromWire converts a contact.
+func ContactFromWire(r *wire.ContactRequest) (Contact, error) {
+	c := check{op: "contact request"}
+	out := Contact{
+		Entry:         c.name("entry", r.GetEntry()),
+		Incarnation:   c.positive("incarnation", r.GetIncarnation()),
+		ConfigVersion: r.GetConfigVersion(),
+		OwnersOffset:  r.GetOwnersOffset(),
+		Draining:      r.GetDraining(),
+	}
+	return out, c.result()
+}
+
+// ContactAnswerToWire converts the answer to a contact.
+func ContactAnswerToWire(v ContactAnswer) *wire.ContactReply {
+	out := &wire.ContactReply{
+		Entry:         v.Entry,
+		Incarnation:   v.Incarnation,
+		ConfigVersion: v.ConfigVersion,
+		OwnersOffset:  v.OwnersOffset,
+		Vouch:         v.Vouch,
+		Draining:      v.Draining,
+		Claims:        make([]*wire.OwnersRecord, 0, len(v.Claims)),
+	}
+	if v.Config != nil {
+		out.Config = ConfigRecordToWire(*v.Config)
+	}
+	for _, r := range v.Claims {
+		out.Claims = append(out.Claims, OwnersRecordToWire(r))
+	}
+	return out
+}
+
+// ContactAnswerFromWire converts the answer to a contact.
+func ContactAnswerFromWire(r *wire.ContactReply) (ContactAnswer, error) {
+	c := check{op: "contact reply"}
+	out := ContactAnswer{
+		Contact: Contact{
+			Entry:         c.name("entry", r.GetEntry()),
+			Incarnation:   c.positive("incarnation", r.GetIncarnation()),
+			ConfigVersion: r.GetConfigVersion(),
+			OwnersOffset:  r.GetOwnersOffset(),
+			Draining:      r.GetDraining(),
+		},
+		Vouch:  r.GetVouch(),
+		Claims: make([]OwnersRecord, 0, len(r.GetClaims())),
+	}
+	if r.GetConfig() != nil {
+		record := c.config(r.GetConfig())
+		out.Config = &record
+	}
+	for _, v := range r.GetClaims() {
+		out.Claims = append(out.Claims, c.owners(v))
+	}
+	return out, c.result()
+}
+
+// ConfigRecordToWire converts a configuration record.
+func ConfigRecordToWire(v ConfigRecord) *wire.ConfigRecord {
+	return &wire.ConfigRecord{
+		Version:  v.Version,
+		ChangeId: v.ChangeID,
+		Document: v.Document,
+		Offset:   v.Offset,
+	}
+}
+
+// ConfigRecordFromWire converts a configuration record.
+func ConfigRecordFromWire(v *wire.ConfigRecord) (ConfigRecord, error) {
+	c := check{op: "config record"}
+	out := c.config(v)
+	return out, c.result()
+}
+
+func (c *check) config(v *wire.ConfigRecord) ConfigRecord {
+	out := ConfigRecord{
+		Version:  c.positive("version", v.GetVersion()),
+		ChangeID: c.name("change_id", v.GetChangeId()),
+		Document: c.bytes("document", v.GetDocument(), MaxMessageBytes),
+		Offset:   v.GetOffset(),
+	}
+	if len(out.Document) == 0 {
+		c.failf("document is missing")
+	}
+	return out
+}
+
+// OwnersRecordToWire converts an ownership claim.
+func OwnersRecordToWire(v OwnersRecord) *wire.OwnersRecord {
+	return &wire.OwnersRecord{
+		Offset:      v.Offset,
+		Id:          v.ID,
+		Entry:       v.Entry,
+		Incarnation: v.Incarnation,
+		Shards:      shardsToWire(v.Shards),
+	}
+}
+
+// OwnersRecordFromWire converts an ownership claim.
+func OwnersRecordFromWire(v *wire.OwnersRecord) (OwnersRecord, error) {
+	c := check{op: "owners record"}
+	out := c.owners(v)
+	return out, c.result()
+}
+
+func (c *check) owners(v *wire.OwnersRecord) OwnersRecord {
+	return OwnersRecord{
+		Offset:      v.GetOffset(),
+		ID:          c.name("id", v.GetId()),
+		Entry:       c.name("entry", v.GetEntry()),
+		Incarnation: c.positive("incarnation", v.GetIncarnation()),
+		Shards:      c.shards(v.GetEntry(), v.GetShards()),
+	}
+}
+
+// JournalRecordToWire converts a journal record.
+func JournalRecordToWire(v JournalRecord) *wire.JournalRecord {
+	return &wire.JournalRecord{
+		Entry:       v.Entry,
+		Incarnation: v.Incarnation,
+		Claims:      claimsToWire(v.Claims),
+		End:         shardsToWire(v.End),
+	}
+}
+
+// JournalRecordFromWire converts a journal record.
+func JournalRecordFromWire(v *wire.JournalRecord) (JournalRecord, error) {
+	c := check{op: "journal record"}
+	out := JournalRecord{
+		Entry:       c.name("entry", v.GetEntry()),
+		Incarnation: c.positive("incarnation", v.GetIncarnation()),
+		Claims:      c.claims(v.GetClaims()),
+		End:         c.shards(v.GetEntry(), v.GetEnd()),
+	}
+	return out, c.result()
+}
+
+// WitnessingToWire converts claims sent to a witness.
+func WitnessingToWire(v Witnessing) *wire.WitnessRequest {
+	return &wire.WitnessRequest{Owner: v.Owner, Claims: claimsToWire(v.Claims)}
+}
+
+// WitnessingFromWire converts claims sent to a witness.
+func WitnessingFromWire(r *wire.WitnessRequest) (Witnessing, error) {
+	c := check{op: "witness request"}
+	out := Witnessing{Owner: c.name("owner", r.GetOwner()), Claims: c.claims(r.GetClaims())}
+	return out, c.result()
+}
+
+// WitnessAnswerToWire converts which claims are held, in their order.
+func WitnessAnswerToWire(held []bool) *wire.WitnessReply {
+	return &wire.WitnessReply{Held: held}
+}
+
+// WitnessAnswerFromWire converts which of n claims are held.
+func WitnessAnswerFromWire(n int, r *wire.WitnessReply) ([]bool, error) {
+	c := check{op: "witness reply"}
+	if len(r.GetHeld()) != n {
+		c.failf("%d answers to %d claims", len(r.GetHeld()), n)
+	}
+	return r.GetHeld(), c.result()
+}
+
+// YieldingToWire converts a yield request.
+func YieldingToWire(v Yielding) *wire.YieldRequest {
+	return &wire.YieldRequest{Entry: v.Entry, Shards: shardsToWire(v.Shards)}
+}
+
+// YieldingFromWire converts a yield request. The entry owns the shards.
+func YieldingFromWire(r *wire.YieldRequest) (Yielding, error) {
+	c := check{op: "yield request"}
+	out := Yielding{
+		Entry:  c.name("entry", r.GetEntry()),
+		Shards: c.shards(r.GetEntry(), r.GetShards()),
+	}
+	return out, c.result()
+}
+
+// YieldAnswerToWire converts the answer to a yield request.
+func YieldAnswerToWire(v YieldAnswer) *wire.YieldReply {
+	return &wire.YieldReply{Yielded: v.Yielded, Claims: claimsToWire(v.Claims)}
+}
+
+// YieldAnswerFromWire converts the answer to a yield request.
+func YieldAnswerFromWire(r *wire.YieldReply) (YieldAnswer, error) {
+	c := check{op: "yield reply"}
+	out := YieldAnswer{Yielded: r.GetYielded(), Claims: c.claims(r.GetClaims())}
+	return out, c.result()
+}
+
+// PublishToWire converts a record handed to a peer.
+func PublishToWire(v ConfigRecord) *wire.PublishRequest {
+	return &wire.PublishRequest{Record: ConfigRecordToWire(v)}
+}
+
+// PublishFromWire converts a record handed by a peer.
+func PublishFromWire(r *wire.PublishRequest) (ConfigRecord, error) {
+	return ConfigRecordFromWire(r.GetRecord())
+}
+
+// PublishAnswerToWire converts the version that a peer has after a Publish.
+func PublishAnswerToWire(version uint64) *wire.PublishReply {
+	return &wire.PublishReply{ConfigVersion: version}
+}
+
+// PublishAnswerFromWire returns the version that a peer has after a Publish.
+func PublishAnswerFromWire(r *wire.PublishReply) uint64 {
+	return r.GetConfigVersion()
+}
+
+// AnnouncementToWire converts an announcement.
+func AnnouncementToWire(v Announcement) *wire.AnnounceRequest {
+	return &wire.AnnounceRequest{
+		Endpoint:    v.Endpoint.ID,
+		Incarnation: v.Endpoint.Incarnation,
+		Addr:        v.Endpoint.Addr.String(),
+		Domain:      v.Endpoint.Domain,
+		Rack:        v.Endpoint.Rack,
+		Services:    v.Endpoint.Services,
+		Slots:       uint32(v.Endpoint.Slots),
+		Running:     uint32(v.Load.Running),
+		Queued:      uint32(v.Load.Queued),
+		Draining:    v.Endpoint.Draining,
+		AgentTime:   v.AgentTime,
+		Leaving:     v.Leaving,
+	}
+}
+
+// AnnouncementFromWire converts an announcement. The address must be an IP
+// address with a port that others can reach; the rack may be empty.
+func AnnouncementFromWire(r *wire.AnnounceRequest) (Announcement, error) {
+	c := check{op: "announce request"}
+	out := Announcement{
+		Endpoint: carobpulley.Endpoint{
+			ID:          c.name("endpoint", r.GetEndpoint()),
+			Incarnation: c.positive("incarnation", r.GetIncarnation()),
+			Addr:        c.addr(r.GetAddr()),
+			Domain:      c.name("domain", r.GetDomain()),
+			Rack:        c.text("rack", r.GetRack(), 0, MaxNameBytes),
+			Services:    c.services(r.GetServices()),
+			Slots:       c.number("slots", r.GetSlots(), 1, MaxSlots),
+			Draining:    r.GetDraining(),
+		},
+		Load:      c.load(r.GetRunning(), r.GetQueued()),
+		AgentTime: c.clock(r.GetAgentTime()),
+		Leaving:   r.GetLeaving(),
+	}
+	return out, c.result()
+}
+
+// AnnounceAnswerToWire converts the answer to an announcement.
+func AnnounceAnswerToWire(v AnnounceAnswer) *wire.AnnounceReply {
+	return &wire.AnnounceReply{ConfigVersion: v.ConfigVersion, InService: v.InService}
+}
+
+// AnnounceAnswerFromWire converts the answer to an announcement.
+func AnnounceAnswerFromWire(r *wire.AnnounceReply) AnnounceAnswer {
+	return AnnounceAnswer{ConfigVersion: r.GetConfigVersion(), InService: r.GetInService()}
+}
+
+func (c *check) addr(v string) netip.AddrPort {
+	addr, err := netip.ParseAddrPort(v)
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
+		c.failf("addr is not an IP address and port")
+		return netip.AddrPort{}
+	}
+	return addr
+}
+
+func (c *check) services(list []string) []string {
+	if n := len(list); n < 1 || n > MaxServices {
+		c.failf("%d services, want 1 to %d", n, MaxServices)
+		return nil
+	}
+	for _, s := range list {
+		c.name("service", s)
+	}
+	return list
+}
+
+// load checks counts against a bound far above any queue of this project.
+func (c *check) load(running, queued uint32) carobpulley.Load {
+	const most = 1 << 20
+	return carobpulley.Load{
+		Running: c.number("running", running, 0, most),
+		Queued:  c.number("queued", queued, 0, most),
+	}
+}
+
+// clock checks a reading of an agent's clock. Readings are positive.
+func (c *check) clock(v int64) int64 {
+	if v <= 0 {
+		c.failf("agent_time is not positive")
+	}
+	return v
+}
+
+func (c *check) run(v int64) time.Duration {
+	if v < 0 {
+		c.failf("run_nanos is negative")
+	}
+	return time.Duration(v)
+}
--- /dev/null
+++ b/inner/job.go
@@ -0,0 +1,295 @@
+package inner
+
+import (
+	"time"
+
+	"carobpulley"
+	"carobpulley/wire"
+)
+
+// Submission is a job forwarded to the owner of its shard.
+type Submission struct {
+	Spec carobpulley.JobSpec
+	// Wait asks for the answer at the end of the job.
+	Wait bool
+	// Receiver is the entry that holds a copy of the claim; empty if none does.
+	Receiver string
+}
+
+// Lookup reads the state of a job.
+type Lookup struct {
+	ID carobpulley.JobID
+	// Wait asks for the answer at the end of the job.
+	Wait bool
+}
+
+// JobReply is the state of a job, as its owner answers.
+type JobReply struct {
+	Answer carobpulley.Answer
+	// Owner is the entry that owns the shard.
+	Owner string
+	// Deadline of the job; zero if not told.
+	Deadline time.Time
+}
+
+// SpecToWire converts the body of a submission.
+func SpecToWire(s carobpulley.JobSpec) *wire.JobSpec {
+	return &wire.JobSpec{
+		Id:       idToWire(s.ID),
+		Service:  s.Service,
+		Payloads: s.Payloads,
+		Deadline: timeToWire(s.Deadline),
+	}
+}
+
+// SpecFromWire converts the body of a submission: 1 to MaxTasks payloads, each
+// at most MaxPayloadBytes and together at most MaxBodyBytes.
+func SpecFromWire(s *wire.JobSpec) (carobpulley.JobSpec, error) {
+	c := check{op: "job spec"}
+	out := c.spec(s)
+	return out, c.result()
+}
+
+func (c *check) spec(s *wire.JobSpec) carobpulley.JobSpec {
+	out := carobpulley.JobSpec{
+		ID:       c.id(s.GetId()),
+		Service:  c.name("service", s.GetService()),
+		Payloads: s.GetPayloads(),
+		Deadline: c.time("deadline", s.GetDeadline()),
+	}
+	if n := len(out.Payloads); n < 1 || n > carobpulley.MaxTasks {
+		c.failf("%d tasks, want 1 to %d", n, carobpulley.MaxTasks)
+	}
+	total := 0
+	for _, p := range out.Payloads {
+		c.bytes("payload", p, carobpulley.MaxPayloadBytes)
+		total += len(p)
+	}
+	if total > carobpulley.MaxBodyBytes {
+		c.failf("payloads have %d bytes, the limit is %d", total, carobpulley.MaxBodyBytes)
+	}
+	return out
+}
+
+// SubmissionToWire converts a submission.
+func SubmissionToWire(s Submission) *wire.SubmitRequest {
+	return &wire.SubmitRequest{Spec: SpecToWire(s.Spec), Wait: s.Wait, Receiver: s.Receiver}
+}
+
+// SubmissionFromWire converts a submission.
+func SubmissionFromWire(r *wire.SubmitRequest) (Submission, error) {
+	c := check{op: "submit request"}
+	out := Submission{
+		Spec:     c.spec(r.GetSpec()),
+		Wait:     r.GetWait(),
+		Receiver: c.text("receiver", r.GetReceiver(), 0, MaxNameBytes),
+	}
+	return out, c.result()
+}
+
+// LookupToWire converts a lookup.
+func LookupToWire(l Lookup) *wire.LookupRequest {
+	return &wire.LookupRequest{Id: idToWire(l.ID), Wait: l.Wait}
+}
+
+// LookupFromWire converts a lookup.
+func LookupFromWire(r *wire.LookupRequest) (Lookup, error) {
+	c := check{op: "lookup request"}
+	out := Lookup{ID: c.id(r.GetId()), Wait: r.GetWait()}
+	return out, c.result()
+}
+
+// CancelToWire converts the id of a job to be cancelled.
+func CancelToWire(id carobpulley.JobID) *wire.CancelRequest {
+	return &wire.CancelRequest{Id: idToWire(id)}
+}
+
+// CancelFromWire converts the id of a job to be cancelled.
+func CancelFromWire(r *wire.CancelRequest) (carobpulley.JobID, error) {
+	c := check{op: "cancel request"}
+	id := c.id(r.GetId())
+	return id, c.result()
+}
+
+// JobReplyToWire converts the state of a job. Results travel only in a
+// complete answer.
+func JobReplyToWire(r JobReply) *wire.JobReply {
+	out := &wire.JobReply{
+		Outcome:   string(r.Answer.Outcome),
+		Tasks:     make([]*wire.TaskState, 0, len(r.Answer.Tasks)),
+		Owner:     r.Owner,
+		Service:   r.Answer.Service,
+		Deadline:  timeToWire(r.Deadline),
+		Cancelled: r.Answer.Cancelled,
+	}
+	if r.Answer.Err != nil {
+		out.Refusal = RefusalToWire(r.Answer.Err)
+	}
+	complete := r.Answer.Outcome == carobpulley.OutcomeComplete
+	for _, t := range r.Answer.Tasks {
+		s := taskToWire(t)
+		if !complete {
+			s.Result = nil
+		}
+		out.Tasks = append(out.Tasks, s)
+	}
+	return out
+}
+
+// RefusedJob is the reply of an entry that has no state for the job, such as
+// one that does not own the shard. Owner may be empty.
+func RefusedJob(err error, owner string) *wire.JobReply {
+	return &wire.JobReply{Refusal: RefusalToWire(err), Owner: owner}
+}
+
+// JobReplyFromWire converts the state of the job with the given id. A reply
+// without an outcome is a refusal: its *carobpulley.Error is returned as the
+// error, with Owner filled in.
+func JobReplyFromWire(id carobpulley.JobID, r *wire.JobReply) (JobReply, error) {
+	c := check{op: "job reply"}
+	out, refusal := c.jobReply(id, r)
+	if err := c.result(); err != nil {
+		return JobReply{}, err
+	}
+	if refusal != nil {
+		return out, refusal
+	}
+	return out, nil
+}
+
+func (c *check) jobReply(id carobpulley.JobID, r *wire.JobReply) (JobReply, *carobpulley.Error) {
+	refusal, err := RefusalFromWire(r.GetRefusal())
+	c.add(err)
+	out := JobReply{
+		Owner:    c.text("owner", r.GetOwner(), 0, MaxNameBytes),
+		Deadline: c.timeIfSet("deadline", r.GetDeadline()),
+	}
+	if r.GetOutcome() == "" {
+		if refusal == nil {
+			c.failf("outcome and refusal are missing")
+		}
+		return out, refusal
+	}
+	out.Answer = carobpulley.Answer{
+		ID:        id,
+		Service:   c.text("service", r.GetService(), 0, MaxNameBytes),
+		Outcome:   c.outcome(r.GetOutcome()),
+		Tasks:     c.tasks(r.GetTasks()),
+		Cancelled: r.GetCancelled(),
+		Err:       refusal,
+	}
+	c.answer(out.Answer)
+	return out, nil
+}
+
+// answer checks that an answer is whole or has no results.
+func (c *check) answer(a carobpulley.Answer) {
+	complete := a.Outcome == carobpulley.OutcomeComplete
+	if complete && len(a.Tasks) == 0 {
+		c.failf("a complete answer has no tasks")
+	}
+	for i, t := range a.Tasks {
+		if t.Index != i {
+			c.failf("task %d has index %d", i, t.Index)
+		}
+		if complete && t.Phase != carobpulley.PhaseDone {
+			c.failf("a complete answer has a task in another phase than done")
+		}
+		if !complete && len(t.Result) > 0 {
+			c.failf("an incomplete answer has a result")
+		}
+	}
+}
+
+func (c *check) outcome(v string) carobpulley.Outcome {
+	o := carobpulley.Outcome(v)
+	switch o {
+	case carobpulley.OutcomeRunning, carobpulley.OutcomeComplete,
+		carobpulley.OutcomeFailed, carobpulley.OutcomeNotRun:
+	default:
+		c.failf("outcome is not known")
+	}
+	return o
+}
+
+func (c *check) tasks(list []*wire.TaskState) []carobpulley.Task {
+	if len(list) > carobpulley.MaxTasks {
+		c.failf("%d tasks, the limit is %d", len(list), carobpulley.MaxTasks)
+		return nil
+	}
+	out := make([]carobpulley.Task, 0, len(list))
+	for _, t := range list {
+		out = append(out, carobpulley.Task{
+			Index:    c.index(t.GetIndex()),
+			Phase:    c.phase(t.GetPhase()),
+			Endpoint: c.text("endpoint", t.GetEndpoint(), 0, MaxNameBytes),
+			Status:   int(t.GetStatus()),
+			Result:   c.bytes("result", t.GetResult(), carobpulley.MaxResultBytes),
+			Err:      c.text("error", t.GetError(), 0, MaxTextBytes),
+		})
+	}
+	return out
+}
+
+// taskToWire converts a task. The attempt stays at the owner.
+func taskToWire(t carobpulley.Task) *wire.TaskState {
+	return &wire.TaskState{
+		Index:    indexToWire(t.Index),
+		Phase:    string(t.Phase),
+		Endpoint: t.Endpoint,
+		Status:   int32(t.Status),
+		Result:   t.Result,
+		Error:    cut(t.Err),
+	}
+}
+
+// ClaimToWire converts a claim with its answer, if there is one.
+func ClaimToWire(v carobpulley.Claim) *wire.Claim {
+	out := &wire.Claim{Spec: SpecToWire(v.Spec), Shard: uint32(v.Shard), Epoch: v.Epoch}
+	if v.Answer != nil {
+		out.Answer = JobReplyToWire(JobReply{Answer: *v.Answer})
+	}
+	return out
+}
+
+// ClaimFromWire converts a claim.
+func ClaimFromWire(v *wire.Claim) (carobpulley.Claim, error) {
+	c := check{op: "claim"}
+	out := c.claim(v)
+	return out, c.result()
+}
+
+func (c *check) claim(v *wire.Claim) carobpulley.Claim {
+	out := carobpulley.Claim{Spec: c.spec(v.GetSpec())}
+	out.Shard, out.Epoch = c.shard(v.GetShard(), v.GetEpoch(), false)
+	if v.GetAnswer() == nil {
+		return out
+	}
+	reply, refusal := c.jobReply(out.Spec.ID, v.GetAnswer())
+	if refusal != nil || !ended(reply.Answer.Outcome) {
+		c.failf("the answer of a claim is not final")
+		return out
+	}
+	out.Answer = &reply.Answer
+	return out
+}
+
+func ended(o carobpulley.Outcome) bool {
+	return o != "" && o != carobpulley.OutcomeRunning
+}
+
+func (c *check) claims(list []*wire.Claim) []carobpulley.Claim {
+	out := make([]carobpulley.Claim, 0, len(list))
+	for _, v := range list {
+		out = append(out, c.claim(v))
+	}
+	return out
+}
+
+func claimsToWire(list []carobpulley.Claim) []*wire.Claim {
+	out := make([]*wire.Claim, 0, len(list))
+	for _, v := range list {
+		out = append(out, ClaimToWire(v))
+	}
+	return out
+}
--- /dev/null
+++ b/inner/server.go
@@ -0,0 +1,131 @@
+package inner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"carobpulley/wire"
+)
+
+// Limits of a server.
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// serverIdleTimeout closes connections without a call.
+	serverIdleTimeout = 3 * time.Minute
+	// serverPingInterval bounds how long a vanished client keeps its
+	// connection: twice this time. Clients find silence themselves, faster.
+	serverPingInterval = 15 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 16 << 10
+	// maxStreams bounds the concurrent calls on a connection. An entry keeps
+	// one call open per waiting job of another entry.
+	maxStreams = 4096
+)
+
+// Server serves HTTP/2 and HTTP/1.1 on one address, and stops gracefully.
+type Server struct {
+	srv      *http.Server
+	listener net.Listener
+}
+
+// NewServer listens on an address. It refuses plain text where the settings do
+// not allow it. Port 0 picks a free port.
+func NewServer(ctx context.Context, addr netip.AddrPort, t TLS, h http.Handler) (*Server, error) {
+	if err := t.CheckAddr(addr); err != nil {
+		return nil, err
+	}
+	cfg, err := t.Server()
+	if err != nil {
+		return nil, err
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	if cfg == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
+	return &Server{
+		listener: l,
+		srv: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       serverIdleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			Protocols:         protocols,
+			TLSConfig:         cfg,
+			HTTP2: &http.HTTP2Config{
+				MaxConcurrentStreams: maxStreams,
+				SendPingTimeout:      serverPingInterval,
+				PingTimeout:          serverPingInterval,
+				WriteByteTimeout:     serverPingInterval,
+			},
+		},
+	}, nil
+}
+
+// Addr is the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort {
+	addr, ok := s.listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return addr.AddrPort()
+}
+
+// Serve accepts connections until Stop is called.
+func (s *Server) Serve() error {
+	err := s.serve()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+func (s *Server) serve() error {
+	if s.srv.TLSConfig == nil {
+		return s.srv.Serve(s.listener)
+	}
+	return s.srv.ServeTLS(s.listener, "", "")
+}
+
+// Stop accepts no more connections, waits for calls in progress until ctx ends
+// and then closes what is left.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.srv.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	return errors.Join(errors.Wrap(err, "stop"), s.srv.Close())
+}
+
+// AgentHandler mounts an agent's service. Its methods may return
+// *carobpulley.Error.
+func AgentHandler(svc wire.AgentServiceHandler) (string, http.Handler) {
+	return wire.NewAgentServiceHandler(svc, handlerOptions(MaxAgentMessageBytes)...)
+}
+
+// EntryHandler mounts an entry's service. Its methods may return
+// *carobpulley.Error.
+func EntryHandler(svc wire.EntryServiceHandler) (string, http.Handler) {
+	return wire.NewEntryServiceHandler(svc, handlerOptions(MaxMessageBytes)...)
+}
+
+func handlerOptions(most int) []connect.HandlerOption {
+	return []connect.HandlerOption{
+		connect.WithReadMaxBytes(most),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(convertErrors)),
+	}
+}
