--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,276 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"carobpulley"
+	"carobpulley/api"
+)
+
+// maxAttempts bounds the dispatches of an idempotent request.
+const maxAttempts = 3
+
+// call is a single request under way.
+type call struct {
+	id      carobpulley.JobID
+	r       api.Request
+	attempt int
+	// retryable is set for idempotent requests.
+	retryable bool
+	ended     bool
+	done      chan struct{}
+	task      carobpulley.Task
+	err       *carobpulley.Error
+}
+
+// next counts an attempt and returns its dispatch.
+func (c *call) next(endpoint string) carobpulley.Dispatch {
+	c.attempt++
+	return c.dispatch(endpoint)
+}
+
+// dispatch returns the current attempt.
+func (c *call) dispatch(endpoint string) carobpulley.Dispatch {
+	return carobpulley.Dispatch{
+		ID:       carobpulley.TaskID{Job: c.id, Index: carobpulley.RequestIndex},
+		Attempt:  c.attempt,
+		Endpoint: endpoint,
+		Service:  c.r.Service,
+		Payload:  c.r.Payload,
+		Deadline: c.r.Deadline,
+	}
+}
+
+func (c *call) waiting(now time.Time) carobpulley.Waiting {
+	return carobpulley.Waiting{
+		Task:     carobpulley.TaskID{Job: c.id, Index: carobpulley.RequestIndex},
+		Service:  c.r.Service,
+		Member:   c.r.Member,
+		Deadline: c.r.Deadline,
+		QueuedAt: now,
+	}
+}
+
+// Call implements api.Backend.
+func (e *Entry) Call(ctx context.Context, r api.Request) (carobpulley.Task, error) {
+	c, err := e.newCall(r)
+	if err != nil {
+		return carobpulley.Task{}, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		e.expire(c)
+		// A dispatched request is followed to its outcome, since the caller
+		// must learn whether it ran.
+		<-c.done
+	}
+	if c.err != nil {
+		return carobpulley.Task{}, c.err
+	}
+	return c.task, nil
+}
+
+func (e *Entry) newCall(r api.Request) (*call, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if err := e.mayServe(now, "call", r.Member, r.Service); err != nil {
+		err.NotRun = true
+		return nil, err
+	}
+	c := &call{
+		id:        carobpulley.JobID{Member: r.Member, Key: "request-" + e.newID()},
+		r:         r,
+		retryable: !r.NonIdempotent && e.cat.Services[r.Service].Idempotent,
+		done:      make(chan struct{}),
+	}
+	spec := carobpulley.JobSpec{ID: c.id, Service: r.Service, Payloads: [][]byte{r.Payload}, Deadline: r.Deadline}
+	if err := e.admitter.Admit(now, spec); err != nil {
+		return nil, err
+	}
+	e.retry.Request(now, r.Member)
+	e.single[c.id] = c
+	e.queue(now, c.waiting(now))
+	e.pump(now)
+	return c, nil
+}
+
+// expire ends a call that waits in the queue past its deadline.
+func (e *Entry) expire(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.admitter.Drop(now, c.id) == 0 {
+		return
+	}
+	e.endCall(c, carobpulley.Task{}, &carobpulley.Error{
+		Op:     "call",
+		Kind:   carobpulley.KindDeadline,
+		Msg:    "no endpoint was free before the deadline",
+		NotRun: true,
+	})
+}
+
+func (e *Entry) endCall(c *call, t carobpulley.Task, err *carobpulley.Error) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.task, c.err = t, err
+	delete(e.single, c.id)
+	close(c.done)
+}
+
+// callEvent takes an outcome if it is that of a single request.
+func (e *Entry) callEvent(now time.Time, ev carobpulley.Event) bool {
+	switch ev := ev.(type) {
+	case carobpulley.TaskEnded:
+		return e.callEnded(now, ev)
+	case carobpulley.TaskRefused:
+		return e.callRefused(now, ev)
+	case carobpulley.TaskLost:
+		return e.callLost(now, ev)
+	case carobpulley.TaskUnresolved:
+		return e.callUnresolved(now, ev)
+	case carobpulley.TaskGone:
+		return e.callGone(now, ev)
+	default:
+		return false
+	}
+}
+
+// current returns the call that an attempt belongs to; ok is false if the id is
+// that of a job's task. An outdated attempt gives a nil call.
+func (e *Entry) current(id carobpulley.TaskID, attempt int) (c *call, ok bool) {
+	if !id.IsRequest() {
+		return nil, false
+	}
+	c = e.single[id.Job]
+	if c == nil || c.attempt != attempt {
+		return nil, true
+	}
+	return c, true
+}
+
+func (e *Entry) callEnded(now time.Time, ev carobpulley.TaskEnded) bool {
+	c, ok := e.current(ev.ID, ev.Attempt)
+	if c == nil {
+		return ok
+	}
+	if ev.Phase != carobpulley.PhaseDone {
+		if e.again(now, c) {
+			return true
+		}
+		e.endCall(c, carobpulley.Task{}, &carobpulley.Error{
+			Op:   "call",
+			Kind: carobpulley.KindFailed,
+			Msg:  "the endpoint failed the request: " + ev.Err,
+		})
+		return true
+	}
+	e.endCall(c, carobpulley.Task{Phase: ev.Phase, Status: ev.Status, Result: ev.Result}, nil)
+	return true
+}
+
+// callRefused ends a non-idempotent request: it is dispatched once, ever.
+func (e *Entry) callRefused(now time.Time, ev carobpulley.TaskRefused) bool {
+	c, ok := e.current(ev.ID, ev.Attempt)
+	if c == nil {
+		return ok
+	}
+	if c.retryable && now.Before(c.r.Deadline) {
+		e.queue(now, c.waiting(now))
+		return true
+	}
+	e.endCall(c, carobpulley.Task{}, &carobpulley.Error{
+		Op:      "call",
+		Kind:    ev.Kind,
+		Msg:     "the endpoint's agent refused the request before its start",
+		NotRun:  c.attempt == 1,
+		RetryAt: now,
+	})
+	return true
+}
+
+func (e *Entry) callLost(now time.Time, ev carobpulley.TaskLost) bool {
+	c, ok := e.current(ev.ID, ev.Attempt)
+	if c == nil {
+		return ok
+	}
+	ep, known := e.lost[ev.ID]
+	if !known {
+		e.endCall(c, carobpulley.Task{}, unknownCall())
+		return true
+	}
+	e.query(c.dispatch(ep.ID), now)
+	return true
+}
+
+func (e *Entry) callUnresolved(now time.Time, ev carobpulley.TaskUnresolved) bool {
+	c, ok := e.current(ev.ID, ev.Attempt)
+	if c == nil {
+		return ok
+	}
+	if e.again(now, c) {
+		return true
+	}
+	ep, known := e.lost[ev.ID]
+	if !known || !now.Before(c.r.Deadline) {
+		delete(e.lost, ev.ID)
+		e.endCall(c, carobpulley.Task{}, unknownCall())
+		return true
+	}
+	e.query(c.dispatch(ep.ID), now.Add(queryTimeout/10))
+	return true
+}
+
+func (e *Entry) callGone(now time.Time, ev carobpulley.TaskGone) bool {
+	c, ok := e.current(ev.ID, ev.Attempt)
+	if c == nil {
+		return ok
+	}
+	if e.again(now, c) {
+		return true
+	}
+	e.endCall(c, carobpulley.Task{}, unknownCall())
+	return true
+}
+
+func unknownCall() *carobpulley.Error {
+	return &carobpulley.Error{
+		Op:   "call",
+		Kind: carobpulley.KindUnknown,
+		Msg:  "the endpoint's agent did not answer; the request may have run",
+	}
+}
+
+// again retries an idempotent request inside the member's budget.
+func (e *Entry) again(now time.Time, c *call) bool {
+	if !c.retryable || c.attempt >= maxAttempts || !now.Before(c.r.Deadline) {
+		return false
+	}
+	at, ok := e.retry.Allow(now, c.r.Member, c.attempt)
+	if !ok || !at.Before(c.r.Deadline) {
+		return false
+	}
+	e.counters.retries.Add(1)
+	delete(e.lost, carobpulley.TaskID{Job: c.id, Index: carobpulley.RequestIndex})
+	e.goDo(func() { e.requeue(c, at) })
+	return true
+}
+
+func (e *Entry) requeue(c *call, at time.Time) {
+	e.sleep(at)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.ended {
+		return
+	}
+	now := time.Now()
+	e.queue(now, c.waiting(now))
+	e.pump(now)
+}
--- /dev/null
+++ b/entry/takeover.go
@@ -0,0 +1,350 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"carobpulley"
+	"carobpulley/inner"
+	"carobpulley/wire"
+)
+
+const (
+	// yieldTimeout bounds one Yield call; its answer may carry many claims.
+	yieldTimeout = 2 * time.Second
+	// fenceTimeout bounds one Fence call.
+	fenceTimeout = 2 * time.Second
+	// journalTimeout bounds the reading of all journals at a takeover.
+	journalTimeout = 10 * time.Second
+	// departedFor is how long the departure of an agent makes its starts
+	// missing at a takeover: the longest deadline of a job.
+	departedFor = 10 * time.Minute
+)
+
+// takeover collects what is found of one shard that this entry claimed.
+type takeover struct {
+	epoch   uint64
+	claims  []carobpulley.Claim
+	started []carobpulley.StartedTask
+	// at are the endpoints that reported started tasks.
+	at map[string]carobpulley.Endpoint
+	// allAgents is set once every known agent answered the fence completely.
+	allAgents bool
+	fenced    chan struct{}
+	// journal is closed when the journals have been read; journalOK tells
+	// whether all of them could be read.
+	journal   chan struct{}
+	journalOK bool
+	// ended is set if the journal says that it holds all claims of the shard.
+	ended bool
+}
+
+// stepAuthority feeds an event to the authority and carries the actions out.
+// mu is held.
+func (e *Entry) stepAuthority(now time.Time, ev carobpulley.AuthorityEvent) []carobpulley.AuthorityAction {
+	acts := e.authority.Step(now, ev)
+	for _, a := range acts {
+		e.actAuthority(now, a)
+	}
+	return acts
+}
+
+func (e *Entry) actAuthority(now time.Time, a carobpulley.AuthorityAction) {
+	switch a := a.(type) {
+	case carobpulley.AppendClaim:
+		e.appendClaim(a)
+	case carobpulley.SendYield:
+		e.sendYield(a)
+	case carobpulley.SendFence:
+		e.sendFence(now, a.Shards)
+	case carobpulley.OpenShards:
+		e.openShards(a)
+	case carobpulley.CloseShards:
+		e.closeShards(now, a.Shards)
+	}
+}
+
+// collect returns the takeover of a shard at an epoch, a new one if needed.
+func (e *Entry) collect(s carobpulley.Ownership) *takeover {
+	t := e.opening[s.Shard]
+	if t == nil || t.epoch < s.Epoch {
+		t = &takeover{
+			epoch:   s.Epoch,
+			at:      make(map[string]carobpulley.Endpoint),
+			fenced:  make(chan struct{}),
+			journal: make(chan struct{}),
+		}
+		e.opening[s.Shard] = t
+		// What this entry itself witnessed for the old owner counts too.
+		t.claims = e.witness.yield([]carobpulley.Ownership{s})
+	}
+	return t
+}
+
+func (e *Entry) sendYield(a carobpulley.SendYield) {
+	for _, s := range a.Shards {
+		e.collect(s)
+	}
+	e.goDo(func() {
+		ctx, cancel := context.WithTimeout(e.ctx, yieldTimeout)
+		defer cancel()
+		r, err := e.peer(a.Peer).Yield(ctx, connect.NewRequest(inner.YieldingToWire(inner.Yielding{
+			Entry:  e.cfg.Name,
+			Shards: a.Shards,
+		})))
+		if err != nil {
+			return
+		}
+		ans, err := inner.YieldAnswerFromWire(r.Msg)
+		if err != nil || !ans.Yielded {
+			return
+		}
+		e.yielded(a, ans)
+	})
+}
+
+func (e *Entry) yielded(a carobpulley.SendYield, ans inner.YieldAnswer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range ans.Claims {
+		if t := e.opening[c.Shard]; t != nil {
+			t.claims = append(t.claims, c)
+		}
+	}
+	e.stepAuthority(time.Now(), carobpulley.YieldAnswered{
+		Peer:        a.Peer,
+		Incarnation: ans.Incarnation,
+		Shards:      a.Shards,
+		Missing:     ans.Missing,
+	})
+}
+
+// yield answers a new owner: this entry vouches no longer for older epochs of
+// the shards and hands over the claims that it holds of them.
+func (e *Entry) yield(y inner.Yielding) inner.YieldAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	// An old owner hands over its table before the authority closes the shards.
+	claims := e.witness.yield(y.Shards)
+	for _, s := range y.Shards {
+		claims = append(claims, e.table.Claims(s.Shard)...)
+	}
+	out := inner.YieldAnswer{Incarnation: e.cfg.Incarnation, Claims: claims}
+	for _, a := range e.stepAuthority(now, carobpulley.YieldAsked{Entry: y.Entry, Shards: y.Shards}) {
+		if v, ok := a.(carobpulley.YieldFor); ok {
+			out.Yielded = true
+			out.Missing = v.Missing
+		}
+	}
+	if !out.Yielded {
+		return inner.YieldAnswer{Incarnation: e.cfg.Incarnation}
+	}
+	return out
+}
+
+// sendFence raises the epochs at all agents, collects what they started, and
+// reads the journals.
+func (e *Entry) sendFence(now time.Time, shards []carobpulley.Ownership) {
+	takes := make([]*takeover, 0, len(shards))
+	for _, s := range shards {
+		takes = append(takes, e.collect(s))
+	}
+	agents := make([]carobpulley.Endpoint, 0, len(e.agents))
+	for _, a := range e.agents {
+		agents = append(agents, a.endpoint)
+	}
+	whole := !e.members.Departed(now, now.Add(-departedFor))
+	e.goDo(func() { e.fenceAll(shards, takes, agents, whole) })
+	e.goDo(func() { e.readJournals(shards, takes) })
+}
+
+func (e *Entry) fenceAll(shards []carobpulley.Ownership, takes []*takeover, agents []carobpulley.Endpoint, whole bool) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, ep := range agents {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ok := e.fenceOne(shards, ep)
+			mu.Lock()
+			defer mu.Unlock()
+			whole = whole && ok
+		}()
+	}
+	wg.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, t := range takes {
+		t.allAgents = whole
+		close(t.fenced)
+	}
+	if whole {
+		e.stepAuthority(time.Now(), carobpulley.AgentsFenced{Shards: shards})
+	}
+}
+
+// fenceOne fences one agent and reports whether it told all that it started.
+func (e *Entry) fenceOne(shards []carobpulley.Ownership, ep carobpulley.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(e.ctx, fenceTimeout)
+	defer cancel()
+	r, err := e.client.Agent(ep.Addr).Fence(ctx, connect.NewRequest(inner.FencingToWire(inner.Fencing{
+		Owner:  e.cfg.Name,
+		Shards: shards,
+	})))
+	if err != nil {
+		e.logger.Warn().Err(err).Str("endpoint", ep.ID).Msg("fence got no answer")
+		return false
+	}
+	a, err := inner.FenceAnswerFromWire(ep.ID, r.Msg)
+	if err != nil || !a.Fenced {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heard(ep.ID, a.Incarnation, a.AgentTime)
+	for _, s := range a.Started {
+		t := e.opening[carobpulley.ShardOf(s.ID.Job, e.cfg.Shards)]
+		if t == nil {
+			continue
+		}
+		t.started = append(t.started, s)
+		t.at[ep.ID] = ep
+	}
+	return a.Complete && a.Incarnation == ep.Incarnation
+}
+
+// readJournals collects the claims of the shards from the journals of all entries.
+func (e *Entry) readJournals(shards []carobpulley.Ownership, takes []*takeover) {
+	ctx, cancel := context.WithTimeout(e.ctx, journalTimeout)
+	defer cancel()
+	ok := true
+	names := []string{e.cfg.Name}
+	for name := range e.cfg.Peers {
+		names = append(names, name)
+	}
+	asked := make(map[int]*takeover, len(shards))
+	for i, s := range shards {
+		asked[s.Shard] = takes[i]
+	}
+	for _, name := range names {
+		if err := e.readJournal(ctx, name, asked); err != nil {
+			e.logger.Warn().Err(err).Str("entry", name).Msg("journal cannot be read")
+			ok = false
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, t := range takes {
+		t.journalOK = ok
+		close(t.journal)
+	}
+}
+
+func (e *Entry) readJournal(ctx context.Context, name string, asked map[int]*takeover) error {
+	for from := uint64(0); ; {
+		page, err := e.log.Read(ctx, carobpulley.StreamJournalPrefix+name, from, logPage, time.Time{})
+		if err != nil {
+			return err
+		}
+		for _, rec := range page.Records {
+			from = rec.Offset + 1
+			if err := e.journalRecord(rec.Data, asked); err != nil {
+				return err
+			}
+		}
+		if len(page.Records) == 0 || from >= page.Next {
+			return nil
+		}
+	}
+}
+
+func (e *Entry) journalRecord(data []byte, asked map[int]*takeover) error {
+	var m wire.JournalRecord
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return err
+	}
+	r, err := inner.JournalRecordFromWire(&m)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range r.Claims {
+		if t := asked[c.Shard]; t != nil && c.Epoch < t.epoch {
+			t.claims = append(t.claims, c)
+		}
+	}
+	for _, s := range r.End {
+		if t := asked[s.Shard]; t != nil && s.Epoch+1 == t.epoch {
+			t.ended = true
+		}
+	}
+	return nil
+}
+
+// openShards opens shards once all that was asked for has come in.
+func (e *Entry) openShards(a carobpulley.OpenShards) {
+	missing := make(map[int]bool, len(a.Missing))
+	for _, s := range a.Missing {
+		missing[s] = true
+	}
+	for _, s := range a.Shards {
+		t := e.collect(s)
+		e.goDo(func() { e.openShard(s, t, missing[s.Shard]) })
+	}
+}
+
+func (e *Entry) openShard(s carobpulley.Ownership, t *takeover, missing bool) {
+	for _, c := range []chan struct{}{t.fenced, t.journal} {
+		select {
+		case <-c:
+		case <-e.ctx.Done():
+			return
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opening[s.Shard] != t {
+		return
+	}
+	now := time.Now()
+	own, ok := e.authority.Owner(s.Shard)
+	if !ok || own.Owner != e.cfg.Name || own.Epoch != s.Epoch {
+		return
+	}
+	for _, st := range t.started {
+		e.lost[st.ID] = t.at[st.Endpoint]
+	}
+	e.step(now, carobpulley.ShardOpened{
+		Shard:     s.Shard,
+		Epoch:     s.Epoch,
+		Claims:    t.claims,
+		Started:   t.started,
+		AllAgents: t.allAgents || s.Epoch == 1,
+		AllClaims: t.journalOK && (!missing || t.ended) || s.Epoch == 1,
+	})
+	delete(e.opening, s.Shard)
+	e.logger.Info().Int("shard", s.Shard).Uint64("epoch", s.Epoch).Int("claims", len(t.claims)).
+		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Bool("missing", missing).Msg("shard opened")
+	e.pump(now)
+}
+
+// closeShards forgets shards that another entry claimed; those who wait for
+// their jobs ask the new owner.
+func (e *Entry) closeShards(now time.Time, shards []carobpulley.Ownership) {
+	closed := make(map[int]bool, len(shards))
+	for _, s := range shards {
+		closed[s.Shard] = true
+		e.step(now, carobpulley.ShardClosed{Shard: s.Shard})
+	}
+	for id := range e.waiters {
+		if closed[carobpulley.ShardOf(id, e.cfg.Shards)] {
+			e.wake(id)
+		}
+	}
+}
--- a/inner/job.go
+++ b/inner/job.go
@@ -14,6 +14,8 @@
 	Wait bool
 	// Receiver is the entry that holds a copy of the claim; empty if none does.
 	Receiver string
+	// Epoch is the shard's epoch that the receiver knew.
+	Epoch uint64
 }
 
 // Lookup reads the state of a job.
@@ -73,7 +75,7 @@
 
 // SubmissionToWire converts a submission.
 func SubmissionToWire(s Submission) *wire.SubmitRequest {
-	return &wire.SubmitRequest{Spec: SpecToWire(s.Spec), Wait: s.Wait, Receiver: s.Receiver}
+	return &wire.SubmitRequest{Spec: SpecToWire(s.Spec), Wait: s.Wait, Receiver: s.Receiver, Epoch: s.Epoch}
 }
 
 // SubmissionFromWire converts a submission.
@@ -83,6 +85,7 @@
 		Spec:     c.spec(r.GetSpec()),
 		Wait:     r.GetWait(),
 		Receiver: c.text("receiver", r.GetReceiver(), 0, MaxNameBytes),
+		Epoch:    r.GetEpoch(),
 	}
 	return out, c.result()
 }
