--- a/authority.go
+++ b/authority.go
@@ -18,6 +18,9 @@
 	// TakeoverDelay lets vouches and echoes of the old owner run out, with a
 	// margin for clock rates.
 	TakeoverDelay = 3 * time.Second
+	// HandoverDelay replaces TakeoverDelay if the old owner itself has yielded,
+	// so that only echoes have to run out. It ends early once all agents are fenced.
+	HandoverDelay = EchoValidity + 100*time.Millisecond
 )
 
 // Authority decides whether this entry may act and which shards it owns. It is
@@ -73,9 +76,14 @@
 	}
 	// YieldAnswered is a peer's answer to a yield request.
 	YieldAnswered struct {
-		Peer   string
-		Shards []Ownership
+		Peer        string
+		Incarnation uint64
+		Shards      []Ownership
+		// Missing lists shards of which the peer may have lost claims.
+		Missing []int
 	}
+	// AgentsFenced tells that every agent answered the fence of the shards.
+	AgentsFenced struct{ Shards []Ownership }
 	// DrainStarted tells that this entry is stopping.
 	DrainStarted struct{}
 	// AuthorityTick lets time pass.
@@ -84,8 +92,13 @@
 
 // Actions of an Authority.
 type (
-	// AppendClaim asks to append a claim to the owners stream.
-	AppendClaim struct{ Shards []Ownership }
+	// AppendClaim asks to append a claim to the owners stream. Entry is the new
+	// owner: this entry, or the one that a handover names.
+	AppendClaim struct {
+		Entry       string
+		Incarnation uint64
+		Shards      []Ownership
+	}
 	// SendYield asks a peer to stop vouching for older epochs.
 	SendYield struct {
 		Peer   string
@@ -94,9 +107,21 @@
 	// SendFence asks to raise the epochs at all agents and collect what they started.
 	SendFence struct{ Shards []Ownership }
 	// OpenShards asks to open shards with all that was collected.
-	OpenShards struct{ Shards []Ownership }
+	OpenShards struct {
+		Shards []Ownership
+		// Missing lists shards of which some claims may be lost, unless the old
+		// owner's journal is known to be complete.
+		Missing []int
+	}
 	// CloseShards asks to close shards that another entry claimed.
 	CloseShards struct{ Shards []Ownership }
+	// YieldFor is the answer to YieldAsked. The shell adds the claims it holds of
+	// the shards, those of CloseShards included.
+	YieldFor struct {
+		Entry   string
+		Shards  []Ownership
+		Missing []int
+	}
 	// VouchFor is the answer to ContactAsked.
 	VouchFor struct {
 		Peer  string
@@ -111,6 +136,7 @@
 func (ContactAsked) authorityEvent()    {}
 func (YieldAsked) authorityEvent()      {}
 func (YieldAnswered) authorityEvent()   {}
+func (AgentsFenced) authorityEvent()    {}
 func (DrainStarted) authorityEvent()    {}
 func (AuthorityTick) authorityEvent()   {}
 
@@ -119,4 +145,5 @@
 func (SendFence) authorityAction()   {}
 func (OpenShards) authorityAction()  {}
 func (CloseShards) authorityAction() {}
+func (YieldFor) authorityAction()    {}
 func (VouchFor) authorityAction()    {}
--- a/owner.go
+++ b/owner.go
@@ -40,6 +40,8 @@
 	// Answer returns a job's state; an error of kind KindNotFound,
 	// KindExpired, KindUnknown or KindUnavailable tells why there is none.
 	Answer(now time.Time, id JobID) (Answer, error)
+	// Claims returns all that a new owner needs to go on with a shard.
+	Claims(shard int) []Claim
 	// Start marks a waiting task as dispatched to an endpoint and returns its
 	// attempt. It returns false if the task may not be dispatched any more.
 	Start(now time.Time, id TaskID, endpoint string) (Dispatch, bool)
@@ -54,7 +56,7 @@
 		// owner's own name if there is none yet.
 		Receiver string
 		// Epoch is the shard's epoch that the receiver knew when the submission
-		// arrived; zero is not checked. An older copy is refused as unavailable,
+		// arrived; zero is not checked. Under another epoch it is refused as unavailable,
 		// since an earlier owner may have answered the key as not run.
 		Epoch uint64
 		// Admit decides on a new key; it is not called for a known one.
--- a/owner/job.go
+++ b/owner/job.go
@@ -32,6 +32,8 @@
 	merged *carobpulley.Claim
 	// disputed is set if the merge cannot tell which body the key has.
 	disputed bool
+	// handed is set if the previous owner handed over the state of the tasks.
+	handed bool
 	// dropped is set once the answer is no longer stored.
 	dropped bool
 	bytes   int
@@ -93,6 +95,11 @@
 // answer returns the state of the job. Results are present only when the
 // answer is complete.
 func (j *job) answer() carobpulley.Answer {
+	return j.state(j.outcome == carobpulley.OutcomeComplete)
+}
+
+// state returns the state of the job, with or without the results.
+func (j *job) state(results bool) carobpulley.Answer {
 	a := carobpulley.Answer{
 		ID: j.spec.ID, Service: j.spec.Service, Outcome: j.outcome, Cancelled: j.cancelled,
 		Tasks: make([]carobpulley.Task, len(j.tasks)),
@@ -105,7 +112,7 @@
 		a.Tasks[i] = carobpulley.Task{
 			Index: i, Phase: k.phase, Endpoint: k.endpoint, Attempt: k.attempt, Status: k.status, Err: k.err,
 		}
-		if j.outcome == carobpulley.OutcomeComplete {
+		if results {
 			a.Tasks[i].Result = k.result
 		}
 	}
--- a/owner/merge.go
+++ b/owner/merge.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"container/heap"
 	"slices"
 	"strings"
 	"time"
@@ -42,6 +43,23 @@
 	t.shards[index] = nil
 }
 
+// Claims implements carobpulley.JobTable. The state of jobs that run is part
+// of their claims, so that the new owner knows which tasks were never sent.
+func (t *Table) Claims(index int) []carobpulley.Claim {
+	sh := t.shards[index]
+	if sh == nil {
+		return nil
+	}
+	out := make([]carobpulley.Claim, 0, len(sh.jobs))
+	for _, j := range sh.sorted() {
+		c := j.claim()
+		a := j.state(j.outcome == carobpulley.OutcomeRunning || j.outcome == carobpulley.OutcomeComplete)
+		c.Answer = &a
+		out = append(out, c)
+	}
+	return out
+}
+
 // sorted returns the jobs in the order of their ids.
 func (sh *shard) sorted() []*job {
 	jobs := make([]*job, 0, len(sh.jobs))
@@ -69,17 +87,43 @@
 	j := sh.jobs[c.Spec.ID]
 	if j == nil {
 		j = newJob(sh, c.Spec, digest)
-		j.held = true
 		t.store(j)
 	}
+	j.spec.Deadline = earlier(j.spec.Deadline, c.Spec.Deadline)
+	heap.Fix(&t.running, j.index)
 	switch {
+	case c.Answer != nil && c.Answer.Outcome == carobpulley.OutcomeRunning:
+		if c.Epoch+1 == sh.epoch {
+			j.adopt(c, digest)
+		}
 	case c.Answer != nil && (j.merged == nil || prevails(c, *j.merged)):
 		j.merged, j.digest = &c, digest
-	case c.Answer == nil && j.merged == nil && j.digest != digest:
+	case c.Answer == nil && j.merged == nil && !j.handed && j.digest != digest:
 		j.disputed = true
 	}
 }
 
+// adopt takes the state that the owner of the epoch before handed over. The
+// state of any other epoch is out of date.
+func (j *job) adopt(c carobpulley.Claim, digest uint64) {
+	j.handed, j.disputed = true, false
+	j.digest = digest
+	j.spec.Payloads = c.Spec.Payloads
+	j.cancelled = c.Answer.Cancelled
+	j.tasks = restored(c.Answer.Tasks)
+}
+
+// restored returns tasks in the state of an answer.
+func restored(from []carobpulley.Task) []task {
+	tasks := make([]task, len(from))
+	for i, k := range from {
+		tasks[i] = task{
+			phase: k.Phase, attempt: k.Attempt, status: k.Status, endpoint: k.Endpoint, result: k.Result, err: k.Err,
+		}
+	}
+	return tasks
+}
+
 // prevails reports whether answer a is kept rather than b: a complete one, else
 // the newer one.
 func prevails(a, b carobpulley.Claim) bool {
@@ -112,18 +156,20 @@
 	}
 }
 
-// resume continues a merged job. Tasks that no agent reports as started are
+// resume continues a merged job. Its claim needs a second holder again before a
+// further start, since this entry may have been the only one left. Tasks that no agent reports as started are
 // queued if every agent and every claim is known: without all agents they may
 // have started, without all claims the job may have been answered as not run.
 func (t *Table) resume(now time.Time, j *job, known bool, out *[]carobpulley.Action) {
 	if j.merged != nil {
-		t.restore(now, j)
+		t.restore(now, j, out)
 		return
 	}
 	j.open = 0
+	known = (known || j.handed) && !j.disputed
 	for i := range j.tasks {
 		k := &j.tasks[i]
-		if k.phase == carobpulley.PhaseWaiting && (!known || j.disputed) {
+		if k.phase == carobpulley.PhaseWaiting && !known {
 			k.phase, k.err = carobpulley.PhaseUnknown, "the task may have started under an earlier owner"
 		}
 		if !k.phase.Ended() {
@@ -131,20 +177,21 @@
 		}
 	}
 	for i := range j.tasks {
-		switch k := &j.tasks[i]; k.phase {
-		case carobpulley.PhaseWaiting:
-			*out = append(*out, t.queue(now, j, i))
-		case carobpulley.PhaseRunning:
+		if k := &j.tasks[i]; k.phase == carobpulley.PhaseRunning || k.phase == carobpulley.PhaseDispatched {
 			k.attempt = int(j.shard.epoch) << attemptBits
 			k.lost = true
 			*out = append(*out, carobpulley.QueryTask{Dispatch: j.dispatch(i), At: now})
 		}
 	}
 	t.settle(now, j, out)
+	if !j.settled() {
+		c := j.claim()
+		*out = append(*out, carobpulley.WriteJournal{Claim: c}, carobpulley.HoldClaim{Claim: c})
+	}
 }
 
 // restore sets a job to the answer that an earlier owner gave.
-func (t *Table) restore(now time.Time, j *job) {
+func (t *Table) restore(now time.Time, j *job, out *[]carobpulley.Action) {
 	a := j.merged.Answer
 	j.merged = nil
 	j.final, j.open = a.Outcome, 0
@@ -154,11 +201,9 @@
 	if j.refused {
 		t.refusals++
 	}
-	j.tasks = make([]task, len(a.Tasks))
-	for i, k := range a.Tasks {
-		j.tasks[i] = task{
-			phase: k.Phase, attempt: k.Attempt, status: k.Status, endpoint: k.Endpoint, result: k.Result, err: k.Err,
-		}
-	}
+	j.tasks = restored(a.Tasks)
 	t.retire(now, j)
+	j.dropped = j.final == carobpulley.OutcomeComplete && len(j.tasks) == 0
+	c := j.finalClaim()
+	*out = append(*out, carobpulley.WriteJournal{Claim: c}, carobpulley.HoldClaim{Claim: c})
 }
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -41,7 +41,7 @@
 	if sh == nil || sh.stale {
 		return nil, newError("submit", carobpulley.KindUnavailable, "the shard has no owner here")
 	}
-	if ev.Epoch != 0 && ev.Epoch < sh.epoch {
+	if ev.Epoch != 0 && ev.Epoch != sh.epoch {
 		return nil, newError("submit", carobpulley.KindUnavailable, "the shard changed its owner after the submission arrived")
 	}
 	if len(ev.Spec.Payloads) == 0 || len(ev.Spec.Payloads) > carobpulley.MaxTasks {
