--- a/place/estimate.go
+++ b/place/estimate.go
@@ -24,6 +24,9 @@
 	// failureMemory is the number of results that the failure rate of a service
 	// remembers.
 	failureMemory = 32
+	// leastMemory is the number of results after which a shortest run time is
+	// largely forgotten, so that an outlier does not count for ever.
+	leastMemory = 1024
 )
 
 // service is the state of one service. Times are in nanoseconds.
@@ -34,8 +37,10 @@
 	slots, busy int
 	// mean is the run time, base the mean at the last scoring.
 	mean, base float64
-	samples    int
-	failRate   float64
+	// least is the shortest run time of the recent results.
+	least    float64
+	samples  int
+	failRate float64
 }
 
 // declare sets the first estimate. It is ignored after the first result,
@@ -106,8 +111,9 @@
 	s.failRate -= s.failRate / failureMemory
 	s.samples++
 	if s.samples == 1 {
-		s.mean = run
+		s.mean, s.least = run, run
 	}
+	s.least = min(run, s.least+(run-s.least)/leastMemory)
 	s.mean += (run - s.mean) / float64(min(s.samples, serviceMemory))
 	m.estimate.samples++
 	m.estimate.mean += (run - m.estimate.mean) / float64(min(m.estimate.samples, memberMemory))
--- a/place/naive.go
+++ b/place/naive.go
@@ -85,12 +85,15 @@
 	})
 }
 
-// Expect implements carobpulley.Placer with the declared run time.
-func (p *Naive) Expect(now time.Time, service string, _ int) time.Time {
-	if !p.CanRun(service) {
-		return time.Time{}
-	}
-	return now.Add(p.catalogue.Services[service].RunTime)
+// Expect implements carobpulley.Placer. It returns the zero time: no run time
+// is known.
+func (p *Naive) Expect(time.Time, string, int) time.Time {
+	return time.Time{}
+}
+
+// Least returns 0: no run time is known.
+func (p *Naive) Least(string) time.Duration {
+	return 0
 }
 
 func (p *Naive) usable(e carobpulley.Endpoint) bool {
--- a/place/place.go
+++ b/place/place.go
@@ -156,10 +156,11 @@
 }
 
 // Expect implements carobpulley.Placer. It returns the zero time if no endpoint
-// that may take work runs the service.
+// that may take work runs the service, or before the first result, since the
+// declared run time may be ten times off.
 func (p *Placer) Expect(now time.Time, name string, ahead int) time.Time {
 	s, ok := p.services[name]
-	if !ok || s.slots == 0 {
+	if !ok || s.slots == 0 || s.samples == 0 {
 		return time.Time{}
 	}
 	waiting := max(0, ahead+s.busy+1-s.slots)
@@ -167,6 +168,15 @@
 	return now.Add(time.Duration(s.mean * rounds))
 }
 
+// Least returns the shortest run time to be expected of the service, from the
+// recent results; 0 before the first.
+func (p *Placer) Least(name string) time.Duration {
+	if s, ok := p.services[name]; ok {
+		return time.Duration(s.least)
+	}
+	return 0
+}
+
 // advance handles the time events that are due.
 func (p *Placer) advance(now time.Time) {
 	for len(p.wakes) > 0 && !p.wakes[0].wakeAt.After(now) {
