Carry digests, attempts and running states in claims

A handover passes the running state of jobs on. The wire claim dropped the results of running jobs, the attempts and the digest of dropped payloads, so a new owner could not go on.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"carobpulley"
 	"carobpulley/conf"
 	"carobpulley/inner"
+	"carobpulley/owner"
 	"carobpulley/stats"
 	"carobpulley/stream"
 )
@@ -83,7 +84,7 @@
 	admitter  carobpulley.Admitter
 	members   Members
 	retry     RetryBudget
-	witness   *witness
+	witness   *owner.Witness
 	fold      *conf.Fold
 	cat       *carobpulley.Catalogue
 	// owners are the ownership claims read so far, in log order.
@@ -127,7 +128,7 @@
 		admitter:       p.Admitter,
 		members:        p.Members,
 		retry:          p.Retry,
-		witness:        newWitness(),
+		witness:        owner.NewWitness(cfg.Shards),
 		fold:           conf.NewFold(),
 		cat:            &carobpulley.Catalogue{},
 		agents:         make(map[string]*agentState),
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -199,7 +199,7 @@
 func (e *Entry) holdFor(c carobpulley.Claim) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.witness.hold(time.Now(), c)
+	return e.witness.Hold(time.Now(), c)
 }
 
 // keep stores what the owner answered beside the claim: a final answer, or a
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -80,7 +80,7 @@
 		}
 		e.opening[s.Shard] = t
 		// What this entry itself witnessed for the old owner counts too.
-		t.claims = e.witness.yield([]carobpulley.Ownership{s})
+		t.claims = e.witness.Yield([]carobpulley.Ownership{s})
 	}
 	return t
 }
@@ -130,7 +130,7 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	// An old owner hands over its table before the authority closes the shards.
-	claims := e.witness.yield(y.Shards)
+	claims := e.witness.Yield(y.Shards)
 	for _, s := range y.Shards {
 		claims = append(claims, e.table.Claims(s.Shard)...)
 	}
--- a/inner/entry.go
+++ b/inner/entry.go
@@ -69,8 +69,11 @@
 
 // YieldAnswer is the answer to a Yielding.
 type YieldAnswer struct {
-	Yielded bool
-	Claims  []carobpulley.Claim
+	Yielded     bool
+	Claims      []carobpulley.Claim
+	Incarnation uint64
+	// Missing are shards of which the peer may have lost claims.
+	Missing []int
 }
 
 // Announcement is what an agent tells each entry every second.
@@ -281,13 +284,28 @@
 
 // YieldAnswerToWire converts the answer to a yield request.
 func YieldAnswerToWire(v YieldAnswer) *wire.YieldReply {
-	return &wire.YieldReply{Yielded: v.Yielded, Claims: claimsToWire(v.Claims)}
+	out := &wire.YieldReply{
+		Yielded:     v.Yielded,
+		Claims:      claimsToWire(v.Claims),
+		Incarnation: v.Incarnation,
+	}
+	for _, s := range v.Missing {
+		out.Missing = append(out.Missing, uint32(s))
+	}
+	return out
 }
 
 // YieldAnswerFromWire converts the answer to a yield request.
 func YieldAnswerFromWire(r *wire.YieldReply) (YieldAnswer, error) {
 	c := check{op: "yield reply"}
-	out := YieldAnswer{Yielded: r.GetYielded(), Claims: c.claims(r.GetClaims())}
+	out := YieldAnswer{
+		Yielded:     r.GetYielded(),
+		Claims:      c.claims(r.GetClaims()),
+		Incarnation: r.GetIncarnation(),
+	}
+	for _, s := range r.GetMissing() {
+		out.Missing = append(out.Missing, c.number("missing", s, 0, MaxShards-1))
+	}
 	return out, c.result()
 }
 
--- a/inner/job.go
+++ b/inner/job.go
@@ -1,6 +1,7 @@
 package inner
 
 import (
+	"math"
 	"time"
 
 	"carobpulley"
@@ -53,13 +54,22 @@
 }
 
 func (c *check) spec(s *wire.JobSpec) carobpulley.JobSpec {
+	out := c.specHead(s)
+	if len(out.Payloads) == 0 {
+		c.failf("no tasks, want 1 to %d", carobpulley.MaxTasks)
+	}
+	return out
+}
+
+// specHead checks all of a submission but that it has tasks.
+func (c *check) specHead(s *wire.JobSpec) carobpulley.JobSpec {
 	out := carobpulley.JobSpec{
 		ID:       c.id(s.GetId()),
 		Service:  c.name("service", s.GetService()),
 		Payloads: s.GetPayloads(),
 		Deadline: c.time("deadline", s.GetDeadline()),
 	}
-	if n := len(out.Payloads); n < 1 || n > carobpulley.MaxTasks {
+	if n := len(out.Payloads); n > carobpulley.MaxTasks {
 		c.failf("%d tasks, want 1 to %d", n, carobpulley.MaxTasks)
 	}
 	total := 0
@@ -117,6 +127,18 @@
 // JobReplyToWire converts the state of a job. Results travel only in a
 // complete answer.
 func JobReplyToWire(r JobReply) *wire.JobReply {
+	out := stateToWire(r)
+	if r.Answer.Outcome == carobpulley.OutcomeComplete {
+		return out
+	}
+	for _, t := range out.Tasks {
+		t.Result = nil
+	}
+	return out
+}
+
+// stateToWire converts the state of a job with all results.
+func stateToWire(r JobReply) *wire.JobReply {
 	out := &wire.JobReply{
 		Outcome:   string(r.Answer.Outcome),
 		Tasks:     make([]*wire.TaskState, 0, len(r.Answer.Tasks)),
@@ -128,13 +150,8 @@
 	if r.Answer.Err != nil {
 		out.Refusal = RefusalToWire(r.Answer.Err)
 	}
-	complete := r.Answer.Outcome == carobpulley.OutcomeComplete
 	for _, t := range r.Answer.Tasks {
-		s := taskToWire(t)
-		if !complete {
-			s.Result = nil
-		}
-		out.Tasks = append(out.Tasks, s)
+		out.Tasks = append(out.Tasks, taskToWire(t))
 	}
 	return out
 }
@@ -151,6 +168,7 @@
 func JobReplyFromWire(id carobpulley.JobID, r *wire.JobReply) (JobReply, error) {
 	c := check{op: "job reply"}
 	out, refusal := c.jobReply(id, r)
+	c.answer(out.Answer)
 	if err := c.result(); err != nil {
 		return JobReply{}, err
 	}
@@ -181,7 +199,7 @@
 		Cancelled: r.GetCancelled(),
 		Err:       refusal,
 	}
-	c.answer(out.Answer)
+	c.order(out.Answer.Tasks)
 	return out, nil
 }
 
@@ -191,10 +209,7 @@
 	if complete && len(a.Tasks) == 0 {
 		c.failf("a complete answer has no tasks")
 	}
-	for i, t := range a.Tasks {
-		if t.Index != i {
-			c.failf("task %d has index %d", i, t.Index)
-		}
+	for _, t := range a.Tasks {
 		if complete && t.Phase != carobpulley.PhaseDone {
 			c.failf("a complete answer has a task in another phase than done")
 		}
@@ -204,6 +219,15 @@
 	}
 }
 
+// order checks that tasks stand in the order of their indexes.
+func (c *check) order(tasks []carobpulley.Task) {
+	for i, t := range tasks {
+		if t.Index != i {
+			c.failf("task %d has index %d", i, t.Index)
+		}
+	}
+}
+
 func (c *check) outcome(v string) carobpulley.Outcome {
 	o := carobpulley.Outcome(v)
 	switch o {
@@ -229,12 +253,22 @@
 			Status:   int(t.GetStatus()),
 			Result:   c.bytes("result", t.GetResult(), carobpulley.MaxResultBytes),
 			Err:      c.text("error", t.GetError(), 0, MaxTextBytes),
+			Attempt:  c.claimAttempt(t.GetAttempt()),
 		})
 	}
 	return out
 }
 
-// taskToWire converts a task. The attempt stays at the owner.
+// claimAttempt checks the attempt of a task in a claim; zero is none.
+func (c *check) claimAttempt(v uint64) int {
+	if v > math.MaxInt64 {
+		c.failf("attempt is out of range")
+		return 0
+	}
+	return int(v)
+}
+
+// taskToWire converts a task.
 func taskToWire(t carobpulley.Task) *wire.TaskState {
 	return &wire.TaskState{
 		Index:    indexToWire(t.Index),
@@ -243,14 +277,20 @@
 		Status:   int32(t.Status),
 		Result:   t.Result,
 		Error:    cut(t.Err),
+		Attempt:  uint64(t.Attempt),
 	}
 }
 
 // ClaimToWire converts a claim with its answer, if there is one.
 func ClaimToWire(v carobpulley.Claim) *wire.Claim {
-	out := &wire.Claim{Spec: SpecToWire(v.Spec), Shard: uint32(v.Shard), Epoch: v.Epoch}
+	out := &wire.Claim{
+		Spec:   SpecToWire(v.Spec),
+		Shard:  uint32(v.Shard),
+		Epoch:  v.Epoch,
+		Digest: v.Digest,
+	}
 	if v.Answer != nil {
-		out.Answer = JobReplyToWire(JobReply{Answer: *v.Answer})
+		out.Answer = stateToWire(JobReply{Answer: *v.Answer})
 	}
 	return out
 }
@@ -263,24 +303,23 @@
 }
 
 func (c *check) claim(v *wire.Claim) carobpulley.Claim {
-	out := carobpulley.Claim{Spec: c.spec(v.GetSpec())}
+	out := carobpulley.Claim{Digest: v.GetDigest()}
 	out.Shard, out.Epoch = c.shard(v.GetShard(), v.GetEpoch(), false)
 	if v.GetAnswer() == nil {
+		out.Spec = c.spec(v.GetSpec())
 		return out
 	}
+	// A claim with an answer may have dropped its payloads.
+	out.Spec = c.specHead(v.GetSpec())
 	reply, refusal := c.jobReply(out.Spec.ID, v.GetAnswer())
-	if refusal != nil || !ended(reply.Answer.Outcome) {
-		c.failf("the answer of a claim is not final")
+	if refusal != nil {
+		c.failf("the answer of a claim has no outcome")
 		return out
 	}
 	out.Answer = &reply.Answer
 	return out
 }
 
-func ended(o carobpulley.Outcome) bool {
-	return o != "" && o != carobpulley.OutcomeRunning
-}
-
 func (c *check) claims(list []*wire.Claim) []carobpulley.Claim {
 	out := make([]carobpulley.Claim, 0, len(list))
 	for _, v := range list {
