--- /dev/null
+++ b/stream/tailer_test.go
@@ -0,0 +1,122 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobpulley"
+	"carobpulley/memlog"
+)
+
+func mustAppend(t *testing.T, l carobpulley.Log, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		if _, err := l.Append(t.Context(), "s", id, []byte(id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func ids(records []carobpulley.Record) []string {
+	out := make([]string, 0, len(records))
+	for _, r := range records {
+		out = append(out, r.ID)
+	}
+	return out
+}
+
+// Guards against a reader that retention overtakes and that does not say so,
+// stops, or takes a second copy for a new record.
+func TestTailerOvertakenByRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := memlog.New(memlog.Retention{Age: time.Minute, Count: 4}, time.Now)
+		tail := NewTailer(l, "s", 0)
+		poll := func(missed, next uint64, want ...string) {
+			t.Helper()
+			b, err := tail.Poll(t.Context(), time.Time{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(want, ids(b.Records)); len(want)+len(b.Records) > 0 && diff != "" {
+				t.Error(diff)
+			}
+			if b.Missed != missed || b.Next != next || b.TailReadAt != time.Now() {
+				t.Errorf("got %+v, want missed %d, next %d", b, missed, next)
+			}
+		}
+		mustAppend(t, l, "a", "b")
+		poll(0, 3, "a", "b")
+		mustAppend(t, l, "c", "d", "a", "e", "f", "e")
+		poll(2, 9, "e", "f")
+		mustAppend(t, l, "g")
+		time.Sleep(2 * time.Minute)
+		poll(1, 10)
+		mustAppend(t, l, "f", "h")
+		poll(0, 12, "h")
+		if _, err := NewTailer(l, "s", 20).Poll(t.Context(), time.Time{}); kindOf(err) != carobpulley.KindInternal {
+			t.Errorf("log that ends before the position: %v", err)
+		}
+	})
+}
+
+// Guards against freshness that counts from the answer instead of the sending,
+// that is claimed during an outage, or that lags behind while idle, and against
+// one read per record.
+func TestTailerFreshness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 30 * time.Millisecond
+		l := memlog.New(memlog.Retention{}, time.Now)
+		l.SetFaults(memlog.Faults{Delay: delay})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var fresh time.Time
+		var got []string
+		failures := 0
+		done := make(chan error)
+		tail := NewTailer(l, "s", 0)
+		go func() {
+			done <- tail.Run(ctx, func(b Batch) {
+				if age := time.Since(b.TailReadAt); age < delay || age > delay+TailWait {
+					t.Errorf("tail read is %v old on delivery", age)
+				}
+				fresh = b.TailReadAt
+				got = append(got, ids(b.Records)...)
+			}, func(error) { failures++ })
+		}()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if age := time.Since(fresh); age > 2*(delay+TailWait) {
+			t.Errorf("tail read is %v old after a minute", age)
+		}
+		l.SetFaults(memlog.Faults{Outage: true})
+		before := time.Now()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if fresh.After(before) || failures < 50 {
+			t.Errorf("outage: fresh at %v, outage since %v, %d failures", fresh, before, failures)
+		}
+		l.SetFaults(memlog.Faults{Delay: delay})
+		reads := l.Stats().Reads
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			mustAppend(t, l, id)
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second + TailWait)
+		synctest.Wait()
+		if diff := cmp.Diff([]string{"a", "b", "c", "d", "e"}, got); diff != "" {
+			t.Error(diff)
+		}
+		if n := l.Stats().Reads - reads; n > 20 {
+			t.Errorf("%d reads", n)
+		}
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+}
