--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -26,7 +26,8 @@
 type agentState struct {
 	endpoint carobpulley.Endpoint
 	// echo is the newest reading of the agent's clock.
-	echo int64
+	echo    int64
+	heardAt time.Time
 }
 
 // flight is a dispatch under way.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,7 +40,6 @@
 	Table     carobpulley.JobTable
 	Placer    carobpulley.Placer
 	Admitter  carobpulley.Admitter
-	Members   Members
 	Retry     RetryBudget
 	Stats     *stats.Set
 	Logger    zerolog.Logger
@@ -82,7 +81,6 @@
 	table     carobpulley.JobTable
 	placer    carobpulley.Placer
 	admitter  carobpulley.Admitter
-	members   Members
 	retry     RetryBudget
 	witness   *owner.Witness
 	fold      *conf.Fold
@@ -90,6 +88,11 @@
 	// owners are the ownership claims read so far, in log order.
 	owners owners
 	agents map[string]*agentState
+	// departedAt is when an agent last left or was replaced.
+	departedAt time.Time
+	startedAt  time.Time
+	// share is the part of the shards that this entry owns.
+	share float64
 	// flights are the dispatches that no answer came for yet.
 	flights map[carobpulley.TaskID]*flight
 	// lost are the endpoints of attempts whose outcome is being asked for.
@@ -126,10 +129,10 @@
 		table:          p.Table,
 		placer:         p.Placer,
 		admitter:       p.Admitter,
-		members:        p.Members,
 		retry:          p.Retry,
 		witness:        owner.NewWitness(cfg.Shards),
 		fold:           conf.NewFold(),
+		startedAt:      time.Now(),
 		cat:            &carobpulley.Catalogue{},
 		agents:         make(map[string]*agentState),
 		flights:        make(map[carobpulley.TaskID]*flight),
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -16,6 +16,9 @@
 // A peer further behind reads the log itself.
 const maxOwnersRecords = 4096
 
+// firstOffset is the offset of the first record of a stream.
+const firstOffset = 1
+
 // owners are the ownership claims read from the log or from peers.
 type owners struct {
 	records []inner.OwnersRecord
@@ -25,6 +28,9 @@
 	// tails were sent; both streams together make the log's vote.
 	readAt       time.Time
 	configReadAt time.Time
+	// fromStart is set if the first read found the stream empty, so that this
+	// entry has been here since before the first owner.
+	fromStart bool
 }
 
 // add keeps a record and reports whether it is new.
@@ -71,6 +77,9 @@
 		e.ownersRecord(now, r)
 	}
 	if !b.TailReadAt.IsZero() {
+		if e.owners.readAt.IsZero() {
+			e.owners.fromStart = len(e.owners.records) == 0 && b.Missed == 0 && b.Next <= firstOffset
+		}
 		e.owners.next = max(e.owners.next, b.Next)
 		e.owners.readAt = b.TailReadAt
 		e.logVote(now)
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -158,7 +158,7 @@
 	for _, a := range e.agents {
 		agents = append(agents, a.endpoint)
 	}
-	whole := !e.members.Departed(now, now.Add(-departedFor))
+	whole := !e.agentsLost(now)
 	e.goDo(func() { e.fenceAll(shards, takes, agents, whole) })
 	e.goDo(func() { e.readJournals(shards, takes) })
 }
@@ -223,7 +223,8 @@
 	ctx, cancel := context.WithTimeout(e.ctx, journalTimeout)
 	defer cancel()
 	ok := true
-	names := []string{e.cfg.Name}
+	names := make([]string, 0, len(e.cfg.Peers)+1)
+	names = append(names, e.cfg.Name)
 	for name := range e.cfg.Peers {
 		names = append(names, name)
 	}
