--- a/job.go
+++ b/job.go
@@ -77,6 +77,8 @@
 	Index    int
 	Phase    Phase
 	Endpoint string
+	// Incarnation is that of the endpoint's agent at the newest dispatch.
+	Incarnation uint64
 	// Attempt identifies the newest dispatch. It grows with each dispatch,
 	// across epochs too; zero before the first one.
 	Attempt int
--- a/owner.go
+++ b/owner.go
@@ -42,9 +42,9 @@
 	Answer(now time.Time, id JobID) (Answer, error)
 	// Claims returns all that a new owner needs to go on with a shard.
 	Claims(shard int) []Claim
-	// Start marks a waiting task as dispatched to an endpoint and returns its
-	// attempt. It returns false if the task may not be dispatched any more.
-	Start(now time.Time, id TaskID, endpoint string) (Dispatch, bool)
+	// Start marks a waiting task as dispatched to an endpoint's agent and returns
+	// its attempt. It returns false if the task may not be dispatched any more.
+	Start(now time.Time, id TaskID, endpoint string, incarnation uint64) (Dispatch, bool)
 }
 
 // Events of a JobTable.
@@ -124,7 +124,10 @@
 type StartedTask struct {
 	ID       TaskID
 	Endpoint string
-	// Phase is PhaseRunning or a final phase.
+	// Incarnation is that of the agent that reports.
+	Incarnation uint64
+	// Phase is PhaseRunning or a final phase. A task that is done but whose
+	// result was dropped is reported as PhaseUnknown.
 	Phase  Phase
 	Status int
 	Result []byte
@@ -138,9 +141,12 @@
 	Shard    int
 	Epoch    uint64
 	Endpoint string
-	Service  string
-	Payload  []byte
-	Deadline time.Time
+	// Incarnation is that of the agent. A query that another one answers says
+	// nothing about the attempt: TaskGone follows.
+	Incarnation uint64
+	Service     string
+	Payload     []byte
+	Deadline    time.Time
 }
 
 // Actions of a JobTable.
--- a/owner/job.go
+++ b/owner/job.go
@@ -47,6 +47,7 @@
 type task struct {
 	phase    carobpulley.Phase
 	attempt  int
+	agent    uint64
 	status   int
 	endpoint string
 	result   []byte
@@ -110,7 +111,7 @@
 	for i := range j.tasks {
 		k := &j.tasks[i]
 		a.Tasks[i] = carobpulley.Task{
-			Index: i, Phase: k.phase, Endpoint: k.endpoint, Attempt: k.attempt, Status: k.status, Err: k.err,
+			Index: i, Phase: k.phase, Endpoint: k.endpoint, Incarnation: k.agent, Attempt: k.attempt, Status: k.status, Err: k.err,
 		}
 		if results {
 			a.Tasks[i].Result = k.result
@@ -129,7 +130,8 @@
 	return carobpulley.Dispatch{
 		ID:      carobpulley.TaskID{Job: j.spec.ID, Index: i},
 		Attempt: j.tasks[i].attempt, Shard: j.shard.index, Epoch: j.shard.epoch, Endpoint: j.tasks[i].endpoint,
-		Service: j.spec.Service, Payload: j.spec.Payloads[i], Deadline: j.spec.Deadline,
+		Incarnation: j.tasks[i].agent,
+		Service:     j.spec.Service, Payload: j.spec.Payloads[i], Deadline: j.spec.Deadline,
 	}
 }
 
--- a/owner/merge.go
+++ b/owner/merge.go
@@ -118,7 +118,7 @@
 	tasks := make([]task, len(from))
 	for i, k := range from {
 		tasks[i] = task{
-			phase: k.Phase, attempt: k.Attempt, status: k.Status, endpoint: k.Endpoint, result: k.Result, err: k.Err,
+			phase: k.Phase, attempt: k.Attempt, agent: k.Incarnation, status: k.Status, endpoint: k.Endpoint, result: k.Result, err: k.Err,
 		}
 	}
 	return tasks
@@ -150,7 +150,8 @@
 	if k.phase == carobpulley.PhaseDone {
 		return
 	}
-	k.phase, k.endpoint, k.status, k.err = s.Phase, s.Endpoint, s.Status, s.Err
+	k.phase, k.endpoint, k.agent = s.Phase, s.Endpoint, s.Incarnation
+	k.status, k.err = s.Status, s.Err
 	if s.Phase == carobpulley.PhaseDone {
 		k.result = s.Result
 	}
--- a/owner/table.go
+++ b/owner/table.go
@@ -114,7 +114,7 @@
 }
 
 // Start implements carobpulley.JobTable.
-func (t *Table) Start(now time.Time, id carobpulley.TaskID, endpoint string) (carobpulley.Dispatch, bool) {
+func (t *Table) Start(now time.Time, id carobpulley.TaskID, endpoint string, incarnation uint64) (carobpulley.Dispatch, bool) {
 	j, k := t.task(id)
 	if k == nil || k.phase != carobpulley.PhaseWaiting || !j.held || j.cancelled {
 		return carobpulley.Dispatch{}, false
@@ -124,7 +124,7 @@
 	}
 	k.attempt = max(k.attempt, int(j.shard.epoch)<<attemptBits) + 1
 	k.phase = carobpulley.PhaseDispatched
-	k.endpoint = endpoint
+	k.endpoint, k.agent = endpoint, incarnation
 	return j.dispatch(id.Index), true
 }
 
--- a/owner/table_test.go
+++ b/owner/table_test.go
@@ -58,15 +58,15 @@
 func TestJobRunsOnceAfterClaimIsHeld(t *testing.T) {
 	tab := newOpenTable()
 	expect(t, tab.Step(start, carobpulley.Submitted{Spec: spec("k", 1), Receiver: "a"}), "WriteJournal", "HoldClaim")
-	if _, ok := tab.Start(start, taskID("k", 0), "e"); ok {
+	if _, ok := tab.Start(start, taskID("k", 0), "e", 1); ok {
 		t.Fatal("started before the claim was held")
 	}
 	expect(t, tab.Step(start, carobpulley.ClaimHeld{Job: taskID("k", 0).Job}), "QueueTask")
-	d, ok := tab.Start(start, taskID("k", 0), "e")
+	d, ok := tab.Start(start, taskID("k", 0), "e", 1)
 	if !ok {
 		t.Fatal("not started")
 	}
-	if _, ok := tab.Start(start, taskID("k", 0), "e"); ok {
+	if _, ok := tab.Start(start, taskID("k", 0), "e", 1); ok {
 		t.Fatal("started twice")
 	}
 	expect(t, tab.Step(start, carobpulley.Submitted{Spec: spec("k", 1), Receiver: "b"}))
@@ -103,7 +103,7 @@
 func TestRetention(t *testing.T) {
 	tab := newOpenTable()
 	tab.Step(start, carobpulley.Submitted{Spec: spec("k", 1), Receiver: "b"})
-	d, _ := tab.Start(start, taskID("k", 0), "e")
+	d, _ := tab.Start(start, taskID("k", 0), "e", 1)
 	tab.Step(start, carobpulley.TaskEnded{ID: d.ID, Attempt: d.Attempt, Phase: carobpulley.PhaseDone})
 	tab.Step(start.Add(AnswerRetention), carobpulley.Tick{})
 	a, err := tab.Answer(start, d.ID.Job)
--- a/owner/task.go
+++ b/owner/task.go
@@ -45,7 +45,7 @@
 		j.end(k, carobpulley.PhaseNotRun)
 		t.settle(now, j, out)
 	default:
-		*out = append(*out, t.queue(now, j, ev.ID.Index))
+		*out = append(*out, queueTask(now, j, ev.ID.Index))
 	}
 }
 
@@ -126,13 +126,13 @@
 func (t *Table) queueAll(now time.Time, j *job, out *[]carobpulley.Action) {
 	for i := range j.tasks {
 		if j.tasks[i].phase == carobpulley.PhaseWaiting {
-			*out = append(*out, t.queue(now, j, i))
+			*out = append(*out, queueTask(now, j, i))
 		}
 	}
 }
 
-// queue returns the request to place a task.
-func (t *Table) queue(now time.Time, j *job, i int) carobpulley.QueueTask {
+// queueTask returns the request to place a task.
+func queueTask(now time.Time, j *job, i int) carobpulley.QueueTask {
 	return carobpulley.QueueTask{Waiting: carobpulley.Waiting{
 		Task:    carobpulley.TaskID{Job: j.spec.ID, Index: i},
 		Service: j.spec.Service, Member: j.spec.ID.Member, Deadline: j.spec.Deadline, QueuedAt: now,
