--- a/entry/call.go
+++ b/entry/call.go
@@ -16,6 +16,9 @@
 	id      carobpulley.JobID
 	r       api.Request
 	attempt int
+	// endpoint and incarnation are those of the newest attempt.
+	endpoint    string
+	incarnation uint64
 	// retryable is set for idempotent requests.
 	retryable bool
 	ended     bool
@@ -25,20 +28,23 @@
 }
 
 // next counts an attempt and returns its dispatch.
-func (c *call) next(endpoint string) carobpulley.Dispatch {
+func (c *call) next(ep carobpulley.Endpoint) carobpulley.Dispatch {
 	c.attempt++
-	return c.dispatch(endpoint)
+	c.endpoint, c.incarnation = ep.ID, ep.Incarnation
+	return c.dispatch()
 }
 
 // dispatch returns the current attempt.
-func (c *call) dispatch(endpoint string) carobpulley.Dispatch {
+func (c *call) dispatch() carobpulley.Dispatch {
 	return carobpulley.Dispatch{
 		ID:       carobpulley.TaskID{Job: c.id, Index: carobpulley.RequestIndex},
 		Attempt:  c.attempt,
-		Endpoint: endpoint,
-		Service:  c.r.Service,
-		Payload:  c.r.Payload,
-		Deadline: c.r.Deadline,
+		Endpoint: c.endpoint,
+
+		Incarnation: c.incarnation,
+		Service:     c.r.Service,
+		Payload:     c.r.Payload,
+		Deadline:    c.r.Deadline,
 	}
 }
 
@@ -201,12 +207,7 @@
 	if c == nil {
 		return ok
 	}
-	ep, known := e.lost[ev.ID]
-	if !known {
-		e.endCall(c, carobpulley.Task{}, unknownCall())
-		return true
-	}
-	e.query(c.dispatch(ep.ID), now)
+	e.query(c.dispatch(), now)
 	return true
 }
 
@@ -218,13 +219,11 @@
 	if e.again(now, c) {
 		return true
 	}
-	ep, known := e.lost[ev.ID]
-	if !known || !now.Before(c.r.Deadline) {
-		delete(e.lost, ev.ID)
+	if !now.Before(c.r.Deadline) {
 		e.endCall(c, carobpulley.Task{}, unknownCall())
 		return true
 	}
-	e.query(c.dispatch(ep.ID), now.Add(queryTimeout/10))
+	e.query(c.dispatch(), now.Add(queryTimeout/10))
 	return true
 }
 
@@ -258,7 +257,6 @@
 		return false
 	}
 	e.counters.retries.Add(1)
-	delete(e.lost, carobpulley.TaskID{Job: c.id, Index: carobpulley.RequestIndex})
 	e.goDo(func() { e.requeue(c, at) })
 	return true
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
@@ -94,13 +95,13 @@
 
 func (e *Entry) dispatchOf(now time.Time, w carobpulley.Waiting, ep carobpulley.Endpoint) (carobpulley.Dispatch, bool) {
 	if !w.Task.IsRequest() {
-		return e.table.Start(now, w.Task, ep.ID)
+		return e.table.Start(now, w.Task, ep.ID, ep.Incarnation)
 	}
 	c := e.single[w.Task.Job]
 	if c == nil {
 		return carobpulley.Dispatch{}, false
 	}
-	return c.next(ep.ID), true
+	return c.next(ep), true
 }
 
 // send carries one dispatch to its agent and takes the answer.
@@ -219,28 +220,25 @@
 		e.outcome(now, carobpulley.TaskRefused{ID: d.ID, Attempt: d.Attempt, Kind: carobpulley.KindUnavailable})
 	case a == nil:
 		e.counters.lost.Add(1)
-		e.lost[d.ID] = f.endpoint
 		e.logger.Warn().Err(err).Str("endpoint", d.Endpoint).Msg("dispatch got no answer")
 		e.outcome(now, carobpulley.TaskLost{ID: d.ID, Attempt: d.Attempt})
 	default:
-		e.answered(now, d, f.endpoint, a)
+		e.answered(now, d, a)
 	}
 }
 
 // answered tells what an agent said of an attempt.
-func (e *Entry) answered(now time.Time, d carobpulley.Dispatch, ep carobpulley.Endpoint, a *inner.DispatchAnswer) {
+func (e *Entry) answered(now time.Time, d carobpulley.Dispatch, a *inner.DispatchAnswer) {
 	switch {
 	case a.Refusal != nil && a.Refusal.Kind == carobpulley.KindStarted:
-		e.lost[d.ID] = ep
 		e.outcome(now, carobpulley.TaskLost{ID: d.ID, Attempt: d.Attempt})
 	case a.Phase == carobpulley.PhaseNotRun || a.Refusal != nil:
 		e.refused(now, d, a)
-	case a.Incarnation != ep.Incarnation:
+	case a.Incarnation != d.Incarnation:
 		e.outcome(now, carobpulley.TaskGone{ID: d.ID, Attempt: d.Attempt})
 	case a.Phase == carobpulley.PhaseUnknown:
 		e.outcome(now, carobpulley.TaskGone{ID: d.ID, Attempt: d.Attempt})
 	case !a.Phase.Ended():
-		e.lost[d.ID] = ep
 		e.outcome(now, carobpulley.TaskLost{ID: d.ID, Attempt: d.Attempt})
 	default:
 		e.outcome(now, carobpulley.TaskEnded{
@@ -265,34 +263,21 @@
 
 // outcome passes an event on to the request or the job table that it is for.
 func (e *Entry) outcome(now time.Time, ev carobpulley.Event) {
-	switch ev := ev.(type) {
-	case carobpulley.TaskEnded:
-		delete(e.lost, ev.ID)
-	case carobpulley.TaskRefused:
-		delete(e.lost, ev.ID)
-	case carobpulley.TaskGone:
-		delete(e.lost, ev.ID)
-	}
 	if e.callEvent(now, ev) {
 		return
 	}
 	e.step(now, ev)
 }
 
-// query asks the agent for the outcome of an attempt, on a new connection. It
-// asks the incarnation that the attempt was sent to: a later one has no memory
-// of it.
+// query asks the agent for the outcome of an attempt, on a new connection.
 func (e *Entry) query(d carobpulley.Dispatch, at time.Time) {
-	ep, ok := e.lost[d.ID]
-	if !ok {
-		a := e.agents[d.Endpoint]
-		if a == nil {
-			e.goDo(func() { e.unresolved(d, at) })
-			return
-		}
-		ep = a.endpoint
+	a := e.agents[d.Endpoint]
+	if a == nil {
+		e.goDo(func() { e.unresolved(d, at) })
+		return
 	}
-	e.goDo(func() { e.queryAgent(d, ep, at) })
+	addr := a.endpoint.Addr
+	e.goDo(func() { e.queryAgent(d, addr, at) })
 }
 
 // unresolved reports a query that cannot be sent, at the time it was due.
@@ -307,13 +292,13 @@
 	e.pump(now)
 }
 
-func (e *Entry) queryAgent(d carobpulley.Dispatch, ep carobpulley.Endpoint, at time.Time) {
+func (e *Entry) queryAgent(d carobpulley.Dispatch, addr netip.AddrPort, at time.Time) {
 	if !e.sleep(at) {
 		return
 	}
 	var a *inner.DispatchAnswer
 	for {
-		a = e.queryOnce(d, ep)
+		a = e.queryOnce(d, addr)
 		running := a != nil && !a.Phase.Ended() && a.Refusal == nil
 		if !running {
 			break
@@ -328,16 +313,16 @@
 	if a == nil {
 		e.outcome(now, carobpulley.TaskUnresolved{ID: d.ID, Attempt: d.Attempt})
 	} else {
-		e.queried(now, d, ep, a)
+		e.queried(now, d, a)
 	}
 	e.pump(now)
 }
 
 // queried tells what an agent said to a query. One of another incarnation than
 // the attempt was sent to has no memory of it.
-func (e *Entry) queried(now time.Time, d carobpulley.Dispatch, ep carobpulley.Endpoint, a *inner.DispatchAnswer) {
+func (e *Entry) queried(now time.Time, d carobpulley.Dispatch, a *inner.DispatchAnswer) {
 	wrong := a.Refusal != nil && a.Refusal.Kind == carobpulley.KindWrongAgent
-	if wrong || a.Incarnation != ep.Incarnation {
+	if wrong || a.Incarnation != d.Incarnation {
 		e.outcome(now, carobpulley.TaskGone{ID: d.ID, Attempt: d.Attempt})
 		return
 	}
@@ -345,22 +330,22 @@
 		e.outcome(now, carobpulley.TaskUnresolved{ID: d.ID, Attempt: d.Attempt})
 		return
 	}
-	e.heard(ep.ID, a.Incarnation, a.AgentTime)
-	e.answered(now, d, ep, a)
+	e.heard(d.Endpoint, a.Incarnation, a.AgentTime)
+	e.answered(now, d, a)
 }
 
-func (e *Entry) queryOnce(d carobpulley.Dispatch, ep carobpulley.Endpoint) *inner.DispatchAnswer {
+func (e *Entry) queryOnce(d carobpulley.Dispatch, addr netip.AddrPort) *inner.DispatchAnswer {
 	ctx, cancel := context.WithTimeout(e.ctx, queryTimeout)
 	defer cancel()
 	e.counters.queries.Add(1)
-	r, err := e.fresh.Agent(ep.Addr).Query(ctx, connect.NewRequest(inner.QueryToWire(inner.Query{
+	r, err := e.fresh.Agent(addr).Query(ctx, connect.NewRequest(inner.QueryToWire(inner.Query{
 		ID:          d.ID,
 		Attempt:     d.Attempt,
 		Shard:       d.Shard,
 		Epoch:       d.Epoch,
 		Wait:        true,
 		Endpoint:    d.Endpoint,
-		Incarnation: ep.Incarnation,
+		Incarnation: d.Incarnation,
 	})))
 	a, err := answerOf(r, err)
 	if err != nil {
@@ -377,16 +362,16 @@
 	if a == nil {
 		return
 	}
-	ep := a.endpoint
+	addr := a.endpoint.Addr
 	e.goDo(func() {
 		ctx, cancel := context.WithTimeout(e.ctx, cancelTimeout)
 		defer cancel()
-		_, err := e.client.Agent(ep.Addr).CancelTask(ctx, connect.NewRequest(inner.CancelTaskToWire(inner.Cancel{
+		_, err := e.client.Agent(addr).CancelTask(ctx, connect.NewRequest(inner.CancelTaskToWire(inner.Cancel{
 			ID:          d.ID,
 			Shard:       d.Shard,
 			Epoch:       d.Epoch,
 			Endpoint:    d.Endpoint,
-			Incarnation: ep.Incarnation,
+			Incarnation: d.Incarnation,
 		})))
 		if err != nil {
 			e.logger.Warn().Err(err).Str("endpoint", d.Endpoint).Msg("cancel got no answer")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,8 +95,6 @@
 	share float64
 	// flights are the dispatches that no answer came for yet.
 	flights map[carobpulley.TaskID]*flight
-	// lost are the endpoints of attempts whose outcome is being asked for.
-	lost    map[carobpulley.TaskID]carobpulley.Endpoint
 	waiters map[carobpulley.JobID]*waiter
 	single  map[carobpulley.JobID]*call
 	peers   map[string]*peerState
@@ -136,7 +134,6 @@
 		cat:            &carobpulley.Catalogue{},
 		agents:         make(map[string]*agentState),
 		flights:        make(map[carobpulley.TaskID]*flight),
-		lost:           make(map[carobpulley.TaskID]carobpulley.Endpoint),
 		waiters:        make(map[carobpulley.JobID]*waiter),
 		single:         make(map[carobpulley.JobID]*call),
 		peers:          make(map[string]*peerState),
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -30,8 +30,6 @@
 	epoch   uint64
 	claims  []carobpulley.Claim
 	started []carobpulley.StartedTask
-	// at are the endpoints that reported started tasks.
-	at map[string]carobpulley.Endpoint
 	// allAgents is set once every known agent answered the fence completely.
 	allAgents bool
 	fenced    chan struct{}
@@ -74,7 +72,6 @@
 	if t == nil || t.epoch < s.Epoch {
 		t = &takeover{
 			epoch:   s.Epoch,
-			at:      make(map[string]carobpulley.Endpoint),
 			fenced:  make(chan struct{}),
 			journal: make(chan struct{}),
 		}
@@ -212,8 +209,8 @@
 		if t == nil {
 			continue
 		}
+		s.Incarnation = a.Incarnation
 		t.started = append(t.started, s)
-		t.at[ep.ID] = ep
 	}
 	return a.Complete && a.Incarnation == ep.Incarnation
 }
@@ -318,9 +315,6 @@
 	if !ok || own.Owner != e.cfg.Name || own.Epoch != s.Epoch {
 		return
 	}
-	for _, st := range t.started {
-		e.lost[st.ID] = t.at[st.Endpoint]
-	}
 	e.step(now, carobpulley.ShardOpened{
 		Shard:     s.Shard,
 		Epoch:     s.Epoch,
--- a/inner/job.go
+++ b/inner/job.go
@@ -254,6 +254,8 @@
 			Result:   c.bytes("result", t.GetResult(), carobpulley.MaxResultBytes),
 			Err:      c.text("error", t.GetError(), 0, MaxTextBytes),
 			Attempt:  c.claimAttempt(t.GetAttempt()),
+
+			Incarnation: t.GetIncarnation(),
 		})
 	}
 	return out
@@ -278,6 +280,8 @@
 		Result:   t.Result,
 		Error:    cut(t.Err),
 		Attempt:  uint64(t.Attempt),
+
+		Incarnation: t.Incarnation,
 	}
 }
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -13,7 +13,7 @@
 
 echo "check: linter"
 for m in . cmd/*/; do
-	(cd "$m" && golangci-lint run ./...)
+	(cd "$m" && golangci-lint run --allow-parallel-runners ./...)
 done
 
 echo "check: generated code"
