--- /dev/null
+++ b/cmd/entryd/api.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Limits of the callers' API, as docs/api.md lists them.
+const (
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// apiServer serves callers. Answers have no time limit of their own, since a
+// caller may wait for its job up to the deadline.
+type apiServer struct {
+	srv      *http.Server
+	listener net.Listener
+}
+
+func listenAPI(ctx context.Context, addr netip.AddrPort, h http.Handler) (*apiServer, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	return &apiServer{
+		listener: l,
+		srv: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       bodyTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+	}, nil
+}
+
+// Addr is the address that the server listens on.
+func (s *apiServer) Addr() net.Addr {
+	return s.listener.Addr()
+}
+
+// Serve accepts connections until Stop is called.
+func (s *apiServer) Serve() error {
+	err := s.srv.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// Stop waits for calls in progress until ctx ends.
+func (s *apiServer) Stop(ctx context.Context) error {
+	return errors.Wrap(s.srv.Shutdown(ctx), "stop serving callers")
+}
--- /dev/null
+++ b/cmd/entryd/settings.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"carobpulley/inner"
+	"carobpulley/setup"
+)
+
+// config is what entryd is told by its settings.
+type config struct {
+	name         string
+	domain       string
+	listen       netip.AddrPort
+	innerListen  netip.AddrPort
+	adminListen  netip.AddrPort
+	peers        map[string]netip.AddrPort
+	logURL       *url.URL
+	operatorHash [sha256.Size]byte
+	drainLimit   time.Duration
+	seed         int
+	level        zerolog.Level
+	tls          inner.TLS
+}
+
+// Limits of the settings.
+const (
+	defaultDrainLimit = 30 * time.Second
+	longestDrainLimit = 10 * time.Minute
+	largestSeed       = 1 << 30
+)
+
+func settings(cfg *config) *setup.Settings {
+	s := &setup.Settings{}
+	s.Name(&cfg.name, "name", "", "name of this entry in the catalogue")
+	s.Name(&cfg.domain, "domain", "", "failure domain of this host")
+	s.Listen(&cfg.listen, "listen", "127.0.0.1:7101", "address of the callers' API")
+	s.Listen(&cfg.innerListen, "inner-listen", "127.0.0.1:7111", "address for other entries and agents")
+	s.Listen(&cfg.adminListen, "admin-listen", "127.0.0.1:7121", "address of the operators' API and metrics")
+	s.Func("peers", "", "inner addresses of the other entries, as name=ip:port,name=ip:port",
+		"different names with IP addresses and ports, such as entry-2=10.0.0.2:7111", cfg.setPeers)
+	s.BaseURL(&cfg.logURL, "log-url", "http://127.0.0.1:7100", "base URL of the platform's log service")
+	s.Func("operator-token-sha256", "", "SHA-256 of the operators' bearer token, in hexadecimal",
+		"64 hexadecimal digits", cfg.setOperatorHash)
+	s.Duration(&cfg.drainLimit, "drain-limit", defaultDrainLimit, "limit of a graceful stop", time.Second, longestDrainLimit)
+	s.Int(&cfg.seed, "seed", 0, "seed of tie breaks and jitter; 0 takes one from the clock", 0, largestSeed)
+	s.LogLevel(&cfg.level)
+	s.TLS(&cfg.tls)
+	s.PlainCheck(&cfg.tls, "inner-listen", &cfg.innerListen)
+	s.PlainCheck(&cfg.tls, "admin-listen", &cfg.adminListen)
+	return s
+}
+
+func (c *config) setPeers(v string) bool {
+	c.peers = make(map[string]netip.AddrPort)
+	if v == "" {
+		return true
+	}
+	for part := range strings.SplitSeq(v, ",") {
+		name, addr, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || name == "" || len(name) > inner.MaxNameBytes {
+			return false
+		}
+		a, err := netip.ParseAddrPort(addr)
+		if err != nil || a.Port() == 0 {
+			return false
+		}
+		if _, twice := c.peers[name]; twice {
+			return false
+		}
+		c.peers[name] = a
+	}
+	return true
+}
+
+func (c *config) setOperatorHash(v string) bool {
+	b, err := hex.DecodeString(v)
+	if err != nil || len(b) != sha256.Size {
+		return false
+	}
+	copy(c.operatorHash[:], b)
+	return true
+}
