--- a/inner/errors.go
+++ b/inner/errors.go
@@ -72,9 +72,9 @@
 }
 
 // FromConnect converts an error of a call to a *carobpulley.Error. Without a
-// refusal from the other process the kind is KindUnavailable, KindDeadline,
-// KindCancelled, KindInvalid or KindInternal; NotRun is set only if the message
-// was never sent.
+// refusal from the other process the kind is KindUnavailable (also if the call
+// timed out), KindCancelled, KindInvalid or KindInternal; NotRun is set only if
+// the message was never sent.
 func FromConnect(op string, err error) error {
 	if err == nil {
 		return nil
@@ -121,13 +121,11 @@
 
 func kindOf(ce *connect.Error) carobpulley.Kind {
 	switch ce.Code() {
-	case connect.CodeDeadlineExceeded:
-		return carobpulley.KindDeadline
 	case connect.CodeCanceled:
 		return carobpulley.KindCancelled
 	case connect.CodeInvalidArgument, connect.CodeResourceExhausted:
 		return carobpulley.KindInvalid
-	case connect.CodeUnavailable, connect.CodeUnknown:
+	case connect.CodeUnavailable, connect.CodeUnknown, connect.CodeDeadlineExceeded:
 		return carobpulley.KindUnavailable
 	default:
 		return carobpulley.KindInternal
--- a/inner/server.go
+++ b/inner/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -76,6 +78,12 @@
 	}, nil
 }
 
+// LogTo writes connection errors, such as failed TLS handshakes, to w. It is
+// called before Serve.
+func (s *Server) LogTo(w io.Writer) {
+	s.srv.ErrorLog = log.New(w, "", 0)
+}
+
 // Addr is the address that the server listens on.
 func (s *Server) Addr() netip.AddrPort {
 	addr, ok := s.listener.Addr().(*net.TCPAddr)
--- a/inner/tls.go
+++ b/inner/tls.go
@@ -100,8 +100,9 @@
 
 func tlsErrorf(format string, args ...any) error {
 	return &carobpulley.Error{
-		Op:   "tls settings",
-		Kind: carobpulley.KindInvalid,
-		Msg:  fmt.Sprintf(format, args...),
+		Op:     "tls settings",
+		Kind:   carobpulley.KindInvalid,
+		Msg:    fmt.Sprintf(format, args...),
+		NotRun: true,
 	}
 }
