--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,6 @@
 
 fmt:
 	@bin="$$(scripts/tools.sh)"; for m in . cmd/*/; do (cd $$m && $$bin/golangci-lint fmt ./...); done
+
+bench:
+	@go run ./cmd/bench
