--- a/admit/admit.go
+++ b/admit/admit.go
@@ -5,6 +5,8 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 
 	"carobpulley"
@@ -77,13 +79,16 @@
 }
 
 func (a *Admitter) apply(now time.Time) {
-	for name, s := range a.services {
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
+		s := a.services[name]
 		s.limit = portion(a.catalogue.Services[name].MaxConcurrent, a.share)
 		for _, l := range s.lanes {
 			l.settle()
 		}
 	}
-	for name, m := range a.members {
+	// In a fixed order, so that ties are decided the same way each time.
+	for _, name := range slices.Sorted(maps.Keys(a.members)) {
+		m := a.members[name]
 		m.configure(now, a.catalogue.Members[name], a.share)
 		a.settle(now, m)
 	}
@@ -284,14 +289,14 @@
 	}
 	f, ok := c.flows[w.Member]
 	if !ok {
-		f = &flow{class: c, member: a.member(now, w.Member), bins: map[string]*bin{}}
+		f = &flow{class: c, member: a.member(now, w.Member)}
 		f.member.flows = append(f.member.flows, f)
 		c.flows[w.Member] = f
 	}
-	b, ok := f.bins[w.Service]
-	if !ok {
+	b := f.bin(w.Service)
+	if b == nil {
 		b = &bin{flow: f, lane: a.lane(c, w.Service), place: -1}
-		f.bins[w.Service] = b
+		f.bins = append(f.bins, b)
 	}
 	return b
 }
--- a/admit/flow.go
+++ b/admit/flow.go
@@ -75,7 +75,16 @@
 	member *member
 	tag    float64
 	queued int
-	bins   map[string]*bin
+	bins   []*bin
+}
+
+func (f *flow) bin(service string) *bin {
+	for _, b := range f.bins {
+		if b.lane.name == service {
+			return b
+		}
+	}
+	return nil
 }
 
 func (f *flow) weight() float64 {
--- a/cmd/bench/ideal.go
+++ b/cmd/bench/ideal.go
@@ -34,7 +34,7 @@
 
 // available returns the first time from which a runner may start a task.
 func (s scenario) available(runner int, at time.Duration) time.Duration {
-	if s.outage && s.deployment.domain(runner) == s.deployment.domain(1) && at >= outageStart && at < outageEnd {
+	if s.outage && s.domain(runner) == s.domain(1) && at >= outageStart && at < outageEnd {
 		return outageEnd
 	}
 	return at
--- a/cmd/bench/report.go
+++ b/cmd/bench/report.go
@@ -6,14 +6,20 @@
 	"io"
 	"math"
 	"slices"
+	"strings"
 	"time"
+)
 
-	"carobpulley"
+// Experiments.
+const (
+	experimentResponse = "response"
+	experimentOutage   = "outage"
+	experimentBurst    = "burst"
 )
 
 // figures compare the response times of a class with the ideal. Mean, P50 and
-// P99 are quotients of the same statistic; Each are quantiles over jobs of each
-// job's own quotient.
+// P99 are quotients of the same statistic; EachP50 and EachP99 are quantiles of
+// each job's own quotient.
 type figures struct {
 	Mean    float64 `json:"mean"`
 	P50     float64 `json:"p50"`
@@ -23,88 +29,74 @@
 	P99Ms   float64 `json:"p99_ms"`
 }
 
-// result is one line of output.
+// result is one line of output. Messages are per task started; Work is over
+// what the remaining capacity allows; Neighbours is the p99 of the other
+// members with a burst over without.
 type result struct {
 	Experiment string             `json:"experiment"`
 	Scenario   string             `json:"scenario"`
 	Way        string             `json:"way"`
 	Classes    map[string]figures `json:"classes,omitempty"`
-	// Messages per task started.
-	PerTask float64 `json:"messages_per_task,omitempty"`
-	Wasted  float64 `json:"wasted_per_task"`
-	Control float64 `json:"control_per_task"`
-	// Work over what the remaining capacity allows, during an outage.
-	Work    float64 `json:"work,omitempty"`
-	WorkMin float64 `json:"work_min,omitempty"`
-	// Neighbour is the p99 of other members with a burst over without.
-	Neighbour float64 `json:"neighbour_p99,omitempty"`
+	Useful     float64            `json:"useful_messages"`
+	Wasted     float64            `json:"wasted_messages"`
+	Control    float64            `json:"control_messages"`
+	Work       float64            `json:"work,omitempty"`
+	WorkMin    float64            `json:"work_min,omitempty"`
+	Neighbours float64            `json:"neighbours_p99,omitempty"`
 }
 
-// times collects response times by class over several seeds.
+const allClasses = "all"
+
+// times collects the response times of classes over several seeds.
 type times struct {
-	ours, ideal map[string][]float64
-	messages    messages
-	tasks       int
+	ours, ideal             map[string][]float64
+	useful, wasted, control int
+	tasks                   int
 }
 
-const allClasses = "all"
-
 func newTimes() *times {
 	return &times{ours: map[string][]float64{}, ideal: map[string][]float64{}}
 }
 
-// add takes the jobs that arrived in a span.
-func (t *times) add(arrivals []arrival, ended, best []time.Duration, from, to time.Duration) {
-	for i, a := range arrivals {
+// add takes the messages of a run and the jobs that arrived in a span.
+func (t *times) add(s *world, best []time.Duration, from, to time.Duration) {
+	t.useful += s.useful
+	t.wasted += s.wasted
+	t.control += s.control
+	for i, a := range s.arrivals {
 		t.tasks += len(a.work)
 		if a.at < from || a.at > to {
 			continue
 		}
 		for _, class := range []string{string(a.class), allClasses} {
-			t.ours[class] = append(t.ours[class], (ended[i] - a.at).Seconds())
+			t.ours[class] = append(t.ours[class], (s.ended[i] - a.at).Seconds())
 			t.ideal[class] = append(t.ideal[class], (best[i] - a.at).Seconds())
 		}
 	}
 }
 
-func (t *times) count(m messages) {
-	t.messages.Useful += m.Useful
-	t.messages.Wasted += m.Wasted
-	t.messages.Control += m.Control
-}
-
-func (t *times) figures() map[string]figures {
-	all := map[string]figures{}
+func (t *times) result() result {
+	r := result{Classes: map[string]figures{}}
 	for class, ours := range t.ours {
 		best := t.ideal[class]
 		each := make([]float64, len(ours))
 		for i := range ours {
 			each[i] = ours[i] / best[i]
 		}
-		all[class] = figures{
+		r.Classes[class] = figures{
 			Mean: round(mean(ours) / mean(best)),
 			P50:  round(quantile(ours, 0.5) / quantile(best, 0.5)),
 			P99:  round(quantile(ours, 0.99) / quantile(best, 0.99)), P99Ms: math.Round(1000 * quantile(ours, 0.99)),
 			EachP50: round(quantile(each, 0.5)), EachP99: round(quantile(each, 0.99)),
 		}
 	}
-	return all
-}
-
-func (t *times) fill(r *result) {
-	r.Classes = t.figures()
 	n := float64(t.tasks)
-	r.PerTask = round(float64(t.messages.Useful+t.messages.Wasted) / n)
-	r.Wasted = round(float64(t.messages.Wasted) / n)
-	r.Control = round(float64(t.messages.Control) / n)
+	r.Useful, r.Wasted, r.Control = round(float64(t.useful)/n), round(float64(t.wasted)/n), round(float64(t.control)/n)
+	return r
 }
 
 func quantile(v []float64, q float64) float64 {
-	s := slices.Sorted(slices.Values(v))
-	if len(s) == 0 {
-		return math.NaN()
-	}
-	return s[min(len(s)-1, int(q*float64(len(s))))]
+	return slices.Sorted(slices.Values(v))[int(q*float64(len(v)))]
 }
 
 func mean(v []float64) float64 {
@@ -130,42 +122,44 @@
 	return nil
 }
 
+// headers are the columns of the tables after scenario and way.
+var headers = map[string][]string{
+	experimentResponse: {
+		"mean", "p50", "p99", "each job p50", "p99", "urgent p50", "p99", "normal p50", "p99", "bulk p50", "p99",
+		"useful messages", "wasted", "control",
+	},
+	experimentOutage: {"work", "least second", "p50", "p99", "wasted"},
+	experimentBurst:  {"p99 of the others, with over without"},
+}
+
+func (r result) columns() []float64 {
+	all, urgent, normal, bulk := r.Classes[allClasses], r.Classes["urgent"], r.Classes["normal"], r.Classes["bulk"]
+	switch r.Experiment {
+	case experimentResponse:
+		return []float64{
+			all.Mean, all.P50, all.P99, all.EachP50, all.EachP99, urgent.P50, urgent.P99, normal.P50, normal.P99, bulk.P50, bulk.P99,
+			r.Useful, r.Wasted, r.Control,
+		}
+	case experimentOutage:
+		return []float64{r.Work, r.WorkMin, all.P50, all.P99, r.Wasted}
+	default:
+		return []float64{r.Neighbours}
+	}
+}
+
 // writeMarkdown writes a table for each experiment.
 func writeMarkdown(w io.Writer, results []result) {
 	experiment := ""
 	for _, r := range results {
 		if r.Experiment != experiment {
 			experiment = r.Experiment
-			header(w, experiment)
+			_, _ = fmt.Fprintf(w, "\n| %s | way | %s |\n", experiment, strings.Join(headers[experiment], " | "))
+			_, _ = fmt.Fprintln(w, "|---|---|"+strings.Repeat("---|", len(headers[experiment])))
 		}
-		switch experiment {
-		case experimentResponse:
-			a, u, n, b := r.Classes[allClasses], r.class(carobpulley.ClassUrgent), r.class(carobpulley.ClassNormal), r.class(carobpulley.ClassBulk)
-			_, _ = fmt.Fprintf(w, "| %s | %s | %.2f | %.2f | %.2f | %.2f / %.2f | %.2f / %.2f | %.2f / %.2f | %.2f / %.2f | %.2f | %.3f | %.2f |\n",
-				r.Scenario, r.Way, a.Mean, a.P50, a.P99, a.EachP50, a.EachP99, u.P50, u.P99, n.P50, n.P99, b.P50, b.P99, r.PerTask, r.Wasted, r.Control)
-		case experimentOutage:
-			_, _ = fmt.Fprintf(w, "| %s | %s | %.3f | %.3f | %.2f | %.2f | %.3f |\n", r.Scenario, r.Way, r.Work, r.WorkMin, r.Classes[allClasses].P50, r.Classes[allClasses].P99, r.Wasted)
-		case experimentBurst:
-			_, _ = fmt.Fprintf(w, "| %s | %s | %.3f |\n", r.Scenario, r.Way, r.Neighbour)
+		_, _ = fmt.Fprintf(w, "| %s | %s |", r.Scenario, r.Way)
+		for _, v := range r.columns() {
+			_, _ = fmt.Fprintf(w, " %.3f |", v)
 		}
-	}
-}
-
-func (r result) class(c carobpulley.Class) figures {
-	return r.Classes[string(c)]
-}
-
-func header(w io.Writer, experiment string) {
-	_, _ = fmt.Fprintln(w)
-	switch experiment {
-	case experimentResponse:
-		_, _ = fmt.Fprintln(w, "| scenario | way | mean | p50 | p99 | each job p50 / p99 | urgent p50 / p99 | normal | bulk | messages per task | wasted | control |")
-		_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
-	case experimentOutage:
-		_, _ = fmt.Fprintln(w, "| domain out and back | way | work | least second | p50 | p99 | wasted |")
-		_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
-	case experimentBurst:
-		_, _ = fmt.Fprintln(w, "| burst of one member | way | p99 of the others, with over without |")
-		_, _ = fmt.Fprintln(w, "|---|---|---|")
+		_, _ = fmt.Fprintln(w)
 	}
 }
--- a/cmd/bench/scenario.go
+++ b/cmd/bench/scenario.go
@@ -22,6 +22,8 @@
 	// A domain is out of service between these times in an outage.
 	outageStart = 40 * time.Second
 	outageEnd   = 70 * time.Second
+	// A member's burst of 20 s begins at this time.
+	burstStart = 40 * time.Second
 	// A burst of a show night lasts burstFor in every burstEvery.
 	burstFor   = time.Second
 	burstEvery = 15 * time.Second
@@ -59,11 +61,9 @@
 
 // scenario is one experiment.
 type scenario struct {
-	deployment deployment
-	load       float64
-	night      bool
-	unequal    bool
-	outage     bool
+	deployment
+	load                   float64
+	night, unequal, outage bool
 	// burst lets one member submit ten times its share for 20 s.
 	burst bool
 	// quota limits that member to quotaOver times its share.
@@ -72,20 +72,18 @@
 
 const quotaOver = 1.8
 
-func (s scenario) name() string {
-	parts := []string{s.deployment.name, fmt.Sprintf("%.0f%%", 100*s.load)}
+func (s scenario) title() string {
+	load, speeds, quota := fmt.Sprintf("%.0f%%", 100*s.load), "equal", ""
 	if s.night {
-		parts[1] = "show night"
+		load = "show night"
 	}
 	if s.unequal {
-		parts = append(parts, "unequal")
-	} else {
-		parts = append(parts, "equal")
+		speeds = "unequal"
 	}
 	if s.quota {
-		parts = append(parts, "quota")
+		quota = ", quota"
 	}
-	return strings.Join(parts, ", ")
+	return s.name + ", " + load + ", " + speeds + quota
 }
 
 // unequalSpeeds sum up to the number of runners, so that the capacity is that
@@ -113,16 +111,12 @@
 // serviceSpecs declares run times up to ten times off.
 func serviceSpecs() []serviceSpec {
 	specs := make([]serviceSpec, 0, 3*len(members))
-	medians := map[carobpulley.Class]time.Duration{
-		carobpulley.ClassUrgent: 120 * time.Millisecond,
-		carobpulley.ClassNormal: 250 * time.Millisecond,
-		carobpulley.ClassBulk:   400 * time.Millisecond,
-	}
+	medians := []time.Duration{120 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond}
 	off := []float64{10, 0.1, 1}
 	for i, m := range members {
 		for k, c := range carobpulley.Classes() {
-			declared := time.Duration(float64(medians[c]) * off[(i+k)%3])
-			specs = append(specs, serviceSpec{name: m + "-" + string(c), member: m, class: c, median: medians[c], declared: declared})
+			declared := time.Duration(float64(medians[k]) * off[(i+k)%3])
+			specs = append(specs, serviceSpec{name: m + "-" + string(c), member: m, class: c, median: medians[k], declared: declared})
 		}
 	}
 	return specs
@@ -145,7 +139,7 @@
 		c.Services[v.name] = carobpulley.Service{Name: v.name, Member: v.member, Class: v.class, RunTime: v.declared}
 	}
 	for i := range 3 {
-		name := s.deployment.domain(i)
+		name := s.domain(i)
 		c.Domains[name] = carobpulley.Domain{Name: name, InService: allIn || i != 1}
 	}
 	return c
@@ -159,10 +153,8 @@
 	}
 	all := make([]carobpulley.Endpoint, 0, runners)
 	for i := range runners {
-		all = append(all, carobpulley.Endpoint{
-			ID: fmt.Sprintf("runner%02d", i), Incarnation: 1, Domain: s.deployment.domain(i),
-			Services: names, Slots: runnerSlots,
-		})
+		id := fmt.Sprintf("runner%02d", i)
+		all = append(all, carobpulley.Endpoint{ID: id, Incarnation: 1, Domain: s.domain(i), Services: names, Slots: runnerSlots})
 	}
 	return all
 }
@@ -186,24 +178,19 @@
 		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 		all = append(all, s.draw(rng, at))
 	}
-	if s.burst {
-		all = append(all, s.memberBurst(rng, mean)...)
-		slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
+	if !s.burst {
+		return all
 	}
-	return all
-}
-
-// memberBurst adds jobs of one member beside the others' unchanged arrivals.
-func (s scenario) memberBurst(rng *rand.Rand, mean float64) []arrival {
-	var all []arrival
-	share := s.load * 9 / float64(len(members)) * runners * runnerSlots / mean
-	for at := outageStart; at < outageStart+20*time.Second; {
-		at += time.Duration(rng.ExpFloat64() / share * float64(time.Second))
+	// The burst's jobs come beside the unchanged arrivals.
+	rate := s.load * 9 / float64(len(members)) * runners * runnerSlots / mean
+	for at := burstStart; at < burstStart+20*time.Second; {
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 		j := s.draw(rng, at)
 		j.service = strings.Replace(j.service, j.member, members[0], 1)
 		j.member = members[0]
 		all = append(all, j)
 	}
+	slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
 	return all
 }
 
@@ -238,14 +225,14 @@
 	specs := serviceSpecs()
 	k := 2
 	switch u := rng.Float64(); {
-	case u < s.deployment.urgent:
+	case u < s.urgent:
 		k = 0
-	case u < s.deployment.urgent+s.deployment.normal:
+	case u < s.urgent+s.normal:
 		k = 1
 	}
 	v := specs[rng.IntN(len(members))*3+k]
 	j := arrival{at: at, member: v.member, service: v.name, class: v.class}
-	j.receiver, j.owner = rng.IntN(s.deployment.entries), rng.IntN(s.deployment.entries)
+	j.receiver, j.owner = rng.IntN(s.entries), rng.IntN(s.entries)
 	for range jobTasks(rng) {
 		j.work = append(j.work, taskWork(rng, v.median))
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -51,7 +52,9 @@
 	for name, s := range p.services {
 		s.declare(c.Services[name].RunTime)
 	}
-	for _, e := range p.endpoints {
+	// In a fixed order, so that a seed gives the same decisions each time.
+	for _, id := range slices.Sorted(maps.Keys(p.endpoints)) {
+		e := p.endpoints[id]
 		p.setService(now, e)
 		p.refresh(now, e)
 	}
