--- /dev/null
+++ b/cmd/bench/ways.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"carobpulley"
+	"carobpulley/admit"
+	"carobpulley/place"
+)
+
+// way is a method of placement and admission.
+type way struct {
+	name string
+	// agentQueue bounds the tasks that wait at an agent.
+	agentQueue int
+	build      func(rand.Source, place.Distances, string) (carobpulley.Placer, carobpulley.Admitter)
+}
+
+var ways = []way{
+	{name: "naive", agentQueue: math.MaxInt, build: func(src rand.Source, _ place.Distances, _ string) (carobpulley.Placer, carobpulley.Admitter) {
+		p := place.NewNaive(src)
+		return p, admit.NewNaive(p)
+	}},
+	{name: "random two", agentQueue: math.MaxInt, build: func(src rand.Source, d place.Distances, domain string) (carobpulley.Placer, carobpulley.Admitter) {
+		p := &twoChoices{Naive: place.NewNaive(src), distances: d, domain: domain, known: map[string]*known{}}
+		return p, admit.New(p)
+	}},
+	{name: "ours", agentQueue: 2, build: func(src rand.Source, d place.Distances, domain string) (carobpulley.Placer, carobpulley.Admitter) {
+		p := place.New(src, d, domain)
+		return p, admit.New(p)
+	}},
+}
+
+// twoChoices pushes to the better of two random endpoints by estimated finish,
+// without late binding.
+type twoChoices struct {
+	*place.Naive
+	distances place.Distances
+	domain    string
+	known     map[string]*known
+}
+
+type known struct {
+	mine, others int
+	run          float64
+}
+
+// Upsert implements carobpulley.Placer.
+func (p *twoChoices) Upsert(now time.Time, e carobpulley.Endpoint, l carobpulley.Load) {
+	p.Naive.Upsert(now, e, l)
+	k, ok := p.known[e.ID]
+	if !ok {
+		k = &known{run: float64(300 * time.Millisecond)}
+		p.known[e.ID] = k
+	}
+	k.others = max(0, l.Running+l.Queued-k.mine)
+}
+
+// Pick implements carobpulley.Placer.
+func (p *twoChoices) Pick(now time.Time, service string) (carobpulley.Endpoint, bool) {
+	a, ok := p.Naive.Pick(now, service)
+	b, _ := p.Naive.Pick(now, service)
+	if !ok {
+		return a, false
+	}
+	if p.finish(b) < p.finish(a) {
+		a = b
+	}
+	p.known[a.ID].mine++
+	return a, true
+}
+
+func (p *twoChoices) finish(e carobpulley.Endpoint) float64 {
+	k := p.known[e.ID]
+	rounds := float64(k.mine+k.others)/float64(e.Slots) + 1
+	return float64(p.distances.Between(p.domain, e.Domain)) + rounds*k.run
+}
+
+// Done implements carobpulley.Placer.
+func (p *twoChoices) Done(_ time.Time, s carobpulley.Sample) {
+	k := p.known[s.Endpoint]
+	k.mine--
+	k.others = max(0, s.Load.Running+s.Load.Queued-k.mine)
+	if !s.Refused {
+		k.run += (float64(s.Run) - k.run) / 32
+	}
+}
