--- a/setup/settings.go
+++ b/setup/settings.go
@@ -113,6 +113,12 @@
 	s.checks = append(s.checks, rule)
 }
 
+// Func adds a variable with a parser of its own. set reports whether the value
+// is allowed; allowed says so in words.
+func (s *Settings) Func(flag, def, usage, allowed string, set func(string) bool) {
+	s.add(variable{flag: flag, usage: usage, def: def, allowed: allowed, set: set})
+}
+
 // String adds a text of least to most bytes.
 func (s *Settings) String(dst *string, flag, def, usage string, least, most int) {
 	s.add(variable{
