--- /dev/null
+++ b/cmd/carobctl/job.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/urfave/cli/v3"
+
+	"carobpulley"
+	"carobpulley/api"
+)
+
+const jobUsage = `Submit, read and cancel jobs as a caller.
+
+The address of the callers' API is --api or CAROB_API, the member's token
+CAROB_TOKEN. The answer is printed as JSON (docs/api.md).
+
+  carobctl job submit --key order-1 --service booking.check --payload '{"van":12}' --wait
+  carobctl job submit --key order-2 --service booking.check --tasks 120 --wait
+  carobctl job get order-1
+  carobctl job cancel order-1`
+
+// extraTime is how long a waiting call may last beyond the job's timeout.
+const extraTime = time.Minute
+
+func jobCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "job",
+		Usage:       "submit, read and cancel jobs as a caller",
+		Description: jobUsage,
+		Commands:    []*cli.Command{jobSubmit(), jobGet(), jobCancel()},
+	}
+}
+
+func callerFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{
+			Name:    "api",
+			Usage:   "base URL of the callers' API",
+			Value:   "http://127.0.0.1:7101",
+			Sources: cli.EnvVars("CAROB_API"),
+		},
+		&cli.StringFlag{
+			Name:     "token",
+			Usage:    "the member's bearer token",
+			Required: true,
+			Sources:  cli.EnvVars("CAROB_TOKEN"),
+		},
+	}, more...)
+}
+
+func caller(cmd *cli.Command) (*api.Client, error) {
+	base, err := url.Parse(cmd.String("api"))
+	if err != nil || base.Host == "" {
+		return nil, cli.Exit("--api must be a base URL such as http://127.0.0.1:7101", exitUsage)
+	}
+	return api.NewClient(base, cmd.String("token"), http.DefaultClient), nil
+}
+
+func jobSubmit() *cli.Command {
+	return &cli.Command{
+		Name:  "submit",
+		Usage: "submit a job",
+		Flags: callerFlags(
+			&cli.StringFlag{Name: "key", Usage: "the job's key", Required: true},
+			&cli.StringFlag{Name: "service", Usage: "the service that runs the tasks", Required: true},
+			&cli.StringSliceFlag{Name: "payload", Usage: "a task's payload, a JSON value; repeat it for more tasks"},
+			&cli.IntFlag{Name: "tasks", Usage: "number of tasks with generated payloads"},
+			&cli.DurationFlag{Name: "timeout", Usage: "time after which no task starts", Value: 30 * time.Second},
+			&cli.BoolFlag{Name: "wait", Usage: "wait for the answer"},
+		),
+		Action: submitJob,
+	}
+}
+
+func submitJob(ctx context.Context, cmd *cli.Command) error {
+	c, err := caller(cmd)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	j := api.Job{
+		Key:      cmd.String("key"),
+		Service:  cmd.String("service"),
+		Deadline: now.Add(cmd.Duration("timeout")),
+		Wait:     cmd.Bool("wait"),
+	}
+	for _, p := range cmd.StringSlice("payload") {
+		j.Payloads = append(j.Payloads, jsontext.Value(p))
+	}
+	n := min(cmd.Int("tasks"), carobpulley.MaxTasks)
+	for i := range n {
+		j.Payloads = append(j.Payloads, jsontext.Value(fmt.Sprintf(`{"task":%d}`, i)))
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(extraTime))
+	defer cancel()
+	b, err := c.Submit(ctx, now, j)
+	return printAnswer(cmd, b, err)
+}
+
+func jobGet() *cli.Command {
+	return &cli.Command{
+		Name:      "get",
+		Usage:     "read a job",
+		ArgsUsage: "KEY",
+		Flags:     callerFlags(&cli.BoolFlag{Name: "wait", Usage: "wait for the answer"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			c, err := caller(cmd)
+			if err != nil {
+				return err
+			}
+			b, err := c.Lookup(ctx, cmd.Args().First(), cmd.Bool("wait"))
+			return printAnswer(cmd, b, err)
+		},
+	}
+}
+
+func jobCancel() *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "cancel a job",
+		ArgsUsage: "KEY",
+		Flags:     callerFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			c, err := caller(cmd)
+			if err != nil {
+				return err
+			}
+			b, err := c.Cancel(ctx, cmd.Args().First())
+			return printAnswer(cmd, b, err)
+		},
+	}
+}
+
+func printAnswer(cmd *cli.Command, b []byte, err error) error {
+	if err != nil {
+		return err
+	}
+	_, err = cmd.Root().Writer.Write(b)
+	return err
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,9 +67,14 @@
 	// witnesses send claims to peers in groups, by peer.
 	witnesses map[string]*witnessSender
 
-	// ctx is that of Run: calls to other processes end with it.
-	ctx   context.Context
-	tasks sync.WaitGroup
+	// ctx ends with Run, and calls to other processes with it.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// workMu guards stopped; work counts the calls to other processes.
+	workMu  sync.Mutex
+	stopped bool
+	work    sync.WaitGroup
 
 	calls    atomic.Uint64
 	logOK    atomic.Bool
@@ -103,6 +108,8 @@
 	// known of the peers' versions changes.
 	versionChanged chan struct{}
 	draining       bool
+	// journalGap is set once a claim could not be journaled.
+	journalGap bool
 }
 
 // peerState is what is known of another entry.
@@ -115,6 +122,7 @@
 
 // New returns an entry. Run starts it.
 func New(cfg Settings, p Parts) *Entry {
+	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
 		cfg:            cfg,
 		log:            p.Log,
@@ -122,7 +130,8 @@
 		fresh:          p.Client.Fresh(),
 		logger:         p.Logger,
 		stats:          p.Stats,
-		ctx:            context.Background(),
+		ctx:            ctx,
+		cancel:         cancel,
 		authority:      p.Authority,
 		table:          p.Table,
 		placer:         p.Placer,
@@ -155,13 +164,24 @@
 	return e.cfg.Name + "-" + strconv.FormatUint(e.cfg.Incarnation, 36) + "-" + strconv.FormatUint(n, 36)
 }
 
-// goDo runs a call to another process; Run waits for it.
+// goDo runs a call to another process; Run waits for it. After Run nothing
+// more is called.
 func (e *Entry) goDo(f func()) {
-	e.tasks.Add(1)
-	go func() {
-		defer e.tasks.Done()
-		f()
-	}()
+	e.workMu.Lock()
+	defer e.workMu.Unlock()
+	if e.stopped {
+		return
+	}
+	e.work.Go(f)
+}
+
+// stopWork ends all calls to other processes and waits for them.
+func (e *Entry) stopWork() {
+	e.workMu.Lock()
+	e.stopped = true
+	e.workMu.Unlock()
+	e.cancel()
+	e.work.Wait()
 }
 
 // step feeds an event to the job table and carries the actions out. mu is held.
@@ -228,6 +248,11 @@
 func (e *Entry) leave(id carobpulley.JobID, w *waiter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.unwait(id, w)
+}
+
+// unwait is leave with mu held.
+func (e *Entry) unwait(id carobpulley.JobID, w *waiter) {
 	w.n--
 	if w.n == 0 && e.waiters[id] == w {
 		delete(e.waiters, id)
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -60,6 +60,7 @@
 	t, err := e.journal.Add(data)
 	if err != nil {
 		e.counters.journalRefused.Add(1)
+		e.journalGap = true
 		e.logger.Warn().Err(err).Msg("claim is not journaled")
 		return
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -19,7 +19,7 @@
 // Run works until ctx ends. Its loops stop together.
 func (e *Entry) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	e.ctx = ctx
+	defer e.stopWork()
 	var g run.Group
 	add := func(loop func(context.Context) error) {
 		g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
@@ -32,7 +32,6 @@
 		add(func(ctx context.Context) error { return e.contactLoop(ctx, peer) })
 	}
 	err := g.Run()
-	e.tasks.Wait()
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -64,11 +63,18 @@
 	e.pump(now)
 }
 
-// Ready reports whether the entry can serve callers.
-func (e *Entry) Ready() bool {
+// Ready returns why the entry cannot serve callers, or nil.
+func (e *Entry) Ready() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.draining && e.authority.Has(time.Now())
+	now := time.Now()
+	if e.draining {
+		return e.unavailable(now, "ready", carobpulley.KindDraining, "the entry is stopping")
+	}
+	if !e.authority.Has(now) {
+		return e.unavailable(now, "ready", carobpulley.KindUnavailable, "the entry is not in contact with a majority")
+	}
+	return nil
 }
 
 // Drain takes no new work, hands the shards over, and returns when nothing is
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -10,6 +10,7 @@
 
 	"carobpulley"
 	"carobpulley/inner"
+	"carobpulley/owner"
 	"carobpulley/wire"
 )
 
@@ -191,7 +192,11 @@
 		Receiver: receiver,
 		Epoch:    own.Epoch,
 	})))
-	a, err := answerFrom(spec.ID, r, err)
+	if err != nil {
+		// The owner may have taken the claim: it stays held.
+		return carobpulley.Answer{}, err
+	}
+	a, err := answerFrom(spec.ID, r, nil)
 	e.keep(claim, a, err)
 	return a, err
 }
@@ -203,12 +208,16 @@
 }
 
 // keep stores what the owner answered beside the claim: a final answer, or a
-// refusal as not run, which a new owner must not contradict.
+// refusal as not run, which a new owner must not contradict. The claim of a
+// submission that the owner did not take is dropped, so that it does not stand
+// against the one that it took.
 func (e *Entry) keep(c carobpulley.Claim, a carobpulley.Answer, err error) {
 	switch {
-	case err == nil && a.Outcome != carobpulley.OutcomeRunning:
+	case err == nil && a.Outcome == carobpulley.OutcomeRunning:
+		return
+	case err == nil:
 		c.Answer = &a
-	case err != nil && inner.AsError(err).NotRun:
+	case inner.AsError(err).NotRun:
 		c.Answer = &carobpulley.Answer{
 			ID:      c.Spec.ID,
 			Service: c.Spec.Service,
@@ -216,12 +225,20 @@
 			Err:     inner.AsError(err),
 		}
 	default:
+		e.dropFor(c)
 		return
 	}
+	c.Digest = owner.Digest(c.Spec)
 	c.Spec.Payloads = nil
 	e.holdFor(c)
 }
 
+func (e *Entry) dropFor(c carobpulley.Claim) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.witness.Drop(c)
+}
+
 func answerFrom(id carobpulley.JobID, r *connect.Response[wire.JobReply], err error) (carobpulley.Answer, error) {
 	if err != nil {
 		return carobpulley.Answer{}, err
@@ -265,7 +282,7 @@
 	e.pump(now)
 	for _, a := range acts {
 		if r, ok := a.(carobpulley.Rejected); ok {
-			w.n--
+			e.unwait(s.Spec.ID, w)
 			return nil, r.Err
 		}
 	}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -121,25 +121,20 @@
 }
 
 // yield answers a new owner: this entry vouches no longer for older epochs of
-// the shards and hands over the claims that it holds of them.
+// the shards and hands over the claims that it holds of them, those of shards
+// that it owned included.
 func (e *Entry) yield(y inner.Yielding) inner.YieldAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
-	// An old owner hands over its table before the authority closes the shards.
-	claims := e.witness.Yield(y.Shards)
-	for _, s := range y.Shards {
-		claims = append(claims, e.table.Claims(s.Shard)...)
-	}
-	out := inner.YieldAnswer{Incarnation: e.cfg.Incarnation, Claims: claims}
-	for _, a := range e.stepAuthority(now, carobpulley.YieldAsked{Entry: y.Entry, Shards: y.Shards}) {
-		if v, ok := a.(carobpulley.YieldFor); ok {
-			out.Yielded = true
-			out.Missing = v.Missing
+	out := inner.YieldAnswer{Incarnation: e.cfg.Incarnation}
+	for _, a := range e.stepAuthority(time.Now(), carobpulley.YieldAsked{Entry: y.Entry, Shards: y.Shards}) {
+		v, ok := a.(carobpulley.YieldFor)
+		if !ok || len(v.Shards) == 0 {
+			continue
 		}
-	}
-	if !out.Yielded {
-		return inner.YieldAnswer{Incarnation: e.cfg.Incarnation}
+		out.Yielded = true
+		out.Missing = v.Missing
+		out.Claims = e.witness.Yield(v.Shards)
 	}
 	return out
 }
@@ -329,17 +324,42 @@
 	e.pump(now)
 }
 
-// closeShards forgets shards that another entry claimed; those who wait for
-// their jobs ask the new owner.
+// closeShards gives shards up that another entry claimed. Their claims stay
+// held here for the new owner, whose request may be repeated. Those who wait
+// for their jobs ask the new owner.
 func (e *Entry) closeShards(now time.Time, shards []carobpulley.Ownership) {
 	closed := make(map[int]bool, len(shards))
 	for _, s := range shards {
 		closed[s.Shard] = true
+		for _, c := range e.table.Claims(s.Shard) {
+			e.witness.Hold(now, c)
+		}
 		e.step(now, carobpulley.ShardClosed{Shard: s.Shard})
 	}
+	e.endJournal(shards)
 	for id := range e.waiters {
 		if closed[carobpulley.ShardOf(id, e.cfg.Shards)] {
 			e.wake(id)
 		}
 	}
 }
+
+// endJournal notes that the journal holds all claims of shards given up. The
+// end carries the epoch under which this entry owned them.
+func (e *Entry) endJournal(shards []carobpulley.Ownership) {
+	ended := make([]carobpulley.Ownership, 0, len(shards))
+	for _, s := range shards {
+		ended = append(ended, carobpulley.Ownership{Shard: s.Shard, Owner: e.cfg.Name, Epoch: s.Epoch - 1})
+	}
+	data, err := proto.Marshal(inner.JournalRecordToWire(inner.JournalRecord{
+		Entry:       e.cfg.Name,
+		Incarnation: e.cfg.Incarnation,
+		End:         ended,
+	}))
+	if err != nil || e.journalGap {
+		return
+	}
+	if _, err := e.journal.Add(data); err != nil {
+		e.logger.Warn().Err(err).Msg("end of shards is not journaled")
+	}
+}
