Add stand-ins of log service, endpoint and worker

Cause: make run and the end-to-end tests need the systems around carobpulley as programs whose faults can be set.

Change: standin log serves memlog over HTTP with PUT /faults and a limit of appends per second. standin endpoint sleeps by run time, speed and a seeded spread, fails or hangs on request, and lists its starts with a count per task. standin worker grants one lease at a time, stops its tasks when it expires and reports usage with a lag. All stop after the requests in progress, at most 30 s after SIGTERM.

Closing the connections instead of a graceful stop makes TestEndpointProgramStopsGracefully fail.

Conclusion: the endpoint's own list of starts is the judge of at-most-once in end-to-end tests.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,39 @@
-// Command standin is part of carobpulley.
+// Command standin serves stand-ins of the systems around carobpulley: the log
+// service, endpoints and workers. They are for `make run` and tests only.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+)
+
+const usage = `Stand-ins of the systems around carobpulley, for trials and tests.
+
+Each subcommand is one server. It writes JSON lines to standard error; the
+message "listening" has the field addr. SIGTERM and SIGINT stop it after the
+requests in progress, in at most 30 s. Each flag can also be set by the
+environment variable that the help shows.`
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin").Logger()
+	err := command(log).Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		log.Fatal().Err(err).Msg("stopped by an error")
+	}
+}
+
+func command(log zerolog.Logger) *cli.Command {
+	return &cli.Command{
+		Name:        "standin",
+		Usage:       "serve a stand-in of a system around carobpulley",
+		Description: usage,
+		Commands:    []*cli.Command{logCommand(log), endpointCommand(log), workerCommand(log)},
+	}
+}
