--- /dev/null
+++ b/conf/agree_test.go
@@ -0,0 +1,208 @@
+package conf
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"carobpulley"
+)
+
+// naive is the state after a prefix of the log, folded from the first record.
+type naive struct {
+	document []byte
+	recent   []Result
+	versions map[uint64][]byte
+}
+
+func fromStart(records []carobpulley.Record) naive {
+	n := naive{versions: map[uint64][]byte{}}
+	seen := map[string]bool{}
+	for _, rec := range records {
+		r, err := decode(rec.Data)
+		if err != nil || r.Kind != kindChange || seen[r.ChangeID] {
+			continue
+		}
+		seen[r.ChangeID] = true
+		res := Result{ID: r.ChangeID, Outcome: Conflict, Base: r.Base, Author: r.Author, Time: r.Time, Offset: rec.Offset}
+		if r.Base == uint64(len(n.versions)) {
+			res.Outcome = Accepted
+			n.document = []byte(r.Document)
+			n.versions[r.Base+1] = n.document
+		}
+		res.Version = uint64(len(n.versions))
+		n.recent = append(n.recent, res)
+	}
+	return n
+}
+
+// agreement is a log with retention, several readers, and what was sent between
+// them and may arrive late.
+type agreement struct {
+	log       []carobpulley.Record
+	oldest    uint64
+	readers   []*Fold
+	served    []uint64
+	snapshots []Snapshot
+	pages     []carobpulley.Page
+	froms     []uint64
+	winners   map[uint64]string
+}
+
+func (a *agreement) append(data []byte) {
+	a.log = append(a.log, carobpulley.Record{Offset: uint64(len(a.log)), Data: data})
+}
+
+func (a *agreement) page(from uint64, limit int) carobpulley.Page {
+	p := carobpulley.Page{Oldest: a.oldest, Next: uint64(len(a.log))}
+	start := max(from, a.oldest)
+	if start < p.Next {
+		p.Records = a.log[start:min(p.Next, start+uint64(limit))]
+	}
+	return p
+}
+
+func (a *agreement) reader(t *rapid.T) int {
+	return rapid.IntRange(0, len(a.readers)-1).Draw(t, "reader")
+}
+
+func (a *agreement) apply(t *rapid.T, i int, from uint64, p carobpulley.Page) {
+	for _, r := range a.readers[i].Apply(from, p) {
+		if w, ok := a.winners[r.Base]; r.Outcome == Accepted && ok && w != r.ID {
+			t.Fatalf("base %d has the winners %s and %s", r.Base, w, r.ID)
+		}
+		if r.Outcome == Accepted {
+			a.winners[r.Base] = r.ID
+		}
+	}
+}
+
+func (a *agreement) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"change": func(t *rapid.T) {
+			base := a.readers[a.reader(t)].Version()
+			if rapid.IntRange(0, 4).Draw(t, "wild") == 0 {
+				base = rapid.Uint64Range(0, 9).Draw(t, "base")
+			}
+			id := fmt.Sprint("c", rapid.IntRange(0, 60).Draw(t, "id"))
+			data, err := Change{ID: id, Base: base, Document: fmt.Append(nil, id, "-", len(a.log))}.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.append(data)
+		},
+		"append snapshot": func(t *rapid.T) {
+			if len(a.snapshots) == 0 {
+				t.Skip("none taken")
+			}
+			data, err := rapid.SampledFrom(a.snapshots).Draw(t, "snapshot").Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.append(data)
+		},
+		"take snapshot": func(t *rapid.T) {
+			if s, ok := a.readers[a.reader(t)].Snapshot(); ok {
+				a.snapshots = append(a.snapshots, s)
+			}
+		},
+		"append again": func(t *rapid.T) {
+			if len(a.log) > 0 {
+				a.append(rapid.SampledFrom(a.log).Draw(t, "record").Data)
+			}
+		},
+		"append noise": func(*rapid.T) { a.append([]byte(`{"format":1,"kind":"change"`)) },
+		"drop old": func(t *rapid.T) {
+			a.oldest = rapid.Uint64Range(a.oldest, uint64(len(a.log))).Draw(t, "oldest")
+		},
+		"read": func(t *rapid.T) {
+			i := a.reader(t)
+			from := a.readers[i].Next()
+			p := a.page(from, rapid.IntRange(1, 9).Draw(t, "limit"))
+			a.pages, a.froms = append(a.pages, p), append(a.froms, from)
+			a.apply(t, i, from, p)
+		},
+		"replay page": func(t *rapid.T) {
+			if len(a.pages) > 0 {
+				k := rapid.IntRange(0, len(a.pages)-1).Draw(t, "page")
+				a.apply(t, a.reader(t), a.froms[k], a.pages[k])
+			}
+		},
+		"skip ahead": func(t *rapid.T) {
+			i := a.reader(t)
+			from := a.readers[i].Next() + 1
+			a.apply(t, i, from, a.page(from, 9))
+		},
+		"adopt": func(t *rapid.T) {
+			if len(a.snapshots) > 0 {
+				a.readers[a.reader(t)].Adopt(rapid.SampledFrom(a.snapshots).Draw(t, "snapshot"))
+			}
+		},
+		"restart": func(t *rapid.T) {
+			i := a.reader(t)
+			a.readers[i], a.served[i] = NewFold(), 0
+		},
+		"": a.check,
+	}
+}
+
+func (a *agreement) check(t *rapid.T) {
+	for i, f := range a.readers {
+		if f.Version() < a.served[i] {
+			t.Fatalf("reader %d went from version %d to %d", i, a.served[i], f.Version())
+		}
+		a.served[i] = f.Version()
+		all := fromStart(a.log)
+		if d := cmp.Diff(string(all.versions[f.Version()]), string(f.Document())); d != "" {
+			t.Fatalf("reader %d, document of version %d:\n%s", i, f.Version(), d)
+		}
+		if !f.Known() {
+			continue
+		}
+		want := fromStart(a.log[:f.Next()])
+		got := f.state
+		if d := cmp.Diff(want.recent, got.recent); d != "" || got.version != uint64(len(want.versions)) {
+			t.Fatalf("reader %d at offset %d, version %d of %d:\n%s", i, f.Next(), got.version, len(want.versions), d)
+		}
+	}
+}
+
+// finish reads to the end everywhere, after a snapshot of the true state.
+func (a *agreement) finish(t *rapid.T) {
+	n := fromStart(a.log)
+	data, err := Snapshot{
+		Position: uint64(len(a.log)),
+		Version:  uint64(len(n.versions)),
+		Document: n.document,
+		Recent:   n.recent,
+	}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.append(data)
+	a.oldest = min(a.oldest, uint64(len(a.log)-1))
+	for i, f := range a.readers {
+		for range 3*len(a.log) + 3 {
+			a.apply(t, i, f.Next(), a.page(f.Next(), 3))
+		}
+		if !f.Known() || f.Version() != uint64(len(n.versions)) || f.Next() != uint64(len(a.log)) {
+			t.Fatalf("reader %d ends at version %d of %d, known %v", i, f.Version(), len(n.versions), f.Known())
+		}
+	}
+}
+
+// TestAgreement guards against readers that disagree on a version, go back to
+// a smaller one, see two winners for one base version, or stay behind.
+func TestAgreement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := &agreement{winners: map[uint64]string{}}
+		for range 3 {
+			a.readers = append(a.readers, NewFold())
+		}
+		a.served = make([]uint64, len(a.readers))
+		t.Repeat(a.actions())
+		a.finish(t)
+	})
+}
