Add membership of endpoints and entries

Entries need one list of endpoints from announcements that may be late, repeated or out of order, from hosts that are replaced at the same address.

An incarnation's announcements are ordered by the agent's own clock. An endpoint that left or lost its address is remembered for 10 s; without that, a late announcement brought it back (found by the state machine test, as was a departure that was ignored because another ID held its address). A pause of the process itself counts as 1 s, since a longer one would remove all endpoints at once while their announcements wait.

Ruled out: clearing suspicion only after a successful connection. It needs probes, and the circuit breaker already limits attempts.

The root package gains the interface and its events (additive).

--- /dev/null
+++ b/roster.go
@@ -0,0 +1,121 @@
+package carobpulley
+
+import (
+	"time"
+)
+
+// Times of membership.
+const (
+	// AnnounceInterval is the time between two announcements of an agent.
+	AnnounceInterval = time.Second
+	// SuspectAfter is the silence after which an endpoint gets no new work.
+	SuspectAfter = 2 * time.Second
+	// RemoveAfter is the silence after which an endpoint is removed.
+	RemoveAfter = 10 * time.Second
+)
+
+// Roster keeps the list of endpoints from their announcements. An entry has a
+// second one for the other entries, with the entry's name as ID and its
+// contacts as announcements. It is a state machine without I/O and not safe
+// for concurrent use.
+type Roster interface {
+	// Step takes an event and returns what has changed, in order. Time is
+	// passed in by a RosterTick at least every 500 ms.
+	Step(now time.Time, ev RosterEvent) []RosterAction
+	// Get returns an endpoint that is alive or suspect.
+	Get(id string) (RosterEntry, bool)
+	// All returns the endpoints that are alive or suspect, ordered by ID.
+	All() []RosterEntry
+}
+
+// RosterState is the state of an endpoint.
+type RosterState string
+
+// States of an endpoint. A draining one is alive with Endpoint.Draining set.
+const (
+	RosterAlive   RosterState = "alive"
+	RosterSuspect RosterState = "suspect"
+)
+
+// RosterEntry is an endpoint with its state.
+type RosterEntry struct {
+	Endpoint Endpoint
+	Load     Load
+	State    RosterState
+	// HeardAt is the time of the last announcement.
+	HeardAt time.Time
+}
+
+// RosterEvent is an input of a Roster. The types below implement it.
+type RosterEvent interface{ rosterEvent() }
+
+// RosterAction is an output of a Roster. The types below implement it.
+type RosterAction interface{ rosterAction() }
+
+// Events of a Roster.
+type (
+	// Announced is an announcement of an endpoint.
+	Announced struct {
+		Endpoint Endpoint
+		Load     Load
+		// AgentTime is the agent's own clock in nanoseconds. It orders the
+		// announcements of an incarnation.
+		AgentTime int64
+		// Leaving is set in the last announcement of an incarnation.
+		Leaving bool
+	}
+	// ConnectFailed tells that a dispatch could not be sent.
+	ConnectFailed struct {
+		ID          string
+		Incarnation uint64
+	}
+	// RosterTick lets time pass.
+	RosterTick struct{}
+)
+
+// RemovedReason tells why an endpoint was removed.
+type RemovedReason string
+
+// Reasons of a removal.
+const (
+	// RemovedSilent was not heard of for RemoveAfter. Its agent may still run.
+	RemovedSilent RemovedReason = "silent"
+	// RemovedLeft has announced its departure after its last task.
+	RemovedLeft RemovedReason = "left"
+	// RemovedReplaced gave way to a larger incarnation of its ID or address.
+	RemovedReplaced RemovedReason = "replaced"
+)
+
+// Actions of a Roster.
+type (
+	// EndpointUp tells that an endpoint is new, changed, or no longer suspect.
+	EndpointUp struct {
+		Endpoint Endpoint
+		Load     Load
+	}
+	// EndpointLoad tells the load of an endpoint that is up and unchanged.
+	EndpointLoad struct {
+		ID   string
+		Load Load
+	}
+	// EndpointSuspect tells that an endpoint gets no new work.
+	EndpointSuspect struct {
+		ID          string
+		Incarnation uint64
+	}
+	// EndpointRemoved tells that an endpoint is gone.
+	EndpointRemoved struct {
+		ID          string
+		Incarnation uint64
+		Reason      RemovedReason
+	}
+)
+
+func (Announced) rosterEvent()     {}
+func (ConnectFailed) rosterEvent() {}
+func (RosterTick) rosterEvent()    {}
+
+func (EndpointUp) rosterAction()      {}
+func (EndpointLoad) rosterAction()    {}
+func (EndpointSuspect) rosterAction() {}
+func (EndpointRemoved) rosterAction() {}
--- /dev/null
+++ b/roster/naive.go
@@ -0,0 +1,111 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"carobpulley"
+)
+
+// Naive implements carobpulley.Roster with a plain list that each event scans
+// in whole.
+type Naive struct {
+	clock clock
+	nodes []*node
+}
+
+var _ carobpulley.Roster = (*Naive)(nil)
+
+// NewNaive returns an empty roster.
+func NewNaive() *Naive { return &Naive{} }
+
+// Step implements carobpulley.Roster.
+func (r *Naive) Step(now time.Time, ev carobpulley.RosterEvent) []carobpulley.RosterAction {
+	at := r.clock.at(now)
+	out := r.expire(at)
+	switch e := ev.(type) {
+	case carobpulley.Announced:
+		return append(out, r.announced(now, at, e)...)
+	case carobpulley.ConnectFailed:
+		if n := r.find(e.ID); n != nil && n.Endpoint.Incarnation == e.Incarnation {
+			return append(out, n.suspect()...)
+		}
+	}
+	return out
+}
+
+// expire handles the node that is due first until none is.
+func (r *Naive) expire(at time.Time) []carobpulley.RosterAction {
+	var out []carobpulley.RosterAction
+	for {
+		var first *node
+		for _, n := range r.nodes {
+			if first == nil || n.due.Before(first.due) || n.due.Equal(first.due) && n.Endpoint.ID < first.Endpoint.ID {
+				first = n
+			}
+		}
+		if first == nil || first.due.After(at) {
+			return out
+		}
+		actions, gone := first.expire()
+		out = append(out, actions...)
+		if gone {
+			r.remove(first)
+		}
+	}
+}
+
+func (r *Naive) announced(now, at time.Time, a carobpulley.Announced) []carobpulley.RosterAction {
+	n := r.find(a.Endpoint.ID)
+	if !usable(a) || n != nil && n.stale(a) || n == nil && len(r.nodes) >= MaxEndpoints {
+		return nil
+	}
+	var out []carobpulley.RosterAction
+	for _, other := range r.nodes {
+		if other == n || other.left || a.Leaving || other.Endpoint.Addr != a.Endpoint.Addr {
+			continue
+		}
+		if other.Endpoint.Incarnation >= a.Endpoint.Incarnation {
+			return nil
+		}
+		out = append(out, other.replace(at)...)
+	}
+	if n == nil {
+		n = &node{}
+		r.nodes = append(r.nodes, n)
+	}
+	return append(out, n.update(now, at, a)...)
+}
+
+func (r *Naive) find(id string) *node {
+	i := slices.IndexFunc(r.nodes, func(n *node) bool { return n.Endpoint.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return r.nodes[i]
+}
+
+func (r *Naive) remove(n *node) {
+	r.nodes = slices.DeleteFunc(r.nodes, func(m *node) bool { return m == n })
+}
+
+// Get implements carobpulley.Roster.
+func (r *Naive) Get(id string) (carobpulley.RosterEntry, bool) {
+	n := r.find(id)
+	if n == nil || n.left {
+		return carobpulley.RosterEntry{}, false
+	}
+	return n.RosterEntry, true
+}
+
+// All implements carobpulley.Roster.
+func (r *Naive) All() []carobpulley.RosterEntry {
+	out := make([]carobpulley.RosterEntry, 0, len(r.nodes))
+	for _, n := range r.nodes {
+		if !n.left {
+			out = append(out, n.RosterEntry)
+		}
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,191 @@
+package roster
+
+import (
+	"cmp"
+	"container/heap"
+	"net/netip"
+	"slices"
+	"time"
+
+	"carobpulley"
+)
+
+// Roster implements carobpulley.Roster.
+//
+// An ID with a larger incarnation replaces the smaller one. Two IDs at one
+// address are a replaced host too: the larger incarnation stays. The
+// announcement that loses is ignored until the winner has been silent for
+// RemoveAfter, since incarnations of different hosts may come from clocks that
+// differ.
+type Roster struct {
+	clock  clock
+	nodes  map[string]*node
+	byAddr map[netip.AddrPort]*node
+	due    dueHeap
+}
+
+var _ carobpulley.Roster = (*Roster)(nil)
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{
+		nodes:  map[string]*node{},
+		byAddr: map[netip.AddrPort]*node{},
+	}
+}
+
+// Step implements carobpulley.Roster.
+func (r *Roster) Step(now time.Time, ev carobpulley.RosterEvent) []carobpulley.RosterAction {
+	at := r.clock.at(now)
+	out := r.expire(at)
+	switch e := ev.(type) {
+	case carobpulley.Announced:
+		return append(out, r.announced(now, at, e)...)
+	case carobpulley.ConnectFailed:
+		return append(out, r.failed(e)...)
+	}
+	return out
+}
+
+func (r *Roster) expire(at time.Time) []carobpulley.RosterAction {
+	var out []carobpulley.RosterAction
+	for len(r.due) > 0 && !r.due[0].due.After(at) {
+		n := r.due[0]
+		actions, gone := n.expire()
+		out = append(out, actions...)
+		if gone {
+			r.remove(n)
+		} else {
+			heap.Fix(&r.due, n.index)
+		}
+	}
+	return out
+}
+
+func (r *Roster) announced(now, at time.Time, a carobpulley.Announced) []carobpulley.RosterAction {
+	if !usable(a) {
+		return nil
+	}
+	n := r.nodes[a.Endpoint.ID]
+	if n != nil && n.stale(a) {
+		return nil
+	}
+	if n == nil && len(r.nodes) >= MaxEndpoints {
+		return nil
+	}
+	out, ok := r.takeAddr(n, at, a)
+	if !ok {
+		return nil
+	}
+	if n == nil {
+		n = &node{index: -1}
+		r.nodes[a.Endpoint.ID] = n
+	}
+	r.release(n)
+	out = append(out, n.update(now, at, a)...)
+	if !n.left {
+		r.byAddr[n.Endpoint.Addr] = n
+	}
+	if n.index < 0 {
+		heap.Push(&r.due, n)
+	} else {
+		heap.Fix(&r.due, n.index)
+	}
+	return out
+}
+
+// takeAddr removes another ID with a smaller incarnation from the address. It
+// returns false if the other one stays. A departure needs no address.
+func (r *Roster) takeAddr(n *node, at time.Time, a carobpulley.Announced) ([]carobpulley.RosterAction, bool) {
+	other := r.byAddr[a.Endpoint.Addr]
+	if other == nil || other == n || a.Leaving {
+		return nil, true
+	}
+	if other.Endpoint.Incarnation >= a.Endpoint.Incarnation {
+		return nil, false
+	}
+	r.release(other)
+	out := other.replace(at)
+	heap.Fix(&r.due, other.index)
+	return out, true
+}
+
+func (r *Roster) failed(e carobpulley.ConnectFailed) []carobpulley.RosterAction {
+	n := r.nodes[e.ID]
+	if n == nil || n.Endpoint.Incarnation != e.Incarnation {
+		return nil
+	}
+	out := n.suspect()
+	heap.Fix(&r.due, n.index)
+	return out
+}
+
+func (r *Roster) remove(n *node) {
+	r.release(n)
+	delete(r.nodes, n.Endpoint.ID)
+	heap.Remove(&r.due, n.index)
+}
+
+// release frees the node's address.
+func (r *Roster) release(n *node) {
+	if r.byAddr[n.Endpoint.Addr] == n {
+		delete(r.byAddr, n.Endpoint.Addr)
+	}
+}
+
+// Get implements carobpulley.Roster.
+func (r *Roster) Get(id string) (carobpulley.RosterEntry, bool) {
+	n := r.nodes[id]
+	if n == nil || n.left {
+		return carobpulley.RosterEntry{}, false
+	}
+	return n.RosterEntry, true
+}
+
+// All implements carobpulley.Roster.
+func (r *Roster) All() []carobpulley.RosterEntry {
+	out := make([]carobpulley.RosterEntry, 0, len(r.nodes))
+	for _, n := range r.nodes {
+		if !n.left {
+			out = append(out, n.RosterEntry)
+		}
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
+
+func byID(a, b carobpulley.RosterEntry) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) }
+
+// dueHeap orders nodes by due time, then by ID so that the order of actions
+// does not depend on the order of events.
+type dueHeap []*node
+
+func (h dueHeap) Len() int { return len(h) }
+
+func (h dueHeap) Less(i, j int) bool {
+	if c := h[i].due.Compare(h[j].due); c != 0 {
+		return c < 0
+	}
+	return h[i].Endpoint.ID < h[j].Endpoint.ID
+}
+
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *dueHeap) Push(x any) {
+	n := x.(*node)
+	n.index = len(*h)
+	*h = append(*h, n)
+}
+
+// Pop implements heap.Interface.
+func (h *dueHeap) Pop() any {
+	old := *h
+	n := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return n
+}
