--- a/cmd/entryd/serve.go
+++ b/cmd/entryd/serve.go
@@ -19,6 +19,7 @@
 	"carobpulley/oper"
 	"carobpulley/owner"
 	"carobpulley/place"
+	"carobpulley/roster"
 	"carobpulley/setup"
 	"carobpulley/stats"
 	"carobpulley/stream"
@@ -80,12 +81,13 @@
 		Peers:       p.cfg.peers,
 		Shards:      carobpulley.Shards,
 	}, entry.Parts{
-		Log:       stream.NewClient(p.cfg.logURL, http.DefaultClient),
+		Log:       stream.NewClient(p.cfg.logAddr, &http.Client{}),
 		Client:    p.client,
 		Authority: owner.NewAuthority(now, p.cfg.name, incarnation, carobpulley.Shards),
 		Table:     owner.NewTable(p.cfg.name, carobpulley.Shards),
 		Placer:    placer,
 		Admitter:  admit.New(placer),
+		Roster:    roster.New(),
 		Retry:     place.NewBudget(rand.NewPCG(seed, 2)),
 		Stats:     counts,
 		Logger:    p.logger,
--- a/cmd/entryd/settings.go
+++ b/cmd/entryd/settings.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
-	"net/url"
 	"strings"
 	"time"
 
@@ -22,7 +21,7 @@
 	innerListen  netip.AddrPort
 	adminListen  netip.AddrPort
 	peers        map[string]netip.AddrPort
-	logURL       *url.URL
+	logAddr      netip.AddrPort
 	operatorHash [sha256.Size]byte
 	drainLimit   time.Duration
 	seed         int
@@ -46,7 +45,7 @@
 	s.Listen(&cfg.adminListen, "admin-listen", "127.0.0.1:7121", "address of the operators' API and metrics")
 	s.Func("peers", "", "inner addresses of the other entries, as name=ip:port,name=ip:port",
 		"different names with IP addresses and ports, such as entry-2=10.0.0.2:7111", cfg.setPeers)
-	s.BaseURL(&cfg.logURL, "log-url", "http://127.0.0.1:7100", "base URL of the platform's log service")
+	s.Addr(&cfg.logAddr, "log-addr", "127.0.0.1:7100", "address of the platform's log service", true)
 	s.Func("operator-token-sha256", "", "SHA-256 of the operators' bearer token, in hexadecimal",
 		"64 hexadecimal digits", cfg.setOperatorHash)
 	s.Duration(&cfg.drainLimit, "drain-limit", defaultDrainLimit, "limit of a graceful stop", time.Second, longestDrainLimit)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -27,8 +27,7 @@
 type agentState struct {
 	endpoint carobpulley.Endpoint
 	// echo is the newest reading of the agent's clock.
-	echo    int64
-	heardAt time.Time
+	echo int64
 }
 
 // flight is a dispatch under way.
@@ -189,7 +188,10 @@
 	e.placer.Done(now, s)
 	e.admitter.Done(now, f.waiting)
 	if err != nil && inner.NotSent(err) {
-		e.placer.Suspect(now, f.endpoint.ID)
+		e.stepRoster(now, carobpulley.ConnectFailed{
+			ID:          f.endpoint.ID,
+			Incarnation: f.endpoint.Incarnation,
+		})
 	}
 	if a != nil && a.Phase == carobpulley.PhaseDone {
 		e.observe(stats.Response, f, now.Sub(f.waiting.QueuedAt))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,7 @@
 	Table     carobpulley.JobTable
 	Placer    carobpulley.Placer
 	Admitter  carobpulley.Admitter
+	Roster    carobpulley.Roster
 	Retry     RetryBudget
 	Stats     *stats.Set
 	Logger    zerolog.Logger
@@ -86,6 +87,7 @@
 	table     carobpulley.JobTable
 	placer    carobpulley.Placer
 	admitter  carobpulley.Admitter
+	roster    carobpulley.Roster
 	retry     RetryBudget
 	witness   *owner.Witness
 	fold      *conf.Fold
@@ -136,6 +138,7 @@
 		table:          p.Table,
 		placer:         p.Placer,
 		admitter:       p.Admitter,
+		roster:         p.Roster,
 		retry:          p.Retry,
 		witness:        owner.NewWitness(cfg.Shards),
 		fold:           conf.NewFold(),
--- a/entry/members.go
+++ b/entry/members.go
@@ -3,70 +3,68 @@
 import (
 	"time"
 
+	"carobpulley"
 	"carobpulley/inner"
 )
 
-const (
-	// suspectAfter is how long an agent may be silent before it gets no new work.
-	suspectAfter = 2 * time.Second
-	// removeAfter is how long an agent may be silent before it is forgotten.
-	removeAfter = 10 * time.Second
-)
-
 // announced takes an agent's announcement.
 func (e *Entry) announced(in inner.Announcement) inner.AnnounceAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	ep := in.Endpoint
-	a := e.agents[ep.ID]
-	switch {
-	case a != nil && ep.Incarnation < a.endpoint.Incarnation:
-		// A delayed announcement of a process that was replaced.
-	case in.Leaving:
-		e.removeAgent(now, ep.ID)
-	default:
-		if a == nil || a.endpoint.Incarnation < ep.Incarnation {
-			if a != nil {
-				e.departedAt = now
-			}
-			a = &agentState{}
-			e.agents[ep.ID] = a
-			e.logger.Info().Str("endpoint", ep.ID).Str("domain", ep.Domain).Msg("endpoint announced itself")
-		}
-		a.endpoint = ep
-		a.heardAt = now
-		e.heard(ep.ID, ep.Incarnation, in.AgentTime)
-		e.placer.Upsert(now, ep, in.Load)
-	}
+	e.stepRoster(now, carobpulley.Announced{
+		Endpoint:  in.Endpoint,
+		Load:      in.Load,
+		AgentTime: in.AgentTime,
+		Leaving:   in.Leaving,
+	})
+	e.heard(in.Endpoint.ID, in.Endpoint.Incarnation, in.AgentTime)
 	e.pump(now)
 	return inner.AnnounceAnswer{
 		ConfigVersion: e.cat.Version,
-		InService:     e.cat.InService(ep.Domain),
+		InService:     e.cat.InService(in.Endpoint.Domain),
 	}
 }
 
-// sweepMembers suspects and forgets agents that are silent. mu is held.
-func (e *Entry) sweepMembers(now time.Time) {
-	for id, a := range e.agents {
-		silent := now.Sub(a.heardAt)
-		switch {
-		case silent > removeAfter:
-			e.logger.Warn().Str("endpoint", id).Msg("endpoint removed")
-			e.removeAgent(now, id)
-		case silent > suspectAfter:
-			e.placer.Suspect(now, id)
+// stepRoster feeds an event to the roster and carries the actions out. mu is held.
+func (e *Entry) stepRoster(now time.Time, ev carobpulley.RosterEvent) {
+	for _, a := range e.roster.Step(now, ev) {
+		switch a := a.(type) {
+		case carobpulley.EndpointUp:
+			e.endpointUp(now, a)
+		case carobpulley.EndpointLoad:
+			if s := e.agents[a.ID]; s != nil {
+				e.placer.Upsert(now, s.endpoint, a.Load)
+			}
+		case carobpulley.EndpointSuspect:
+			e.placer.Suspect(now, a.ID)
+		case carobpulley.EndpointRemoved:
+			e.endpointRemoved(now, a)
 		}
 	}
 }
 
-func (e *Entry) removeAgent(now time.Time, id string) {
-	if _, ok := e.agents[id]; !ok {
-		return
+func (e *Entry) endpointUp(now time.Time, a carobpulley.EndpointUp) {
+	ep := a.Endpoint
+	s := e.agents[ep.ID]
+	if s == nil || s.endpoint.Incarnation != ep.Incarnation {
+		s = &agentState{}
+		e.agents[ep.ID] = s
+		e.logger.Info().Str("endpoint", ep.ID).Str("domain", ep.Domain).Msg("endpoint is up")
 	}
-	delete(e.agents, id)
-	e.placer.Remove(now, id)
+	s.endpoint = ep
+	e.placer.Upsert(now, ep, a.Load)
+}
+
+func (e *Entry) endpointRemoved(now time.Time, a carobpulley.EndpointRemoved) {
+	e.logger.Info().Str("endpoint", a.ID).Str("reason", string(a.Reason)).Msg("endpoint removed")
 	e.departedAt = now
+	s := e.agents[a.ID]
+	if s == nil || s.endpoint.Incarnation != a.Incarnation {
+		return
+	}
+	delete(e.agents, a.ID)
+	e.placer.Remove(now, a.ID)
 }
 
 // agentsLost reports whether starts of the last ten minutes may be unknown to
--- a/entry/run.go
+++ b/entry/run.go
@@ -55,7 +55,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.sweepMembers(now)
+	e.stepRoster(now, carobpulley.RosterTick{})
 	e.shareQuotas(now)
 	e.stepAuthority(now, carobpulley.AuthorityTick{})
 	e.step(now, carobpulley.Tick{})
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -78,17 +78,17 @@
 host=127.0.0.1
 export CAROB_OPERATOR_TOKEN=demo-operator
 operator_hash=$(carobctl hash demo-operator)
-log_url="http://$host:$base"
+log_addr="$host:$base"
 inner_1="$host:$((base + 11))"
 inner_2="$host:$((base + 12))"
 
 start log standin log --listen "$host:$base"
 start entry-1 entryd --name entry-1 --domain bud-1 --listen "$host:$((base + 1))" \
 	--inner-listen "$inner_1" --admin-listen "$host:$((base + 21))" \
-	--peers "entry-2=$inner_2" --log-url "$log_url" --operator-token-sha256 "$operator_hash"
+	--peers "entry-2=$inner_2" --log-addr "$log_addr" --operator-token-sha256 "$operator_hash"
 start entry-2 entryd --name entry-2 --domain bud-2 --listen "$host:$((base + 2))" \
 	--inner-listen "$inner_2" --admin-listen "$host:$((base + 22))" \
-	--peers "entry-1=$inner_1" --log-url "$log_url" --operator-token-sha256 "$operator_hash"
+	--peers "entry-1=$inner_1" --log-addr "$log_addr" --operator-token-sha256 "$operator_hash"
 
 speeds=(1 0.5 2 1 0.7 1.5)
 for i in 1 2 3 4 5 6; do
