--- a/conf/fold.go
+++ b/conf/fold.go
@@ -145,7 +145,7 @@
 }
 
 func (f *Fold) change(rec carobpulley.Record, c Change) []Result {
-	if !f.known || c.check() != nil {
+	if !f.known || c.Check() != nil {
 		return nil
 	}
 	if slices.ContainsFunc(f.state.recent, func(r Result) bool { return r.ID == c.ID }) {
--- a/conf/limits.go
+++ b/conf/limits.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"errors"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
 )
 
--- a/conf/record.go
+++ b/conf/record.go
@@ -82,7 +82,7 @@
 // Encode returns the record's bytes. An error of kind KindInvalid tells that a
 // field is missing or too long. The document is not parsed.
 func (c Change) Encode() ([]byte, error) {
-	if err := c.check(); err != nil {
+	if err := c.Check(); err != nil {
 		return nil, err
 	}
 	return encode(record{
@@ -96,7 +96,9 @@
 	})
 }
 
-func (c Change) check() error {
+// Check reports a field that is missing or too long. It does not parse the
+// document.
+func (c Change) Check() error {
 	const op = "Change"
 	switch {
 	case c.ID == "" || len(c.ID) > maxChangeIDBytes:
