Serve the operators' API from the entry

The owner of shard 0 carries the configuration forward before the log's retention ends. Agents announce the version that they know, so that status can tell who lags.

--- a/cmd/entryd/serve.go
+++ b/cmd/entryd/serve.go
@@ -80,6 +80,8 @@
 		Domain:      p.cfg.domain,
 		Peers:       p.cfg.peers,
 		Shards:      carobpulley.Shards,
+
+		LogRetention: p.cfg.logRetention,
 	}, entry.Parts{
 		Log:       stream.NewClient(p.cfg.logAddr, &http.Client{}),
 		Client:    p.client,
@@ -88,7 +90,6 @@
 		Placer:    placer,
 		Admitter:  admit.New(placer),
 		Roster:    roster.New(),
-		Retry:     place.NewBudget(rand.NewPCG(seed, 2)),
 		Stats:     counts,
 		Logger:    p.logger,
 	})
@@ -103,7 +104,7 @@
 	}
 	adminMux := http.NewServeMux()
 	setup.MountStatus(adminMux, p.entry.Ready)
-	adminMux.Handle("/v1/admin/", oper.NewHandler(p.entry, p.cfg.operatorHash))
+	adminMux.Handle("/v1/admin/", oper.NewHandler(p.entry, [][32]byte{p.cfg.operatorHash}, time.Now))
 	if p.admin, err = inner.NewServer(ctx, p.cfg.adminListen, p.cfg.tls, adminMux); err != nil {
 		return err
 	}
--- a/cmd/entryd/settings.go
+++ b/cmd/entryd/settings.go
@@ -22,6 +22,7 @@
 	adminListen  netip.AddrPort
 	peers        map[string]netip.AddrPort
 	logAddr      netip.AddrPort
+	logRetention time.Duration
 	operatorHash [sha256.Size]byte
 	drainLimit   time.Duration
 	seed         int
@@ -34,6 +35,10 @@
 	defaultDrainLimit = 30 * time.Second
 	longestDrainLimit = 10 * time.Minute
 	largestSeed       = 1 << 30
+	// leastLogRetention covers the longest deadline and the retention of keys
+	// (25 min), since the journal is what a takeover reads.
+	leastLogRetention   = 30 * time.Minute
+	longestLogRetention = 30 * 24 * time.Hour
 )
 
 func settings(cfg *config) *setup.Settings {
@@ -46,6 +51,8 @@
 	s.Func("peers", "", "inner addresses of the other entries, as name=ip:port,name=ip:port",
 		"different names with IP addresses and ports, such as entry-2=10.0.0.2:7111", cfg.setPeers)
 	s.Addr(&cfg.logAddr, "log-addr", "127.0.0.1:7100", "address of the platform's log service", true)
+	s.Duration(&cfg.logRetention, "log-retention", time.Hour, "how long the log keeps records",
+		leastLogRetention, longestLogRetention)
 	s.Func("operator-token-sha256", "", "SHA-256 of the operators' bearer token, in hexadecimal",
 		"64 hexadecimal digits", cfg.setOperatorHash)
 	s.Duration(&cfg.drainLimit, "drain-limit", defaultDrainLimit, "limit of a graceful stop", time.Second, longestDrainLimit)
--- a/entry/contact.go
+++ b/entry/contact.go
@@ -166,7 +166,7 @@
 		from := e.configNext()
 		sentAt := time.Now()
 		page, err := e.readLog(ctx, carobpulley.StreamConfig, from)
-		e.logOK.Store(err == nil)
+		e.noteLog(err)
 		if err != nil {
 			sleepCtx(ctx, time.Now().Add(logRetry))
 			continue
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -28,6 +28,8 @@
 	endpoint carobpulley.Endpoint
 	// echo is the newest reading of the agent's clock.
 	echo int64
+	// configVersion is the newest version that the agent has announced.
+	configVersion uint64
 }
 
 // flight is a dispatch under way.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"carobpulley"
 	"carobpulley/conf"
 	"carobpulley/inner"
+	"carobpulley/oper"
 	"carobpulley/owner"
 	"carobpulley/stats"
 	"carobpulley/stream"
@@ -30,6 +31,8 @@
 	Peers map[string]netip.AddrPort
 	// Shards is the number of parts of the key space, the same at all entries.
 	Shards int
+	// LogRetention is how long the log keeps records.
+	LogRetention time.Duration
 }
 
 // Parts are what an entry is built from.
@@ -41,9 +44,10 @@
 	Placer    carobpulley.Placer
 	Admitter  carobpulley.Admitter
 	Roster    carobpulley.Roster
-	Retry     RetryBudget
-	Stats     *stats.Set
-	Logger    zerolog.Logger
+	// Retry limits retries; nil allows none.
+	Retry  RetryBudget
+	Stats  *stats.Set
+	Logger zerolog.Logger
 }
 
 // RetryBudget limits the extra load of retries per member.
@@ -54,6 +58,12 @@
 	Allow(now time.Time, member string, attempt int) (time.Time, bool)
 }
 
+type noRetries struct{}
+
+func (noRetries) Request(time.Time, string) {}
+
+func (noRetries) Allow(time.Time, string, int) (time.Time, bool) { return time.Time{}, false }
+
 // Entry is the shell of one entry process.
 type Entry struct {
 	cfg    Settings
@@ -78,7 +88,6 @@
 	work    sync.WaitGroup
 
 	calls    atomic.Uint64
-	logOK    atomic.Bool
 	counters counters
 
 	// mu guards all that follows.
@@ -110,6 +119,8 @@
 	// known of the peers' versions changes.
 	versionChanged chan struct{}
 	draining       bool
+	// platform is what is known of the log's state.
+	platform oper.LogState
 	// journalGap is set once a claim could not be journaled.
 	journalGap bool
 }
@@ -153,6 +164,9 @@
 		witnesses:      make(map[string]*witnessSender),
 		versionChanged: make(chan struct{}),
 	}
+	if e.retry == nil {
+		e.retry = noRetries{}
+	}
 	e.journal = stream.NewGroup(p.Log, carobpulley.StreamJournalPrefix+cfg.Name, e.newID)
 	for name := range cfg.Peers {
 		e.peers[name] = &peerState{}
--- a/entry/members.go
+++ b/entry/members.go
@@ -19,6 +19,9 @@
 		Leaving:   in.Leaving,
 	})
 	e.heard(in.Endpoint.ID, in.Endpoint.Incarnation, in.AgentTime)
+	if s := e.agents[in.Endpoint.ID]; s != nil && s.endpoint.Incarnation == in.Endpoint.Incarnation {
+		s.configVersion = in.ConfigVersion
+	}
 	e.pump(now)
 	return inner.AnnounceAnswer{
 		ConfigVersion: e.cat.Version,
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -59,7 +59,7 @@
 func (e *Entry) ownersLoop(ctx context.Context) error {
 	t := stream.NewTailer(e.log, carobpulley.StreamOwners, 0)
 	return t.Run(ctx, e.ownersRead, func(err error) {
-		e.logOK.Store(false)
+		e.noteLog(err)
 		e.logger.Warn().Err(err).Msg("the log did not answer")
 	})
 }
@@ -124,7 +124,6 @@
 	if at.IsZero() {
 		return
 	}
-	e.logOK.Store(true)
 	e.stepAuthority(now, carobpulley.LogRead{SentAt: at})
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -27,6 +27,7 @@
 	add(e.tickLoop)
 	add(e.configLoop)
 	add(e.ownersLoop)
+	add(e.snapshotLoop)
 	add(e.journal.Run)
 	for peer := range e.cfg.Peers {
 		add(func(ctx context.Context) error { return e.contactLoop(ctx, peer) })
--- a/inner/announce.go
+++ b/inner/announce.go
@@ -16,6 +16,8 @@
 	AgentTime int64
 	// Leaving is set in the last announcement.
 	Leaving bool
+	// ConfigVersion is the newest configuration version that the agent knows.
+	ConfigVersion uint64
 }
 
 // AnnounceAnswer is the answer to an Announcement.
@@ -40,6 +42,8 @@
 		Draining:    v.Endpoint.Draining,
 		AgentTime:   v.AgentTime,
 		Leaving:     v.Leaving,
+
+		ConfigVersion: v.ConfigVersion,
 	}
 }
 
@@ -61,6 +65,8 @@
 		Load:      c.load(r.GetRunning(), r.GetQueued()),
 		AgentTime: c.clock(r.GetAgentTime()),
 		Leaving:   r.GetLeaving(),
+
+		ConfigVersion: r.GetConfigVersion(),
 	}
 	return out, c.result()
 }
