Add package fence: the agent's gate before a start

Cause: a task may start once at most, and nothing may start on the word of a sender whose authority lapsed.

A result dropped for memory is reported as failed with ResultLost: "done" without it would be a partial answer.

--- /dev/null
+++ b/fence/records.go
@@ -0,0 +1,149 @@
+package fence
+
+import (
+	"time"
+
+	"carobpulley"
+)
+
+// ResultLost is the error text of a task that is done but whose result was
+// dropped for lack of memory. Its phase is reported as PhaseFailed, since an
+// answer without the result would be partial.
+const ResultLost = "the task is done but its result is no longer kept"
+
+// record is a started task.
+type record struct {
+	id     carobpulley.TaskID
+	shard  int
+	at     time.Time
+	phase  carobpulley.Phase
+	status int
+	result []byte
+	err    string
+	// lost is set if the result was dropped.
+	lost bool
+	next *record
+}
+
+// records holds the started tasks, oldest first.
+type records struct {
+	byID           map[carobpulley.TaskID]*record
+	oldest, newest *record
+	maxRecords     int
+	// results lists the records with a result by the time of their end.
+	results        []*record
+	resultBytes    int
+	maxResultBytes int
+	// incompleteUntil is when the youngest record dropped early would have
+	// expired.
+	incompleteUntil time.Time
+}
+
+func newRecords(maxRecords, maxResultBytes int) records {
+	return records{
+		byID:           make(map[carobpulley.TaskID]*record),
+		maxRecords:     maxRecords,
+		maxResultBytes: maxResultBytes,
+	}
+}
+
+func (s *records) get(id carobpulley.TaskID) *record {
+	return s.byID[id]
+}
+
+func (s *records) start(now time.Time, id carobpulley.TaskID, shard int) {
+	for len(s.byID) >= s.maxRecords {
+		if !s.keepRunning(now) {
+			s.incompleteUntil = s.oldest.at.Add(RecordRetention)
+			s.drop()
+		}
+	}
+	r := &record{id: id, shard: shard, at: now, phase: carobpulley.PhaseRunning}
+	s.byID[id] = r
+	s.push(r)
+}
+
+// end reports whether the task was running.
+func (s *records) end(t carobpulley.StartedTask) bool {
+	r := s.byID[t.ID]
+	if r == nil || r.phase != carobpulley.PhaseRunning {
+		return false
+	}
+	r.phase = t.Phase
+	r.status = t.Status
+	r.err = t.Err
+	if len(t.Result) == 0 {
+		return true
+	}
+	r.result = t.Result
+	s.results = append(s.results, r)
+	s.resultBytes += len(r.result)
+	for s.resultBytes > s.maxResultBytes {
+		s.dropResult()
+	}
+	return true
+}
+
+// dropResult drops the oldest result and keeps its record.
+func (s *records) dropResult() {
+	r := s.results[0]
+	s.results[0] = nil
+	s.results = s.results[1:]
+	if r.result == nil {
+		return
+	}
+	s.resultBytes -= len(r.result)
+	r.result = nil
+	r.lost = true
+}
+
+// expire drops the records older than RecordRetention. A running task stays.
+func (s *records) expire(now time.Time) {
+	for s.oldest != nil && now.Sub(s.oldest.at) >= RecordRetention {
+		if !s.keepRunning(now) {
+			s.drop()
+		}
+	}
+}
+
+// keepRunning moves the oldest record to the end if its task is running.
+func (s *records) keepRunning(now time.Time) bool {
+	if s.oldest.phase != carobpulley.PhaseRunning {
+		return false
+	}
+	r := s.pop()
+	r.at = now
+	s.push(r)
+	return true
+}
+
+// drop removes the oldest record.
+func (s *records) drop() {
+	r := s.pop()
+	delete(s.byID, r.id)
+	s.resultBytes -= len(r.result)
+	r.result = nil
+	for len(s.results) > 0 && s.results[0].result == nil {
+		s.results[0] = nil
+		s.results = s.results[1:]
+	}
+}
+
+func (s *records) push(r *record) {
+	if s.newest == nil {
+		s.oldest = r
+	} else {
+		s.newest.next = r
+	}
+	s.newest = r
+}
+
+func (s *records) pop() *record {
+	r := s.oldest
+	s.oldest = r.next
+	if s.oldest == nil {
+		s.newest = nil
+	}
+	r.next = nil
+	return r
+}
