Add carobctl

Operators need a command line that never reports an outcome that did not happen, and that tells where an accepted change is not in force yet.

The handler bounds Publish at 10 s, so that a command has time left to ask again.

--- /dev/null
+++ b/cmd/carobctl/watch.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"carobpulley"
+	"carobpulley/oper"
+)
+
+const watchUsage = `carobctl watch [--every TIME] [--count N]
+
+Prints a line with the state of the service at each interval, until it is
+interrupted or N lines are printed. With --json a line is a whole status.`
+
+func watchCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "watch",
+		Usage:     "print the state of the service again and again",
+		UsageText: watchUsage,
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: flagEvery, Usage: "`TIME` between two lines", Value: time.Second},
+			&cli.IntFlag{Name: flagCount, Usage: "end after `N` lines; 0 means never"},
+		},
+		Action: withClient(0, watch),
+	}
+}
+
+func watch(ctx context.Context, e *env, c *cli.Command) error {
+	if c.Duration(flagEvery) <= 0 {
+		return usagef("--every must be larger than 0")
+	}
+	e.poll = c.Duration(flagEvery)
+	var last error
+	for n := 1; ; n++ {
+		last = e.watchOnce(ctx, c.Duration(flagTimeout))
+		if n == c.Int(flagCount) || !e.pause(ctx) {
+			break
+		}
+	}
+	if ctx.Err() != nil || last == nil {
+		return nil
+	}
+	return failed(last)
+}
+
+// watchOnce prints one line. A failure is printed too, and does not end the watch.
+func (e *env) watchOnce(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	s, err := e.client.Status(ctx)
+	switch {
+	case err != nil:
+		e.note("%v", err)
+	case e.json:
+		printJSON(e.out, s)
+	default:
+		e.print("%s", summary(s))
+	}
+	return err
+}
+
+func summary(s oper.Status) string {
+	alive, behind := 0, s.Behind(s.Version)
+	for _, p := range s.Processes {
+		if p.State == carobpulley.RosterAlive {
+			alive++
+		}
+	}
+	line := fmt.Sprintf("entry %s: version %d, %s, %s, %d of %d processes alive",
+		s.Entry, s.Version, authority(s), logState(s), alive, len(s.Processes))
+	if len(behind) > 0 {
+		line += ", behind: " + nameProcesses(behind)
+	}
+	return line
+}
--- a/oper/handler.go
+++ b/oper/handler.go
@@ -1,6 +1,7 @@
 package oper
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
@@ -137,7 +138,9 @@
 		failInvalid(w, http.StatusUnprocessableEntity, err)
 		return
 	}
-	a := h.backend.Publish(r.Context(), c)
+	ctx, cancel := context.WithTimeout(r.Context(), PublishTimeout)
+	defer cancel()
+	a := h.backend.Publish(ctx, c)
 	a.ChangeID = c.ID
 	reply(w, a.Outcome.status(), a)
 }
--- a/oper/types.go
+++ b/oper/types.go
@@ -8,6 +8,11 @@
 	"carobpulley/conf"
 )
 
+// PublishTimeout is how long an entry tries to publish a change before it
+// answers that the outcome is open. It leaves an operator's command, with 30 s
+// by default, time to ask again.
+const PublishTimeout = 10 * time.Second
+
 // Backend is what an entry provides to the handler. Its methods are safe for
 // concurrent use.
 type Backend interface {
@@ -16,8 +21,10 @@
 	// Version returns a recent version, or false if its document is not kept.
 	Version(version uint64) (Current, bool)
 	// Publish appends a change whose document is valid, and waits until a
-	// majority of the entries has confirmed its version or ctx ends. It does
-	// not append if ctx has already ended or the log is known to be down.
+	// majority of the entries has confirmed its version or ctx ends, which is
+	// after PublishTimeout at most. A change whose id is among the recent ones
+	// is not appended again; its outcome is returned. Nothing is appended while
+	// the log is known to be down or the entry has no authority.
 	Publish(ctx context.Context, c conf.Change) Answer
 	// Change returns the state of a change. The outcome is OutcomeUnknown if
 	// the id is not among the recent ones.
