--- a/cmd/carobctl/status.go
+++ b/cmd/carobctl/status.go
@@ -34,10 +34,10 @@
 	}
 	e.print("entry %s: version %d, %s, %s", s.Entry, s.Version, authority(s), logState(s))
 	e.print("")
-	e.print("%-6s %-20s %-16s %-10s %8s %8s  %s", "ROLE", "NAME", "DOMAIN", "STATE", "VERSION", "LAG", "INCARNATION")
+	e.print("%-6s %-20s %-16s %-10s %8s %8s %8s  %s", "ROLE", "NAME", "DOMAIN", "STATE", "VERSION", "RUNNING", "LAG", "INCARNATION")
 	for _, p := range s.Processes {
 		lag := time.Duration(p.LagMillis) * time.Millisecond
-		e.print("%-6s %-20s %-16s %-10s %8d %8s  %d", p.Role, p.Name, p.Domain, p.State, p.Version, lag, p.Incarnation)
+		e.print("%-6s %-20s %-16s %-10s %8d %8d %8s  %d", p.Role, p.Name, p.Domain, p.State, p.Version, p.Running, lag, p.Incarnation)
 	}
 	e.print("")
 	for _, o := range owners(s) {
--- a/conf/parse_test.go
+++ b/conf/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -105,3 +106,20 @@
 		}
 	}
 }
+
+// TestExample guards against a documented example that is not accepted.
+func TestExample(t *testing.T) {
+	page, err := os.ReadFile("../docs/catalogue.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(page), "```yaml\n")
+	example, _, _ := strings.Cut(after, "```")
+	cat, err := Parse([]byte(example))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(cat.Services) != 3 || len(cat.Members) != 2 || len(cat.Domains) != 3 || !cat.Draining["runner-07"] {
+		t.Errorf("example = %+v", cat)
+	}
+}
--- a/oper/types.go
+++ b/oper/types.go
@@ -140,6 +140,8 @@
 	State       carobpulley.RosterState `json:"state"`
 	// Version is the newest version that the process is known to have.
 	Version uint64 `json:"version"`
+	// Running is the number of tasks that run at an agent.
+	Running int `json:"running"`
 	// LagMillis is the time since the process was heard of, in milliseconds.
 	LagMillis int64 `json:"lag_ms"`
 }
