Hold tasks for faster endpoints and always look one task ahead

p99 on unequal speeds missed its target, because a task went to the slowest endpoint as soon as the faster ones were full. The entry now tells the placer its backlog. A task waits where it is expected to be placed and to end sooner than at a slow or full endpoint. Each entry may send one task ahead to a full endpoint: this hides the round trip and lets an entry without tasks there take its part of the slots. An agent queues up to half its slots.

--- a/cmd/bench/sim.go
+++ b/cmd/bench/sim.go
@@ -8,6 +8,7 @@
 
 	"carobpulley"
 	"carobpulley/admit"
+	"carobpulley/place"
 )
 
 // epoch is the time at which every run begins.
@@ -229,6 +230,9 @@
 		return ok
 	}
 	for {
+		if p, ok := e.placer.(*place.Placer); ok {
+			p.Backlog(e.admitter.Len())
+		}
 		w, ok := e.admitter.Next(e.world.time(), ready)
 		if !ok {
 			break
--- a/place/endpoint.go
+++ b/place/endpoint.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// tieSpread is the random share added to a score, so that entries with the
-	// same view do not all choose the same endpoint.
-	tieSpread = 0.01
 	// refusalPause is the least time without new work after a refusal. It
 	// doubles with each further refusal in a row up to refusalPauseMax, so that
 	// an agent that refuses everything costs few messages.
@@ -20,9 +17,10 @@
 	// slowStartStep is the time in which the allowed places of an endpoint that
 	// returned double (design section 6).
 	slowStartStep = time.Second
-	// crowding is the exponent of the occupancy in the expected wait at an
-	// endpoint that seems to have a free slot: other entries may have taken it.
-	crowding = 4
+	// minLookAhead is the least number of tasks sent ahead of free slots. It
+	// hides the round trip, and lets an entry without tasks at the endpoint take
+	// its part of the slots that other entries' tasks free.
+	minLookAhead = 1
 )
 
 // endpoint is the state of one endpoint. mine counts the places held by this
@@ -71,6 +69,10 @@
 	return e.mine + e.others
 }
 
+func (e *endpoint) full() bool {
+	return e.ahead() >= e.info.Slots
+}
+
 // replace starts the endpoint anew under a larger incarnation.
 func (e *endpoint) replace(now time.Time) {
 	e.since = now
@@ -120,8 +122,7 @@
 }
 
 // room reports whether the endpoint may take another task with the given run
-// time. Without any task of its own there, the entry would get no reply that
-// tells of a free slot, so one place is always allowed.
+// time.
 func (e *endpoint) room(now time.Time, run float64) bool {
 	if !e.usable(now) || now.Before(e.pausedUntil) {
 		return false
@@ -132,17 +133,20 @@
 	if !e.warm {
 		return e.mine < min(e.allow, max(1, e.info.Slots-e.others))
 	}
-	return e.mine == 0 || e.ahead() < e.info.Slots+e.lookAhead(run)
+	return e.ahead() < e.info.Slots+e.lookAhead(run)
 }
 
 // lookAhead is the number of tasks expected to end within a round trip. As
 // many may be sent ahead of the slots that they free.
 func (e *endpoint) lookAhead(run float64) int {
-	if run <= 0 {
-		return 0
-	}
 	ending := float64(e.info.Slots) * 2 * float64(e.distance) / run
-	return int(math.Round(ending))
+	return max(minLookAhead, int(math.Round(ending)))
+}
+
+// AgentQueue is the number of tasks that an agent should let wait beside the
+// running ones: the look-aheads of a few entries with stale views.
+func AgentQueue(slots int) int {
+	return max(2, slots/2)
 }
 
 func (e *endpoint) refused(now time.Time) {
--- a/place/estimate.go
+++ b/place/estimate.go
@@ -24,6 +24,9 @@
 	// failureMemory is the number of results that the failure rate of a service
 	// remembers.
 	failureMemory = 32
+	// slowRun is the run time over the service's mean from which an endpoint is
+	// slow enough that a task may wait for another.
+	slowRun = 1.1
 	// leastMemory is the number of results after which a shortest run time is
 	// largely forgotten, so that an outlier does not count for ever.
 	leastMemory = 1024
@@ -124,16 +127,22 @@
 	e.speed += (run/s.mean - e.speed) / float64(min(e.samples+priorWeight, speedMemory))
 }
 
-// finish is the expected time until a task sent now has been answered.
+// finish is the expected time until a task sent now has been answered. Failures
+// raise it.
 func (m *member) finish() float64 {
 	e := m.endpoint
-	run := m.run()
+	raised := 1 + e.breaker.failures
+	return 2*float64(e.distance) + m.wait() + m.run()*raised
+}
+
+// wait is the expected wait at the endpoint. Where a slot seems free, it is the
+// chance that another entry has taken it, which grows with the occupancy.
+func (m *member) wait() float64 {
+	e := m.endpoint
 	slots := float64(max(1, e.info.Slots))
-	ahead := float64(e.ahead())
-	wait := math.Pow(min(1, ahead/slots), crowding) * run / slots
-	if ahead >= slots {
-		wait += (ahead - slots) * run / slots
+	ahead := float64(e.ahead()) / slots
+	if !e.full() {
+		return ahead * ahead * m.run() / slots
 	}
-	raised := 1 + e.breaker.failures
-	return 2*float64(e.distance) + wait + run*raised
+	return (ahead - 1 + 1/slots) * m.run()
 }
--- a/place/place.go
+++ b/place/place.go
@@ -29,6 +29,11 @@
 	services  map[string]*service
 	wakes     wakeHeap
 	firstAt   time.Time
+	// mine counts the places held, backlog the tasks that wait at the entry.
+	mine    int
+	backlog int
+	// run is the mean run time of all services in nanoseconds.
+	run float64
 }
 
 var _ carobpulley.Placer = (*Placer)(nil)
@@ -122,12 +127,36 @@
 	if !ok || len(s.ready) == 0 {
 		return carobpulley.Endpoint{}, false
 	}
-	e := s.ready[0].endpoint
+	m := s.ready[0]
+	if p.hold(m) {
+		return carobpulley.Endpoint{}, false
+	}
+	e := m.endpoint
+	p.mine++
 	e.reserve(now)
 	p.refresh(now, e)
 	return e.info, true
 }
 
+// Backlog tells how many tasks wait at the entry, the one to be placed next
+// included. While it is not called, slow endpoints are used as soon as the
+// faster ones are full.
+func (p *Placer) Backlog(n int) {
+	p.backlog = n
+}
+
+// hold reports whether a task should wait for a place at a faster endpoint: the
+// backlog ahead of it is expected to be placed, and the task to end, sooner than
+// at the best endpoint that has room.
+func (p *Placer) hold(m *member) bool {
+	s := m.service
+	if p.backlog == 0 || p.mine == 0 || (!m.endpoint.full() && m.run() < slowRun*s.mean) {
+		return false
+	}
+	interval := p.run / float64(p.mine)
+	return m.run()+m.wait() > s.mean+interval*float64(p.backlog)
+}
+
 // Done implements carobpulley.Placer. A sample of an earlier incarnation is
 // ignored.
 func (p *Placer) Done(now time.Time, s carobpulley.Sample) {
@@ -137,6 +166,7 @@
 		return
 	}
 	e.mine = max(0, e.mine-1)
+	p.mine = max(0, p.mine-1)
 	m := e.member(s.Service)
 	switch {
 	case s.Refused:
@@ -261,10 +291,10 @@
 		heap.Remove(&m.service.ready, m.place)
 	case !room:
 	case m.place < 0:
-		m.score = m.finish() * (1 + tieSpread*p.rng.Float64())
+		m.score = m.finish()
 		heap.Push(&m.service.ready, m)
 	default:
-		m.score = m.finish() * (1 + tieSpread*p.rng.Float64())
+		m.score = m.finish()
 		heap.Fix(&m.service.ready, m.place)
 	}
 }
@@ -273,7 +303,7 @@
 func (p *Placer) rebuild(s *service) {
 	s.base = s.mean
 	for _, m := range s.ready {
-		m.score = m.finish() * (1 + tieSpread*p.rng.Float64())
+		m.score = m.finish()
 	}
 	heap.Init(&s.ready)
 }
@@ -283,6 +313,7 @@
 	if m == nil || run <= 0 {
 		return
 	}
+	p.run += (float64(run) - p.run) / serviceMemory
 	m.learn(float64(run))
 	if s := m.service; s.moved() {
 		p.rebuild(s)
