--- a/cmd/carobctl/hash.go
+++ b/cmd/carobctl/hash.go
@@ -22,7 +22,7 @@
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			token := cmd.Args().First()
 			if token == "" {
-				return cli.Exit("a token is missing", exitUsage)
+				return usagef("a token is missing")
 			}
 			_, err := fmt.Fprintf(cmd.Root().Writer, "%x\n", sha256.Sum256([]byte(token)))
 			return err
--- a/cmd/carobctl/job.go
+++ b/cmd/carobctl/job.go
@@ -17,13 +17,16 @@
 const jobUsage = `Submit, read and cancel jobs as a caller.
 
 The address of the callers' API is --api or CAROB_API, the member's token
-CAROB_TOKEN. The answer is printed as JSON (docs/api.md).
+--member-token or CAROB_TOKEN. The answer is printed as JSON (docs/api.md).
 
   carobctl job submit --key order-1 --service booking.check --payload '{"van":12}' --wait
   carobctl job submit --key order-2 --service booking.check --tasks 120 --wait
   carobctl job get order-1
   carobctl job cancel order-1`
 
+// flagMemberToken is not --token, which is the operators'.
+const flagMemberToken = "member-token"
+
 // extraTime is how long a waiting call may last beyond the job's timeout.
 const extraTime = time.Minute
 
@@ -45,7 +48,7 @@
 			Sources: cli.EnvVars("CAROB_API"),
 		},
 		&cli.StringFlag{
-			Name:     "token",
+			Name:     flagMemberToken,
 			Usage:    "the member's bearer token",
 			Required: true,
 			Sources:  cli.EnvVars("CAROB_TOKEN"),
@@ -56,9 +59,9 @@
 func caller(cmd *cli.Command) (*api.Client, error) {
 	base, err := url.Parse(cmd.String("api"))
 	if err != nil || base.Host == "" {
-		return nil, cli.Exit("--api must be a base URL such as http://127.0.0.1:7101", exitUsage)
+		return nil, usagef("--api must be a base URL such as http://127.0.0.1:7101")
 	}
-	return api.NewClient(base, cmd.String("token"), http.DefaultClient), nil
+	return api.NewClient(base, cmd.String(flagMemberToken), http.DefaultClient), nil
 }
 
 func jobSubmit() *cli.Command {
@@ -70,7 +73,7 @@
 			&cli.StringFlag{Name: "service", Usage: "the service that runs the tasks", Required: true},
 			&cli.StringSliceFlag{Name: "payload", Usage: "a task's payload, a JSON value; repeat it for more tasks"},
 			&cli.IntFlag{Name: "tasks", Usage: "number of tasks with generated payloads"},
-			&cli.DurationFlag{Name: "timeout", Usage: "time after which no task starts", Value: 30 * time.Second},
+			&cli.DurationFlag{Name: "job-timeout", Usage: "`TIME` after which no task starts", Value: 30 * time.Second},
 			&cli.BoolFlag{Name: "wait", Usage: "wait for the answer"},
 		),
 		Action: submitJob,
@@ -86,7 +89,7 @@
 	j := api.Job{
 		Key:      cmd.String("key"),
 		Service:  cmd.String("service"),
-		Deadline: now.Add(cmd.Duration("timeout")),
+		Deadline: now.Add(cmd.Duration("job-timeout")),
 		Wait:     cmd.Bool("wait"),
 	}
 	for _, p := range cmd.StringSlice("payload") {
--- a/cmd/carobctl/main.go
+++ b/cmd/carobctl/main.go
@@ -64,7 +64,7 @@
 		Description:     rootDescription,
 		HideHelpCommand: true,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagEntry, Usage: "`URL` of an entry or of the load balancer before them", Value: "http://127.0.0.1:8080", Sources: cli.EnvVars("CAROB_ENTRY")},
+			&cli.StringFlag{Name: flagEntry, Usage: "`URL` of an entry or of the load balancer before them", Value: "http://127.0.0.1:7121", Sources: cli.EnvVars("CAROB_ENTRY")},
 			&cli.StringFlag{Name: flagToken, Usage: "operator token", Sources: cli.EnvVars("CAROB_OPERATOR_TOKEN"), HideDefault: true},
 			&cli.StringFlag{Name: flagAuthor, Usage: "`NAME` that the history shows for a change", Sources: cli.EnvVars("CAROB_AUTHOR", "USER")},
 			&cli.DurationFlag{Name: flagTimeout, Usage: "longest `TIME` of a command", Value: defaultTimeout, Sources: cli.EnvVars("CAROB_TIMEOUT")},
@@ -82,6 +82,8 @@
 			endpointCommand(),
 			statusCommand(),
 			watchCommand(),
+			jobCommand(),
+			hashCommand(),
 			versionCommand(),
 		},
 		Action: groupAction,
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -29,7 +29,7 @@
 apply_catalogue examples/demo.yaml 0
 
 submit() {
-	carobctl job submit --key "sample-1" --service booking.check --tasks "$tasks" --timeout 60s --wait
+	carobctl job submit --key "sample-1" --service booking.check --tasks "$tasks" --job-timeout 60s --wait
 }
 
 echo "submitting a job of $tasks tasks"
