--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -101,7 +101,7 @@
 	for j in $(seq "$entries"); do
 		list="$list${list:+,}$host:$((base + 10 + j))"
 	done
-	start "agent-$i" agentd --id "ep-$i" --domain "bud-$(((i - 1) % 3 + 1))" --rack "rack-$i" \
+	start "agent-$i" agentd --endpoint-id "ep-$i" --domain "bud-$(((i - 1) % 3 + 1))" --rack "rack-$i" \
 		--listen "$host:$((base + 40 + i))" --endpoint-url "http://$host:$((base + 30 + i))" \
 		--services booking.check,booking.confirm --slots 8 --entries "$list"
 }
@@ -127,7 +127,7 @@
 apply_catalogue() {
 	local i
 	for i in $(seq 100); do
-		if carobctl apply --base "$2" --change-id "demo-$2" "$1" >"$dir/apply.out" 2>&1; then
+		if carobctl apply --base "$2" --id "demo-$2" "$1" >"$dir/apply.out" 2>&1; then
 			cat "$dir/apply.out"
 			return
 		fi
