--- a/conf/fold.go
+++ b/conf/fold.go
@@ -167,14 +167,13 @@
 
 func (f *Fold) snapshot(rec carobpulley.Record, r record) {
 	s, err := r.snapshot()
-	if err != nil || s.Position > rec.Offset {
+	if err != nil || s.Position > rec.Offset || s.Position < f.oldest {
 		return
 	}
 	f.lastAt = rec.Time
-	if f.known || s.Position < f.oldest {
-		return
+	if !f.known {
+		f.load(s)
 	}
-	f.load(s)
 }
 
 // load sets the state and moves to its position.
--- a/conf/fold_test.go
+++ b/conf/fold_test.go
@@ -1,7 +1,9 @@
 package conf
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"carobpulley"
 )
@@ -40,3 +42,48 @@
 		t.Errorf("peer at version %d, next %d", peer.Version(), peer.Next())
 	}
 }
+
+// TestCarryForward guards against a document that expires with the log's
+// retention, a snapshot that leaves out the change that came right before it,
+// and memory that grows with the number of changes.
+func TestCarryForward(t *testing.T) {
+	const retention = 3 * time.Hour
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var page carobpulley.Page
+	add := func(data []byte, err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		page.Records = append(page.Records, carobpulley.Record{Offset: page.Next, Time: start, Data: data})
+		page.Next++
+	}
+	for i := range MaxHistory + 50 {
+		add(Change{ID: fmt.Sprint(i), Base: uint64(i), Document: []byte(small)}.Encode())
+	}
+	f := NewFold()
+	if f.SnapshotDue(start, retention) {
+		t.Error("a snapshot of version 0 is due")
+	}
+	f.Apply(0, page)
+	_, first := f.DocumentAt(1)
+	_, recent := f.DocumentAt(MaxHistory)
+	if len(f.History()) != MaxHistory || first || !recent || len(f.documents) > MaxHistory {
+		t.Errorf("history %d, first document %v, recent document %v", len(f.History()), first, recent)
+	}
+	s, ok := f.Snapshot()
+	if !ok || !f.SnapshotDue(start, retention) {
+		t.Fatal("no snapshot is due")
+	}
+	position := s.Position
+	add(Change{ID: "between", Base: s.Version, Document: []byte(small)}.Encode())
+	add(s.Encode())
+	f.Apply(f.Next(), page)
+	if f.SnapshotDue(start.Add(retention/3-1), retention) || !f.SnapshotDue(start.Add(retention/3), retention) {
+		t.Error("the next snapshot is not due after a third of the retention time")
+	}
+	late := NewFold()
+	late.Apply(0, carobpulley.Page{Records: page.Records[position:], Oldest: position, Next: page.Next})
+	if late.Version() != f.Version() || !late.Known() {
+		t.Errorf("a late reader is at version %d, known %v, want %d", late.Version(), late.Known(), f.Version())
+	}
+}
