--- a/conf/fold.go
+++ b/conf/fold.go
@@ -57,8 +57,20 @@
 type served struct {
 	version  uint64
 	document []byte
-	cat      *carobpulley.Catalogue
-	err      error
+	// parsed is the version that cat and err are about.
+	parsed uint64
+	cat    *carobpulley.Catalogue
+	err    error
+}
+
+func (s *served) parse() {
+	s.parsed = s.version
+	cat, err := Parse(s.document)
+	s.err = err
+	if err == nil {
+		cat.Version = s.version
+		s.cat = cat
+	}
 }
 
 // NewFold returns a fold at version 0 that has read nothing.
@@ -82,10 +94,16 @@
 // Document is the document of Version. Callers don't change it.
 func (f *Fold) Document() []byte { return f.serve.document }
 
-// Catalogue returns the newest version that could be read. The error tells why
-// the document of Version could not, and is nil otherwise; a process with an
-// error has Version not in force and says so to its peers.
+// Catalogue returns Version in parsed form. If its document cannot be read, the
+// result is the last one that a call of Catalogue could read, with an error; the
+// process then does not have Version in force and says so to its peers.
+//
+// Parsing waits for the call: a reader that catches up on a day of changes would
+// otherwise parse thousands of documents that are out of date.
 func (f *Fold) Catalogue() (*carobpulley.Catalogue, error) {
+	if f.serve.parsed != f.serve.version {
+		f.serve.parse()
+	}
 	return f.serve.cat, f.serve.err
 }
 
@@ -258,12 +276,6 @@
 	f.keep(f.serve.version, f.serve.document)
 	f.serve.version = version
 	f.serve.document = document
-	cat, err := Parse(document)
-	f.serve.err = err
-	if err == nil {
-		cat.Version = version
-		f.serve.cat = cat
-	}
 }
 
 // keep stores a document for History within the bounds.
