Start the fold at the log's first offset

Ruled out: a read that does not return, a wrong stream. FirstOffset is now 1, and the tests number their records as the log does.

--- a/conf/agree_test.go
+++ b/conf/agree_test.go
@@ -52,14 +52,19 @@
 }
 
 func (a *agreement) append(data []byte) {
-	a.log = append(a.log, carobpulley.Record{Offset: uint64(len(a.log)), Data: data})
+	a.log = append(a.log, carobpulley.Record{Offset: a.end(), Data: data})
+}
+
+// end is the offset of the next record.
+func (a *agreement) end() uint64 {
+	return FirstOffset + uint64(len(a.log))
 }
 
 func (a *agreement) page(from uint64, limit int) carobpulley.Page {
-	p := carobpulley.Page{Oldest: a.oldest, Next: uint64(len(a.log))}
-	start := max(from, a.oldest)
+	p := carobpulley.Page{Oldest: a.oldest, Next: a.end()}
+	start := max(from, a.oldest, FirstOffset)
 	if start < p.Next {
-		p.Records = a.log[start:min(p.Next, start+uint64(limit))]
+		p.Records = a.log[start-FirstOffset : min(p.Next, start+uint64(limit))-FirstOffset]
 	}
 	return p
 }
@@ -115,7 +120,7 @@
 		},
 		"append noise": func(*rapid.T) { a.append([]byte(`{"format":1,"kind":"change"`)) },
 		"drop old": func(t *rapid.T) {
-			a.oldest = rapid.Uint64Range(a.oldest, uint64(len(a.log))).Draw(t, "oldest")
+			a.oldest = rapid.Uint64Range(a.oldest, a.end()).Draw(t, "oldest")
 		},
 		"read": func(t *rapid.T) {
 			i := a.reader(t)
@@ -161,7 +166,7 @@
 		if !f.Known() {
 			continue
 		}
-		want := fromStart(a.log[:f.Next()])
+		want := fromStart(a.log[:f.Next()-FirstOffset])
 		got := f.state
 		if d := cmp.Diff(want.recent, got.recent); d != "" || got.version != uint64(len(want.versions)) {
 			t.Fatalf("reader %d at offset %d, version %d of %d:\n%s", i, f.Next(), got.version, len(want.versions), d)
@@ -173,7 +178,7 @@
 func (a *agreement) finish(t *rapid.T) {
 	n := fromStart(a.log)
 	data, err := Snapshot{
-		Position: uint64(len(a.log)),
+		Position: a.end(),
 		Version:  uint64(len(n.versions)),
 		Document: n.document,
 		Recent:   n.recent,
@@ -182,12 +187,12 @@
 		t.Fatal(err)
 	}
 	a.append(data)
-	a.oldest = min(a.oldest, uint64(len(a.log)-1))
+	a.oldest = min(a.oldest, a.end()-1)
 	for i, f := range a.readers {
 		for range 3*len(a.log) + 3 {
 			a.apply(t, i, f.Next(), a.page(f.Next(), 3))
 		}
-		if !f.Known() || f.Version() != uint64(len(n.versions)) || f.Next() != uint64(len(a.log)) {
+		if !f.Known() || f.Version() != uint64(len(n.versions)) || f.Next() != a.end() {
 			t.Fatalf("reader %d ends at version %d of %d, known %v", i, f.Version(), len(n.versions), f.Known())
 		}
 	}
--- a/conf/bench_test.go
+++ b/conf/bench_test.go
@@ -44,12 +44,12 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		records = append(records, carobpulley.Record{Offset: uint64(i), Data: data})
+		records = append(records, carobpulley.Record{Offset: FirstOffset + uint64(i), Data: data})
 	}
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
-		f.Apply(uint64(i), carobpulley.Page{Records: records[i : i+1], Next: uint64(i) + 1})
+		f.Apply(f.Next(), carobpulley.Page{Records: records[i : i+1], Next: f.Next() + 1})
 		if parse {
 			_, _ = f.Catalogue()
 		}
--- a/conf/fold.go
+++ b/conf/fold.go
@@ -9,7 +9,7 @@
 
 const (
 	// FirstOffset is the offset of the first record ever appended to a stream.
-	FirstOffset = 0
+	FirstOffset = 1
 	// MaxHistory is the number of recent changes that a fold remembers.
 	MaxHistory = 200
 	// MaxHistoryBytes bounds the documents kept for History; the oldest are
--- a/conf/fold_test.go
+++ b/conf/fold_test.go
@@ -11,7 +11,7 @@
 // TestFoldPeerAndOutcome guards against a reader that loses a version on the
 // way from a peer, or goes back to a smaller one.
 func TestFoldPeerAndOutcome(t *testing.T) {
-	var page carobpulley.Page
+	page := carobpulley.Page{Next: FirstOffset}
 	add := func(c Change) {
 		data, err := c.Encode()
 		if err != nil {
@@ -25,7 +25,7 @@
 	add(Change{ID: "a", Base: 1, Document: []byte(small)})
 	add(Change{ID: "c", Base: 1, Document: []byte("broken")})
 	f := NewFold()
-	f.Apply(0, carobpulley.Page{Records: page.Records[:1], Next: 1})
+	f.Apply(0, carobpulley.Page{Records: page.Records[:1], Next: FirstOffset + 1})
 	if cat, err := f.Catalogue(); err != nil || cat.Version != 1 {
 		t.Errorf("first version: %+v, %v", cat, err)
 	}
@@ -42,7 +42,7 @@
 	}
 	s, ok := f.Snapshot()
 	peer := NewFold()
-	if !ok || !peer.Adopt(s) || peer.Adopt(Snapshot{Position: 1, Version: 1}) || peer.Version() != 2 || peer.Next() != 4 {
+	if !ok || !peer.Adopt(s) || peer.Adopt(Snapshot{Position: 1, Version: 1}) || peer.Version() != 2 || peer.Next() != page.Next {
 		t.Errorf("peer at version %d, next %d", peer.Version(), peer.Next())
 	}
 }
@@ -53,7 +53,7 @@
 func TestCarryForward(t *testing.T) {
 	const retention = 3 * time.Hour
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	var page carobpulley.Page
+	page := carobpulley.Page{Next: FirstOffset}
 	add := func(data []byte, err error) {
 		if err != nil {
 			t.Fatal(err)
@@ -86,7 +86,7 @@
 		t.Error("the next snapshot is not due after a third of the retention time")
 	}
 	late := NewFold()
-	late.Apply(0, carobpulley.Page{Records: page.Records[position:], Oldest: position, Next: page.Next})
+	late.Apply(0, carobpulley.Page{Records: page.Records[position-FirstOffset:], Oldest: position, Next: page.Next})
 	if late.Version() != f.Version() || !late.Known() {
 		t.Errorf("a late reader is at version %d, known %v, want %d", late.Version(), late.Known(), f.Version())
 	}
