Wait for announcements before a service is called impossible

A job sent right after the start was refused for good, since no endpoint had announced itself yet; refusals are stored under the key. A new entry now answers unavailable for 3 s, which receivers retry, and a stopping entry refuses new keys without storing the refusal.

--- a/entry/call.go
+++ b/entry/call.go
@@ -88,6 +88,11 @@
 		err.NotRun = true
 		return nil, err
 	}
+	if now.Sub(e.startedAt) < warmUp && !e.placer.CanRun(r.Service) {
+		err := e.unavailable(now, "call", carobpulley.KindUnavailable, "the endpoints have not announced themselves yet")
+		err.NotRun = true
+		return nil, err
+	}
 	c := &call{
 		id:        carobpulley.JobID{Member: r.Member, Key: "request-" + e.newID()},
 		r:         r,
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -26,6 +26,9 @@
 	// routeLimit is how long a receiver looks for an owner that answers. A
 	// takeover lasts about 5 s.
 	routeLimit = 10 * time.Second
+	// warmUp is how long a new entry waits for the announcements of endpoints
+	// before it calls a service impossible to run.
+	warmUp = 3 * time.Second
 )
 
 // Authenticate implements api.Backend. It compares with every token, so that
@@ -272,6 +275,9 @@
 	if err := e.mayOwn(now, "submit", s.Spec.ID); err != nil {
 		return nil, err
 	}
+	if err := e.mayTake(now, s.Spec); err != nil {
+		return nil, err
+	}
 	w := e.wait(s.Spec.ID)
 	acts := e.step(now, carobpulley.Submitted{
 		Spec:     s.Spec,
@@ -289,6 +295,22 @@
 	return w, nil
 }
 
+// mayTake reports why a new key cannot be decided on now. Such a refusal is not
+// stored under the key, so that the same submission can come again.
+func (e *Entry) mayTake(now time.Time, spec carobpulley.JobSpec) error {
+	_, err := e.table.Answer(now, spec.ID)
+	if err == nil || inner.AsError(err).Kind != carobpulley.KindNotFound {
+		return nil
+	}
+	if e.draining {
+		return e.unavailable(now, "submit", carobpulley.KindDraining, "the entry is stopping")
+	}
+	if now.Sub(e.startedAt) < warmUp && !e.placer.CanRun(spec.Service) {
+		return e.unavailable(now, "submit", carobpulley.KindUnavailable, "the endpoints have not announced themselves yet")
+	}
+	return nil
+}
+
 func (e *Entry) admit(now time.Time, spec carobpulley.JobSpec) error {
 	if err := e.mayServe(now, "submit", spec.ID.Member, spec.Service); err != nil {
 		return err
