fence: take back starts that never reached the endpoint, split Check

Cause: the agent needs to know before it queues a dispatch whether it can ever start, and a failed dial is known not to have run. End with PhaseNotRun removes the record and keeps the attempt refused; Check holds what Enter did before it looks at domain and slots; State and Withdrawn read without marking.

The model test found that a task cancelled while it ran could start again after its start was taken back; Query and Cancel now mark started tasks too.

--- a/fence/gate.go
+++ b/fence/gate.go
@@ -71,9 +71,25 @@
 	}
 }
 
-// Enter implements carobpulley.Gate. A task that has started is reported as
-// such before anything else, since any other refusal says that it has not.
+// Enter implements carobpulley.Gate.
 func (g *Gate) Enter(now time.Time, in carobpulley.Entering) error {
+	if err := g.Check(now, in); err != nil {
+		return err
+	}
+	d := &in.Dispatch
+	if err := g.passing(now, in.Echo); err != nil {
+		g.mark(now, d.ID, mark{epoch: d.Epoch, attempt: d.Attempt})
+		return err
+	}
+	g.records.start(now, d)
+	g.running++
+	return nil
+}
+
+// Check returns the refusal of a dispatch that can never start; nil if only a
+// slot or the domain may be missing. A task that has started is reported as such
+// before anything else, since any other refusal says that it has not.
+func (g *Gate) Check(now time.Time, in carobpulley.Entering) error {
 	d := &in.Dispatch
 	if !g.Is(d.Endpoint, in.Incarnation) {
 		return errWrongAgent
@@ -83,16 +99,7 @@
 	if g.records.get(d.ID) != nil {
 		return errStarted
 	}
-	if err := g.lasting(now, &in); err != nil {
-		return err
-	}
-	if err := g.passing(now, in.Echo); err != nil {
-		g.mark(now, d.ID, mark{epoch: d.Epoch, attempt: d.Attempt})
-		return err
-	}
-	g.records.start(now, d.ID, d.Shard)
-	g.running++
-	return nil
+	return g.lasting(now, &in)
 }
 
 // Refuse refuses a dispatch that found the agent's queue full, so that a copy
@@ -113,12 +120,10 @@
 // lasting checks the conditions that the same message can never meet later.
 func (g *Gate) lasting(now time.Time, in *carobpulley.Entering) error {
 	d := &in.Dispatch
-	m, marked := g.marks.get(d.ID)
+	if err := g.Withdrawn(d); err != nil {
+		return err
+	}
 	switch {
-	case marked && m.cancelled:
-		return errCancelled
-	case marked && !m.before(d.Epoch, d.Attempt):
-		return errWithdrawn
 	case g.draining:
 		return errDraining
 	case !d.ID.IsRequest() && !g.raise(d.Shard, d.Epoch):
@@ -132,6 +137,20 @@
 	}
 }
 
+// Withdrawn returns the refusal of an attempt that was cancelled, refused or
+// withdrawn by a query; nil otherwise.
+func (g *Gate) Withdrawn(d *carobpulley.Dispatch) error {
+	m, marked := g.marks.get(d.ID)
+	switch {
+	case marked && m.cancelled:
+		return errCancelled
+	case marked && !m.before(d.Epoch, d.Attempt):
+		return errWithdrawn
+	default:
+		return nil
+	}
+}
+
 // passing checks the conditions that the same message could meet later.
 func (g *Gate) passing(now time.Time, echo int64) error {
 	switch {
@@ -166,14 +185,32 @@
 }
 
 // End implements carobpulley.Gate. It keeps t.Result. Unknown and ended tasks
-// are left as they are.
+// are left as they are. PhaseNotRun takes a start back: the endpoint was never
+// reached, and this attempt stays refused.
 func (g *Gate) End(now time.Time, t carobpulley.StartedTask) {
-	if g.records.end(t) {
-		g.running--
+	r := g.records.get(t.ID)
+	if r == nil || r.phase != carobpulley.PhaseRunning {
+		return
+	}
+	g.running--
+	if t.Phase == carobpulley.PhaseNotRun {
+		g.records.remove(r)
+		g.mark(now, t.ID, mark{epoch: r.epoch, attempt: r.attempt})
+		return
 	}
+	g.records.end(r, t)
 	g.expire(now)
 }
 
+// State returns the state of a started task.
+func (g *Gate) State(id carobpulley.TaskID) (carobpulley.StartedTask, bool) {
+	r := g.records.get(id)
+	if r == nil {
+		return carobpulley.StartedTask{}, false
+	}
+	return g.report(r), true
+}
+
 // Query implements carobpulley.Gate. The error has kind KindUnknown if the
 // record of the task may have been dropped early.
 func (g *Gate) Query(now time.Time, id carobpulley.TaskID, shard int, epoch uint64, attempt int) (carobpulley.StartedTask, error) {
@@ -181,27 +218,27 @@
 	if !id.IsRequest() {
 		g.raise(shard, epoch)
 	}
+	g.mark(now, id, mark{epoch: epoch, attempt: attempt})
 	if r := g.records.get(id); r != nil {
 		return g.report(r), nil
 	}
-	g.mark(now, id, mark{epoch: epoch, attempt: attempt})
 	if !g.complete(now) {
 		return carobpulley.StartedTask{}, errDropped
 	}
 	return g.notRun(id), nil
 }
 
-// Cancel refuses a task for good in all attempts, unless it has started. It
-// returns the state as Query does.
+// Cancel refuses a task for good in all attempts, also if its start is taken
+// back later. It returns the state as Query does.
 func (g *Gate) Cancel(now time.Time, id carobpulley.TaskID, shard int, epoch uint64) (carobpulley.StartedTask, error) {
 	g.expire(now)
 	if !id.IsRequest() {
 		g.raise(shard, epoch)
 	}
+	g.mark(now, id, mark{epoch: epoch, cancelled: true})
 	if r := g.records.get(id); r != nil {
 		return g.report(r), nil
 	}
-	g.mark(now, id, mark{epoch: epoch, cancelled: true})
 	if !g.complete(now) {
 		return carobpulley.StartedTask{}, errDropped
 	}
--- a/fence/gate_test.go
+++ b/fence/gate_test.go
@@ -66,6 +66,7 @@
 	cancelled map[carobpulley.TaskID]bool
 	// refused lists the attempts that were answered as not run.
 	refused map[attempt]bool
+	entered map[attempt]bool
 }
 
 type attempt struct {
@@ -132,7 +133,7 @@
 		now := started.Add(time.Minute)
 		m := &model{
 			epochs: map[int]uint64{}, startedAt: map[carobpulley.TaskID]time.Time{}, ended: map[carobpulley.TaskID]bool{},
-			cancelled: map[carobpulley.TaskID]bool{}, refused: map[attempt]bool{},
+			cancelled: map[carobpulley.TaskID]bool{}, refused: map[attempt]bool{}, entered: map[attempt]bool{},
 		}
 		var sent []carobpulley.Entering
 		number := func(least, most int, name string) int { return rapid.IntRange(least, most).Draw(t, name) }
@@ -164,6 +165,7 @@
 			switch why {
 			case "":
 				m.startedAt[d.ID] = now
+				m.entered[attempt{d.ID, d.Epoch, d.Attempt}] = true
 				m.running = append(m.running, d.ID)
 			case "started":
 			case "future echo", "out of service", "no slot":
@@ -215,6 +217,20 @@
 				g.End(now, carobpulley.StartedTask{ID: id, Phase: carobpulley.PhaseDone})
 				m.running, m.ended[id] = m.running[1:], true
 			},
+			"unreached": func(*rapid.T) {
+				if len(m.running) == 0 {
+					return
+				}
+				id := m.running[0]
+				g.End(now, carobpulley.StartedTask{ID: id, Phase: carobpulley.PhaseNotRun})
+				for _, in := range sent {
+					if d := in.Dispatch; d.ID == id && m.entered[attempt{id, d.Epoch, d.Attempt}] {
+						m.refuse(attempt{id, d.Epoch, d.Attempt})
+					}
+				}
+				delete(m.startedAt, id)
+				m.running = m.running[1:]
+			},
 			"query": func(*rapid.T) {
 				id := drawID()
 				shard, epoch := shardOf(id)
--- a/fence/records.go
+++ b/fence/records.go
@@ -13,16 +13,18 @@
 
 // record is a started task.
 type record struct {
-	id     carobpulley.TaskID
-	shard  int
-	at     time.Time
-	phase  carobpulley.Phase
-	status int
-	result []byte
-	err    string
+	id      carobpulley.TaskID
+	shard   int
+	epoch   uint64
+	attempt int
+	at      time.Time
+	phase   carobpulley.Phase
+	status  int
+	result  []byte
+	err     string
 	// lost is set if the result was dropped.
-	lost bool
-	next *record
+	lost       bool
+	prev, next *record
 }
 
 // records holds the started tasks, oldest first.
@@ -51,29 +53,32 @@
 	return s.byID[id]
 }
 
-func (s *records) start(now time.Time, id carobpulley.TaskID, shard int) {
+func (s *records) start(now time.Time, d *carobpulley.Dispatch) {
 	for len(s.byID) >= s.maxRecords {
 		if !s.keepRunning(now) {
 			s.incompleteUntil = s.oldest.at.Add(RecordRetention)
 			s.drop()
 		}
 	}
-	r := &record{id: id, shard: shard, at: now, phase: carobpulley.PhaseRunning}
-	s.byID[id] = r
+	r := &record{
+		id:      d.ID,
+		shard:   d.Shard,
+		epoch:   d.Epoch,
+		attempt: d.Attempt,
+		at:      now,
+		phase:   carobpulley.PhaseRunning,
+	}
+	s.byID[r.id] = r
 	s.push(r)
 }
 
-// end reports whether the task was running.
-func (s *records) end(t carobpulley.StartedTask) bool {
-	r := s.byID[t.ID]
-	if r == nil || r.phase != carobpulley.PhaseRunning {
-		return false
-	}
+// end takes the final state of a running task.
+func (s *records) end(r *record, t carobpulley.StartedTask) {
 	r.phase = t.Phase
 	r.status = t.Status
 	r.err = t.Err
 	if len(t.Result) == 0 {
-		return true
+		return
 	}
 	r.result = t.Result
 	s.results = append(s.results, r)
@@ -81,7 +86,6 @@
 	for s.resultBytes > s.maxResultBytes {
 		s.dropResult()
 	}
-	return true
 }
 
 // dropResult drops the oldest result and keeps its record.
@@ -111,16 +115,17 @@
 	if s.oldest.phase != carobpulley.PhaseRunning {
 		return false
 	}
-	r := s.pop()
+	r := s.oldest
+	s.unlink(r)
 	r.at = now
 	s.push(r)
 	return true
 }
 
-// drop removes the oldest record.
+// drop removes the oldest record and its result.
 func (s *records) drop() {
-	r := s.pop()
-	delete(s.byID, r.id)
+	r := s.oldest
+	s.remove(r)
 	s.resultBytes -= len(r.result)
 	r.result = nil
 	for len(s.results) > 0 && s.results[0].result == nil {
@@ -129,7 +134,14 @@
 	}
 }
 
+// remove forgets a record without a result.
+func (s *records) remove(r *record) {
+	delete(s.byID, r.id)
+	s.unlink(r)
+}
+
 func (s *records) push(r *record) {
+	r.prev = s.newest
 	if s.newest == nil {
 		s.oldest = r
 	} else {
@@ -138,12 +150,16 @@
 	s.newest = r
 }
 
-func (s *records) pop() *record {
-	r := s.oldest
-	s.oldest = r.next
-	if s.oldest == nil {
-		s.newest = nil
+func (s *records) unlink(r *record) {
+	if r.prev == nil {
+		s.oldest = r.next
+	} else {
+		r.prev.next = r.next
+	}
+	if r.next == nil {
+		s.newest = r.prev
+	} else {
+		r.next.prev = r.prev
 	}
-	r.next = nil
-	return r
+	r.prev, r.next = nil, nil
 }
