Add package agent and program agentd

The shell around the gate: Dispatch, Query, CancelTask and Fence, a bounded queue in front of the slots, calls to the endpoint, announcements, drain.

Choices: a started task runs on when the connection that brought it is lost, since its sender asks by Query. A dispatch waits for a slot only while its echo is fresh; after that the gate would refuse it anyway. A refused connection to the endpoint is answered as not run. Idle connections to the endpoint are closed after 2 s: POST is not repeated by net/http, so a call on a connection that the endpoint closes at the same time would be a failed task. After a failed announcement, connections of their own are used until a silent one is given up. Ruled out: one announcer for all entries, since a silent one delays the others.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,301 @@
+package agent
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"carobpulley"
+	"carobpulley/fence"
+)
+
+// Config holds the settings of an agent.
+type Config struct {
+	// Endpoint describes the endpoint. Addr is the agent's advertised address;
+	// Incarnation is set by New.
+	Endpoint carobpulley.Endpoint
+	// Base is the URL of the endpoint; tasks are sent to {Base}/run/{service}.
+	Base *url.URL
+	// LookAhead is the number of dispatches that wait for a slot.
+	LookAhead int
+	// RunLimit is the longest time of one call to the endpoint.
+	RunLimit time.Duration
+	// DrainLimit is how long running tasks may go on after SIGTERM.
+	DrainLimit time.Duration
+	// Entries are the addresses that the agent announces itself to.
+	Entries []netip.AddrPort
+}
+
+// Agent is safe for concurrent use.
+type Agent struct {
+	cfg      Config
+	log      zerolog.Logger
+	entries  Entries
+	endpoint http.RoundTripper
+	vars     *expvar.Map
+	// kick wakes the announcers, one channel per entry.
+	kick []chan struct{}
+
+	mu      sync.Mutex
+	gate    *fence.Gate
+	running map[carobpulley.TaskID]*task
+	waiting []*waiter
+	// granted counts waiters that were given a slot and have not entered yet.
+	granted  int
+	draining bool
+	idle     chan struct{}
+}
+
+// task is a task at the endpoint.
+type task struct {
+	id     carobpulley.TaskID
+	ctx    context.Context
+	cancel context.CancelFunc
+	// cancelled is set if its caller cancelled the task.
+	cancelled bool
+	done      chan struct{}
+}
+
+// waiter is a dispatch that waits for a slot. ready is closed when it was
+// granted one, or was removed from the queue with err.
+type waiter struct {
+	in      carobpulley.Entering
+	ready   chan struct{}
+	granted bool
+	err     error
+}
+
+// New returns an agent whose incarnation is the time of its start. The round
+// tripper carries calls to the endpoint.
+func New(cfg Config, entries Entries, endpoint http.RoundTripper, log zerolog.Logger) *Agent {
+	now := time.Now()
+	cfg.Endpoint.Incarnation = uint64(now.UnixNano())
+	a := &Agent{
+		cfg:      cfg,
+		log:      log.With().Str("endpoint", cfg.Endpoint.ID).Logger(),
+		entries:  entries,
+		endpoint: endpoint,
+		vars:     new(expvar.Map).Init(),
+		gate: fence.New(fence.Config{
+			Endpoint:    cfg.Endpoint.ID,
+			Incarnation: cfg.Endpoint.Incarnation,
+			Slots:       cfg.Endpoint.Slots,
+			Started:     now,
+		}),
+		running: make(map[carobpulley.TaskID]*task),
+		idle:    make(chan struct{}),
+	}
+	for range cfg.Entries {
+		a.kick = append(a.kick, make(chan struct{}, 1))
+	}
+	a.publish()
+	return a
+}
+
+// Ready returns nil while the agent takes work.
+func (a *Agent) Ready() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining {
+		return &carobpulley.Error{Op: "ready", Kind: carobpulley.KindDraining, Msg: "the agent is stopping"}
+	}
+	if version, _ := a.gate.Config(); version == 0 {
+		return &carobpulley.Error{Op: "ready", Kind: carobpulley.KindUnavailable, Msg: "no entry has answered yet"}
+	}
+	return nil
+}
+
+// Drain refuses new work as not run and waits for running tasks. Those that
+// still run when ctx ends are stopped.
+func (a *Agent) Drain(ctx context.Context) {
+	a.mu.Lock()
+	a.draining = true
+	a.gate.Drain()
+	a.flush(time.Now())
+	a.checkIdle()
+	a.mu.Unlock()
+	a.announceNow()
+	select {
+	case <-a.idle:
+		return
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	for _, t := range a.running {
+		a.log.Warn().Str("key", t.id.Job.Key).Int("index", t.id.Index).Msg("task stopped: drain limit reached")
+		t.cancel()
+	}
+	a.mu.Unlock()
+	<-a.idle
+}
+
+// admit waits for a slot and asks the gate. It returns the started task, or the
+// refusal.
+func (a *Agent) admit(ctx context.Context, in carobpulley.Entering) (*task, error) {
+	w, t, err := a.enqueue(ctx, in)
+	if w == nil {
+		return t, err
+	}
+	timer := time.NewTimer(a.usable(in))
+	defer timer.Stop()
+	select {
+	case <-w.ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.err != nil {
+		return nil, w.err
+	}
+	if !w.granted {
+		a.waiting = slices.DeleteFunc(a.waiting, func(o *waiter) bool { return o == w })
+		return nil, a.gate.Refuse(time.Now(), in)
+	}
+	a.granted--
+	defer a.checkIdle()
+	defer a.grant()
+	if ctx.Err() != nil {
+		return nil, a.gate.Refuse(time.Now(), in)
+	}
+	return a.enter(ctx, in)
+}
+
+// enqueue starts a task at once if a slot is free. Otherwise it returns a waiter
+// unless the queue is full or the dispatch can never start.
+func (a *Agent) enqueue(ctx context.Context, in carobpulley.Entering) (*waiter, *task, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if err := a.gate.Check(now, in); err != nil {
+		return nil, nil, err
+	}
+	if !slices.Contains(a.cfg.Endpoint.Services, in.Dispatch.Service) {
+		return nil, nil, errService
+	}
+	if _, inService := a.gate.Config(); !inService {
+		a.flush(now)
+		return nil, nil, a.gate.Enter(now, in)
+	}
+	if len(a.waiting) == 0 && a.free() > 0 {
+		t, err := a.enter(ctx, in)
+		return nil, t, err
+	}
+	if len(a.waiting) >= a.cfg.LookAhead {
+		return nil, nil, a.gate.Refuse(now, in)
+	}
+	w := &waiter{in: in, ready: make(chan struct{})}
+	a.waiting = append(a.waiting, w)
+	return w, nil, nil
+}
+
+// usable is the time until the deadline or until the echo is stale. Waiting
+// longer for a slot would be in vain.
+func (a *Agent) usable(in carobpulley.Entering) time.Duration {
+	now := time.Now()
+	echo := carobpulley.EchoValidity - time.Duration(a.gate.Clock(now)-in.Echo)
+	return min(echo, in.Dispatch.Deadline.Sub(now))
+}
+
+// enter asks the gate and records the start. The caller holds mu and calls the
+// endpoint next.
+func (a *Agent) enter(ctx context.Context, in carobpulley.Entering) (*task, error) {
+	if err := a.gate.Enter(time.Now(), in); err != nil {
+		return nil, err
+	}
+	t := &task{id: in.Dispatch.ID, done: make(chan struct{})}
+	t.ctx, t.cancel = context.WithTimeout(context.WithoutCancel(ctx), a.cfg.RunLimit)
+	a.running[t.id] = t
+	return t, nil
+}
+
+// finish records the end of a task and gives its slot to a waiter.
+func (a *Agent) finish(t *task, end carobpulley.StartedTask) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.cancel()
+	a.gate.End(time.Now(), end)
+	delete(a.running, t.id)
+	close(t.done)
+	a.grant()
+	a.checkIdle()
+}
+
+// free returns the number of slots that no task holds.
+func (a *Agent) free() int {
+	return a.cfg.Endpoint.Slots - a.gate.Running() - a.granted
+}
+
+// grant gives free slots to waiters in order of arrival.
+func (a *Agent) grant() {
+	for len(a.waiting) > 0 && a.free() > 0 {
+		w := a.waiting[0]
+		a.waiting = a.waiting[1:]
+		w.granted = true
+		a.granted++
+		close(w.ready)
+	}
+}
+
+// flush removes the waiters that the gate refuses by now: cancelled, withdrawn
+// or, if the agent is draining or out of service, all of them.
+func (a *Agent) flush(now time.Time) {
+	_, inService := a.gate.Config()
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
+		err := a.gate.Check(now, w.in)
+		if err == nil && !inService {
+			err = a.gate.Enter(now, w.in)
+		}
+		if err == nil {
+			return false
+		}
+		w.err = err
+		close(w.ready)
+		return true
+	})
+}
+
+// configure takes the state of the agent's domain from an entry.
+func (a *Agent) configure(version uint64, inService bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Configure(version, inService)
+	a.flush(time.Now())
+}
+
+func (a *Agent) checkIdle() {
+	if !a.draining || len(a.running) > 0 || a.granted > 0 {
+		return
+	}
+	select {
+	case <-a.idle:
+	default:
+		close(a.idle)
+	}
+}
+
+// load returns the running and queued tasks. The caller holds mu.
+func (a *Agent) load() carobpulley.Load {
+	return carobpulley.Load{Running: a.gate.Running(), Queued: len(a.waiting) + a.granted}
+}
+
+var errService = &carobpulley.Error{
+	Op: "dispatch", Kind: carobpulley.KindImpossible, Msg: "the endpoint does not run the service", NotRun: true,
+}
+
+// kindOf returns the kind of an error of the gate.
+func kindOf(err error) carobpulley.Kind {
+	e, _ := errors.Into[*carobpulley.Error](err)
+	if e == nil {
+		return ""
+	}
+	return e.Kind
+}
--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,387 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"carobpulley"
+	"carobpulley/agent"
+	"carobpulley/inner"
+	"carobpulley/wire"
+)
+
+// endpoint counts its starts. A call waits for release unless that is nil.
+type endpoint struct {
+	starts  atomic.Int32
+	entered chan struct{}
+	release chan struct{}
+	down    atomic.Bool
+	closed  atomic.Int32
+}
+
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.starts.Add(1)
+	body, _ := io.ReadAll(r.Body)
+	if e.release != nil {
+		e.entered <- struct{}{}
+		select {
+		case <-e.release:
+		case <-r.Context().Done():
+			e.closed.Add(1)
+			return
+		}
+	}
+	switch string(body) {
+	case "fail":
+		http.Error(w, "no van", http.StatusConflict)
+	case "long":
+		_, _ = w.Write(make([]byte, carobpulley.MaxResultBytes+1))
+	default:
+		_, _ = fmt.Fprint(w, r.URL.Path, " ", r.Header.Get(agent.HeaderJob), " ", r.Header.Get(agent.HeaderTask), " ", r.Header.Get(agent.HeaderAttempt))
+	}
+}
+
+// RoundTrip calls the endpoint without a network, for tests in virtual time.
+func (e *endpoint) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+func waiting() *endpoint {
+	return &endpoint{entered: make(chan struct{}, 8), release: make(chan struct{})}
+}
+
+// fixture is an agent with one slot and one place in its queue. Calls go
+// through call, directly or over the network.
+type fixture struct {
+	*agent.Agent
+	t           *testing.T
+	calls       wire.AgentServiceClient
+	incarnation uint64
+	clock       int64
+}
+
+func newFixture(t *testing.T, base string, rt http.RoundTripper, entries agent.Entries) *fixture {
+	u, err := url.Parse(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := agent.New(agent.Config{
+		Endpoint: carobpulley.Endpoint{
+			ID: "e1", Domain: "d1", Services: []string{"confirm"}, Slots: 1, Addr: netip.MustParseAddrPort("127.0.0.1:7301"),
+		},
+		Base: u, LookAhead: 1, RunLimit: time.Hour,
+		Entries: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")},
+	}, entries, rt, zerolog.Nop())
+	f := &fixture{Agent: a, t: t, calls: a}
+	f.sync()
+	return f
+}
+
+// sync learns incarnation and clock as an entry does, from a reply.
+func (f *fixture) sync() {
+	res, err := f.Fence(f.t.Context(), connect.NewRequest(&wire.FenceRequest{Owner: "a"}))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.incarnation, f.clock = res.Msg.GetIncarnation(), res.Msg.GetAgentTime()
+}
+
+// network puts a real endpoint and real connections around an agent.
+func network(t *testing.T, e *endpoint) *fixture {
+	srv := httptest.NewServer(e)
+	t.Cleanup(srv.Close)
+	dial := agent.NewTransport(1)
+	t.Cleanup(dial.CloseIdleConnections)
+	f := newFixture(t, srv.URL+"/base", roundTripper(func(r *http.Request) (*http.Response, error) {
+		if e.down.Load() {
+			r.URL.Host = "127.0.0.1:1"
+		}
+		return dial.RoundTrip(r)
+	}), nil)
+	mux := http.NewServeMux()
+	mux.Handle(inner.AgentHandler(f.Agent))
+	s, err := inner.NewServer(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), inner.TLS{}, mux)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve() }()
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	c, err := inner.NewClient(inner.TLS{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	f.calls = c.Agent(s.Addr())
+	return f
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func (f *fixture) task(key string, attempt int) carobpulley.Entering {
+	return carobpulley.Entering{
+		Dispatch: carobpulley.Dispatch{
+			ID:      carobpulley.TaskID{Job: carobpulley.JobID{Member: "vans", Key: key}, Index: 3},
+			Attempt: attempt, Shard: 1, Epoch: 2, Endpoint: "e1", Service: "confirm", Deadline: time.Now().Add(time.Hour),
+		},
+		Echo: f.clock, Incarnation: f.incarnation, ConfigVersion: 1, InService: true,
+	}
+}
+
+func (f *fixture) send(ctx context.Context, in carobpulley.Entering) string {
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Minute)
+	defer cancel()
+	res, err := f.calls.Dispatch(ctx, connect.NewRequest(inner.DispatchToWire(in)))
+	return f.result(res, err)
+}
+
+// result is a short text of an answer: phase, then status and result or error.
+func (f *fixture) result(res *connect.Response[wire.DispatchReply], err error) string {
+	if err != nil {
+		e := inner.AsError(err)
+		return fmt.Sprintf("error %s %v", e.Kind, e.NotRun)
+	}
+	v, err := inner.DispatchAnswerFromWire(res.Msg)
+	if err != nil {
+		f.t.Error(err)
+	}
+	if v.Refusal != nil {
+		return fmt.Sprintf("%s %s", v.Phase, v.Refusal.Kind)
+	}
+	return strings.TrimSpace(fmt.Sprintf("%s %d %s%s", v.Phase, v.Status, v.Result, v.Err))
+}
+
+func (f *fixture) query(in carobpulley.Entering, wait bool) string {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 30*time.Minute)
+	defer cancel()
+	d := in.Dispatch
+	res, err := f.calls.Query(ctx, connect.NewRequest(inner.QueryToWire(inner.Query{
+		ID: d.ID, Attempt: d.Attempt, Shard: d.Shard, Epoch: d.Epoch, Wait: wait, Endpoint: "e1", Incarnation: in.Incarnation,
+	})))
+	return f.result(res, err)
+}
+
+func (f *fixture) cancel(in carobpulley.Entering) string {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 30*time.Minute)
+	defer cancel()
+	res, err := f.calls.CancelTask(ctx, connect.NewRequest(inner.CancelTaskToWire(inner.Cancel{
+		ID: in.Dispatch.ID, Shard: 1, Epoch: 2, Endpoint: "e1", Incarnation: in.Incarnation,
+	})))
+	return f.result(res, err)
+}
+
+func (f *fixture) expect(got, want string) {
+	f.t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		f.t.Error(diff)
+	}
+}
+
+// later runs a call beside the test and returns its answer.
+func later(call func() string) func() string {
+	out := make(chan string, 1)
+	go func() { out <- call() }()
+	return func() string { return <-out }
+}
+
+// Guards against a second start by repeated, late and lost messages.
+func TestStartsOnce(t *testing.T) {
+	e := waiting()
+	f := network(t, e)
+	in := f.task("k/1", 1)
+	ctx, hangUp := context.WithCancel(t.Context())
+	lost := later(func() string { return f.send(ctx, in) })
+	<-e.entered
+	again := later(func() string { return f.send(t.Context(), in) })
+	hangUp()
+	f.expect(lost(), "error cancelled false")
+	f.expect(f.query(in, false), "running 0")
+	waits := later(func() string { return f.query(in, true) })
+	close(e.release)
+	const done = "done 200 /base/run/confirm vans/k%2F1 3 1"
+	f.expect(again(), done)
+	f.expect(waits(), done)
+	f.expect(f.send(t.Context(), f.task("k/1", 2)), done)
+
+	late := f.task("late", 1)
+	f.expect(f.query(late, true), "not_run unavailable")
+	f.expect(f.send(t.Context(), late), "not_run unavailable")
+	request := f.task("late", 1)
+	request.Request, request.Dispatch.ID.Index = true, carobpulley.RequestIndex
+	f.expect(f.send(t.Context(), request), "done 200 /base/run/confirm late 0 1")
+	if n := e.starts.Load(); n != 2 {
+		t.Errorf("%d starts, want 2", n)
+	}
+	res, err := f.Fence(t.Context(), connect.NewRequest(inner.FencingToWire(inner.Fencing{Owner: "b", Shards: []carobpulley.Ownership{{Shard: 1, Epoch: 1}}})))
+	if err != nil || res.Msg.GetFenced() || len(res.Msg.GetStarted()) != 1 || !res.Msg.GetComplete() {
+		t.Errorf("fence of an older epoch: %v, %v", res, err)
+	}
+}
+
+// Guards against starts by malformed messages, oversized ones and those for
+// another agent, and against a "not run" that this agent cannot know.
+func TestRefusesBadMessages(t *testing.T) {
+	e := &endpoint{}
+	f := network(t, e)
+	bad := f.task("", 1)
+	f.expect(f.send(t.Context(), bad), "error invalid true")
+	big := f.task("k", 1)
+	big.Dispatch.Payload = make([]byte, carobpulley.MaxPayloadBytes+1)
+	f.expect(f.send(t.Context(), big), "error invalid true")
+	big.Dispatch.Payload = make([]byte, inner.MaxAgentMessageBytes)
+	f.expect(f.send(t.Context(), big), "error invalid false")
+	other := f.task("k", 1)
+	other.Incarnation--
+	f.expect(f.send(t.Context(), other), "not_run wrong_agent")
+	f.expect(f.query(other, false), "error wrong_agent false")
+	f.expect(f.cancel(other), "error wrong_agent false")
+	unknown := f.task("k", 1)
+	unknown.Dispatch.Service = "sell"
+	f.expect(f.send(t.Context(), unknown), "not_run impossible")
+	if n := e.starts.Load(); n != 0 {
+		t.Errorf("%d starts", n)
+	}
+	for payload, want := range map[string]string{
+		"fail": "failed 409 endpoint answered 409: no van",
+		"long": "failed 200 the result is longer than 65536 bytes",
+	} {
+		in := f.task(payload, 1)
+		in.Dispatch.Payload = []byte(payload)
+		f.expect(f.send(t.Context(), in), want)
+	}
+	e.down.Store(true)
+	f.expect(f.send(t.Context(), f.task("down", 1)), "not_run unavailable")
+	e.down.Store(false)
+	f.expect(f.send(t.Context(), f.task("down", 1)), "not_run unavailable")
+	f.expect(f.send(t.Context(), f.task("down", 2)), "done 200 /base/run/confirm vans/down 3 2")
+}
+
+// Guards against a queue that grows, holds what can never start, or starts it.
+func TestQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := waiting()
+		f := newFixture(t, "http://e1", e, nil)
+		running := f.task("running", 1)
+		first := later(func() string { return f.send(t.Context(), running) })
+		<-e.entered
+		queue := func(key string) func() string {
+			f.sync()
+			out := later(func() string { return f.send(t.Context(), f.task(key, 1)) })
+			synctest.Wait()
+			return out
+		}
+		full := queue("expires")
+		f.expect(f.send(t.Context(), f.task("full", 1)), "not_run busy")
+		began := time.Now()
+		f.expect(full(), "not_run busy")
+		if waited := time.Since(began); waited != carobpulley.EchoValidity {
+			t.Errorf("waited %s for a slot, the echo is valid for %s", waited, carobpulley.EchoValidity)
+		}
+		queried := queue("queried")
+		f.expect(f.query(f.task("queried", 1), true), "not_run unavailable")
+		f.expect(queried(), "not_run unavailable")
+		cancelled := queue("cancelled")
+		f.expect(f.cancel(f.task("cancelled", 1)), "not_run unavailable")
+		f.expect(cancelled(), "not_run cancelled")
+		removed := queue("removed")
+		out := f.task("out", 1)
+		out.ConfigVersion, out.InService = 2, false
+		f.expect(f.send(t.Context(), out), "not_run out_of_service")
+		f.expect(removed(), "not_run out_of_service")
+		f.expect(f.cancel(running), "stopped 0 context canceled")
+		f.expect(first(), "stopped 0 context canceled")
+		if e.closed.Load() != 1 || e.starts.Load() != 1 {
+			t.Errorf("%d starts, %d closed", e.starts.Load(), e.closed.Load())
+		}
+	})
+}
+
+// entries is two stand-ins: the second one is silent until it is called on a
+// fresh connection.
+type entries struct {
+	wire.EntryServiceClient
+	mu  *sync.Mutex
+	got map[string][]string
+	key string
+	t0  time.Time
+}
+
+func (s entries) Announce(ctx context.Context, r *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceReply], error) {
+	s.mu.Lock()
+	s.got[s.key] = append(s.got[s.key], fmt.Sprintf("%s %v %v", time.Since(s.t0), r.Msg.GetDraining(), r.Msg.GetLeaving()))
+	s.mu.Unlock()
+	if s.key == "127.0.0.1:2 false" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return connect.NewResponse(&wire.AnnounceReply{ConfigVersion: 1, InService: true}), nil
+}
+
+// Guards against a stop that cuts off a task before its limit, takes new work or
+// leaves without a word, and against a silent entry that delays the others.
+func TestAnnounceAndDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := entries{mu: new(sync.Mutex), got: map[string][]string{}, t0: time.Now()}
+		e := waiting()
+		f := newFixture(t, "http://e1", e, func(addr netip.AddrPort, fresh bool) wire.EntryServiceClient {
+			one := all
+			one.key = fmt.Sprintf("%s %v", addr, fresh)
+			return one
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		announcing := later(func() string { f.Announce(ctx); return "" })
+		synctest.Wait()
+		if err := f.Ready(); err != nil {
+			t.Error(err)
+		}
+		running := later(func() string { return f.send(t.Context(), f.task("running", 1)) })
+		<-e.entered
+		queued := later(func() string { return f.send(t.Context(), f.task("queued", 1)) })
+		time.Sleep(1100 * time.Millisecond)
+		limit, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		drained := later(func() string { f.Drain(limit); return time.Since(all.t0).String() })
+		f.expect(queued(), "not_run draining")
+		f.sync()
+		f.expect(f.send(t.Context(), f.task("new", 1)), "not_run draining")
+		if f.Ready() == nil {
+			t.Error("ready while draining")
+		}
+		f.expect(drained(), "31.1s")
+		f.expect(running(), "failed 0 context canceled")
+		stop()
+		announcing()
+		f.Leave(t.Context())
+		for key, want := range map[string][]string{
+			"127.0.0.1:1 false": {"0s false false", "1s false false", "1.1s true false", "2s true false"},
+			"127.0.0.1:1 true":  {"31.1s true true"},
+			"127.0.0.1:2 false": {"0s false false"},
+			"127.0.0.1:2 true":  {"1s false false", "1.1s true false", "2s true false"},
+		} {
+			if diff := cmp.Diff(want, all.got[key][:min(len(want), len(all.got[key]))]); diff != "" {
+				t.Errorf("%s:\n%s", key, diff)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/agent/serve.go
@@ -0,0 +1,214 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"carobpulley"
+	"carobpulley/inner"
+	"carobpulley/wire"
+)
+
+var _ wire.AgentServiceHandler = (*Agent)(nil)
+
+// errWrongAgent answers a query for another agent. It does not say "not run",
+// since this agent has no memory of what the other one started.
+var errWrongAgent = &carobpulley.Error{
+	Op: "query", Kind: carobpulley.KindWrongAgent, Msg: "the message is meant for another endpoint or incarnation",
+}
+
+// Dispatch implements wire.AgentServiceHandler. It answers when the task ended
+// or was refused. A repeated dispatch waits for the end of the first one.
+func (a *Agent) Dispatch(ctx context.Context, r *connect.Request[wire.DispatchRequest]) (*connect.Response[wire.DispatchReply], error) {
+	in, err := inner.DispatchFromWire(r.Msg)
+	if err != nil {
+		a.vars.Add("malformed", 1)
+		return nil, err
+	}
+	t, err := a.admit(ctx, in)
+	switch {
+	case err == nil:
+		a.vars.Add("started", 1)
+		return a.reply(a.run(t, in.Dispatch)), nil
+	case kindOf(err) == carobpulley.KindStarted:
+		a.vars.Add("repeated", 1)
+		return a.repeated(ctx, in)
+	default:
+		a.vars.Add("refused_"+string(kindOf(err)), 1)
+		return a.reply(refused(err)), nil
+	}
+}
+
+// repeated answers a dispatch of a task that has started.
+func (a *Agent) repeated(ctx context.Context, in carobpulley.Entering) (*connect.Response[wire.DispatchReply], error) {
+	if err := a.await(ctx, in.Dispatch.ID); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	state, ok := a.gate.State(in.Dispatch.ID)
+	var err error
+	if !ok {
+		err = a.gate.Refuse(time.Now(), in)
+	}
+	a.mu.Unlock()
+	if !ok {
+		return a.reply(refused(err)), nil
+	}
+	return a.reply(answer(state)), nil
+}
+
+// Query implements wire.AgentServiceHandler.
+func (a *Agent) Query(ctx context.Context, r *connect.Request[wire.QueryRequest]) (*connect.Response[wire.DispatchReply], error) {
+	q, err := inner.QueryFromWire(r.Msg)
+	if err != nil {
+		a.vars.Add("malformed", 1)
+		return nil, err
+	}
+	a.vars.Add("queries", 1)
+	state, err := a.query(q)
+	if err != nil {
+		return nil, err
+	}
+	if !q.Wait || state.Phase.Ended() {
+		return a.reply(answer(state)), nil
+	}
+	if err := a.await(ctx, q.ID); err != nil {
+		return nil, err
+	}
+	state, err = a.query(q)
+	if err != nil {
+		return nil, err
+	}
+	return a.reply(answer(state)), nil
+}
+
+func (a *Agent) query(q inner.Query) (carobpulley.StartedTask, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.gate.Is(q.Endpoint, q.Incarnation) {
+		return carobpulley.StartedTask{}, errWrongAgent
+	}
+	now := time.Now()
+	state, err := a.gate.Query(now, q.ID, q.Shard, q.Epoch, q.Attempt)
+	a.flush(now)
+	return state, err
+}
+
+// CancelTask implements wire.AgentServiceHandler. A running task is stopped by
+// closing the request to the endpoint; the answer is its final state.
+func (a *Agent) CancelTask(ctx context.Context, r *connect.Request[wire.CancelTaskRequest]) (*connect.Response[wire.DispatchReply], error) {
+	c, err := inner.CancelTaskFromWire(r.Msg)
+	if err != nil {
+		a.vars.Add("malformed", 1)
+		return nil, err
+	}
+	a.vars.Add("cancels", 1)
+	state, err := a.cancel(c)
+	if err != nil {
+		return nil, err
+	}
+	if state.Phase != carobpulley.PhaseRunning {
+		return a.reply(answer(state)), nil
+	}
+	if err := a.await(ctx, c.ID); err != nil {
+		return nil, err
+	}
+	state, err = a.cancel(c)
+	if err != nil {
+		return nil, err
+	}
+	return a.reply(answer(state)), nil
+}
+
+func (a *Agent) cancel(c inner.Cancel) (carobpulley.StartedTask, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.gate.Is(c.Endpoint, c.Incarnation) {
+		return carobpulley.StartedTask{}, errWrongAgent
+	}
+	now := time.Now()
+	state, err := a.gate.Cancel(now, c.ID, c.Shard, c.Epoch)
+	a.flush(now)
+	if t := a.running[c.ID]; t != nil {
+		t.cancelled = true
+		t.cancel()
+	}
+	return state, err
+}
+
+// Fence implements wire.AgentServiceHandler. Fenced is false if a newer epoch
+// of one of the shards is known.
+func (a *Agent) Fence(_ context.Context, r *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceReply], error) {
+	f, err := inner.FencingFromWire(r.Msg)
+	if err != nil {
+		a.vars.Add("malformed", 1)
+		return nil, err
+	}
+	a.vars.Add("fences", 1)
+	return connect.NewResponse(inner.FenceAnswerToWire(a.fence(f), carobpulley.Shards)), nil
+}
+
+func (a *Agent) fence(f inner.Fencing) inner.FenceAnswer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	out := inner.FenceAnswer{
+		Fenced:      true,
+		AgentTime:   a.gate.Clock(now),
+		Incarnation: a.cfg.Endpoint.Incarnation,
+	}
+	out.Started, out.Complete = a.gate.Fence(now, f.Shards)
+	for _, s := range f.Shards {
+		if a.gate.Epoch(s.Shard) > s.Epoch {
+			out.Fenced = false
+		}
+	}
+	a.flush(now)
+	return out
+}
+
+// await waits until a task is not running.
+func (a *Agent) await(ctx context.Context, id carobpulley.TaskID) error {
+	a.mu.Lock()
+	t := a.running[id]
+	a.mu.Unlock()
+	if t == nil {
+		return nil
+	}
+	select {
+	case <-t.done:
+		return nil
+	case <-ctx.Done():
+		return &carobpulley.Error{
+			Op: "await", Kind: carobpulley.KindUnavailable, Msg: "the task still runs at the end of the call",
+		}
+	}
+}
+
+// reply adds the agent's clock, load and incarnation to an answer.
+func (a *Agent) reply(v inner.DispatchAnswer) *connect.Response[wire.DispatchReply] {
+	a.mu.Lock()
+	v.AgentTime = a.gate.Clock(time.Now())
+	v.Load = a.load()
+	a.mu.Unlock()
+	v.Incarnation = a.cfg.Endpoint.Incarnation
+	return connect.NewResponse(inner.DispatchAnswerToWire(v))
+}
+
+// refused is the answer to a dispatch that did not start.
+func refused(err error) inner.DispatchAnswer {
+	return inner.DispatchAnswer{Phase: carobpulley.PhaseNotRun, Refusal: inner.AsError(err)}
+}
+
+// answer is the state of a task, also of one that did not start.
+func answer(t carobpulley.StartedTask) inner.DispatchAnswer {
+	v := inner.DispatchAnswer{Phase: t.Phase, Status: t.Status, Result: t.Result, Err: t.Err}
+	if t.Phase == carobpulley.PhaseNotRun {
+		v.Refusal = &carobpulley.Error{
+			Op: "query", Kind: carobpulley.KindUnavailable, Msg: "the task has not started and will not", NotRun: true,
+		}
+	}
+	return v
+}
