Add retry budget and placement tests; try idle endpoints again

Its backoff takes jitter from a seeded source; cenkalti/backoff was ruled out because it draws from the global one.

The tests found two faults. A wake-up that was already due when an endpoint changed was dropped, so a slow start could stay at one place for ever; due events now stay in the heap. The mean of a service was that of the first endpoint used, so a slow near one kept all work while others were idle; an endpoint without results for 30 announcements now gets one task as a trial and its old results count little. The look-ahead is bounded by what agents queue.

--- a/place/endpoint.go
+++ b/place/endpoint.go
@@ -50,7 +50,9 @@
 
 	// speed is the run time at this endpoint over the mean of the service.
 	speed   float64
-	samples int
+	samples float64
+	// announces counts the announcements since the last result.
+	announces int
 
 	wake   int
 	wakeAt time.Time
@@ -137,10 +139,10 @@
 }
 
 // lookAhead is the number of tasks expected to end within a round trip. As
-// many may be sent ahead of the slots that they free.
+// many may be sent ahead of the slots that they free, within what agents queue.
 func (e *endpoint) lookAhead(run float64) int {
 	ending := float64(e.info.Slots) * 2 * float64(e.distance) / run
-	return max(minLookAhead, int(math.Round(ending)))
+	return min(AgentQueue(e.info.Slots), max(minLookAhead, int(math.Round(ending))))
 }
 
 // AgentQueue is the number of tasks that an agent should let wait beside the
@@ -174,6 +176,9 @@
 // tick handles the time events of the endpoint.
 func (e *endpoint) tick(now time.Time) {
 	e.breaker.tick(now)
+	if !e.pausedUntil.After(now) {
+		e.pausedUntil = time.Time{}
+	}
 	if !e.warm && !e.growAt.After(now) {
 		e.grow(e.allow)
 		e.growAt = now.Add(slowStartStep)
@@ -181,15 +186,14 @@
 }
 
 // nextEvent returns the earliest time at which the state changes by itself, or
-// the zero time.
-func (e *endpoint) nextEvent(now time.Time) time.Time {
-	var at time.Time
+// the zero time. It may be due already.
+func (e *endpoint) nextEvent() time.Time {
+	at := e.pausedUntil
 	consider := func(t time.Time) {
-		if t.After(now) && (at.IsZero() || t.Before(at)) {
+		if !t.IsZero() && (at.IsZero() || t.Before(at)) {
 			at = t
 		}
 	}
-	consider(e.pausedUntil)
 	consider(e.breaker.until)
 	if !e.warm {
 		consider(e.growAt)
--- a/place/estimate.go
+++ b/place/estimate.go
@@ -15,9 +15,18 @@
 	// speedMemory is the number of results that the speed of an endpoint
 	// remembers.
 	speedMemory = 64
+	// speedPrior is the number of results that a speed of 1 counts for.
+	speedPrior = 4
 	// priorWeight is the number of results that the estimate from the service
 	// and the endpoint's speed counts for.
 	priorWeight = 8
+	// idleAnnounces is the number of announcements without a result after which
+	// an endpoint is tried with one task and its old results count little, so
+	// that one that was slow once does not stay unused.
+	idleAnnounces = 30
+	idleSamples   = 1
+	// trialRun is the run time over the service's mean that a trial is given.
+	trialRun = 0.9
 	// meanDrift is the relative change of a service's mean after which its
 	// endpoints are scored again.
 	meanDrift = 0.25
@@ -88,7 +97,7 @@
 // estimate is a mean run time in nanoseconds.
 type estimate struct {
 	mean    float64
-	samples int
+	samples float64
 }
 
 func (m *member) count(slots, busy int) {
@@ -100,14 +109,28 @@
 // run is the expected run time: the mean of the service at this endpoint,
 // weighted with what the service and the endpoint's speed say.
 func (m *member) run() float64 {
-	prior := m.service.mean
-	if m.endpoint.samples > 0 {
-		prior *= m.endpoint.speed
-	}
-	n := float64(min(m.estimate.samples, memberMemory))
+	prior := m.service.mean * m.endpoint.speed
+	n := m.estimate.samples
 	return (priorWeight*prior + n*m.estimate.mean) / (priorWeight + n)
 }
 
+// idle counts an announcement of the endpoint without a result before it.
+func (e *endpoint) idle() {
+	e.announces++
+	if e.announces < idleAnnounces {
+		return
+	}
+	e.samples = min(e.samples, idleSamples)
+	for _, m := range e.members {
+		m.estimate.samples = min(m.estimate.samples, idleSamples)
+	}
+}
+
+// trial reports whether the endpoint is due to be tried with one task.
+func (e *endpoint) trial() bool {
+	return e.mine == 0 && e.announces >= idleAnnounces && e.breaker.failures == 0
+}
+
 // learn takes an observed run time.
 func (m *member) learn(run float64) {
 	s, e := m.service, m.endpoint
@@ -118,21 +141,22 @@
 	}
 	s.least = min(run, s.least+(run-s.least)/leastMemory)
 	s.mean += (run - s.mean) / float64(min(s.samples, serviceMemory))
-	m.estimate.samples++
-	m.estimate.mean += (run - m.estimate.mean) / float64(min(m.estimate.samples, memberMemory))
-	if e.samples == 0 {
-		e.speed = 1
-	}
-	e.samples++
-	e.speed += (run/s.mean - e.speed) / float64(min(e.samples+priorWeight, speedMemory))
+	m.estimate.samples = min(m.estimate.samples+1, memberMemory)
+	m.estimate.mean += (run - m.estimate.mean) / m.estimate.samples
+	e.announces = 0
+	e.samples = min(e.samples+speedPrior, speedMemory)
+	e.speed += (run/s.mean - e.speed) / min(e.samples+speedPrior, speedMemory)
 }
 
 // finish is the expected time until a task sent now has been answered. Failures
 // raise it.
 func (m *member) finish() float64 {
 	e := m.endpoint
-	raised := 1 + e.breaker.failures
-	return 2*float64(e.distance) + m.wait() + m.run()*raised
+	run := m.run() * (1 + e.breaker.failures)
+	if e.trial() {
+		run = min(run, trialRun*m.service.mean)
+	}
+	return 2*float64(e.distance) + m.wait() + run
 }
 
 // wait is the expected wait at the endpoint. Where a slot seems free, it is the
--- a/place/place.go
+++ b/place/place.go
@@ -74,7 +74,7 @@
 	e, ok := p.endpoints[ep.ID]
 	switch {
 	case !ok:
-		e = &endpoint{since: now, wake: -1, inService: true, warm: now.Sub(p.firstAt) < startupPeriod}
+		e = &endpoint{since: now, speed: 1, announces: idleAnnounces, wake: -1, inService: true, warm: now.Sub(p.firstAt) < startupPeriod}
 		p.endpoints[ep.ID] = e
 		if !e.warm {
 			e.restart(now)
@@ -95,6 +95,7 @@
 	}
 	p.setService(now, e)
 	e.report(now, l)
+	e.idle()
 	p.refresh(now, e)
 }
 
@@ -150,7 +151,7 @@
 // at the best endpoint that has room.
 func (p *Placer) hold(m *member) bool {
 	s := m.service
-	if p.backlog == 0 || p.mine == 0 || (!m.endpoint.full() && m.run() < slowRun*s.mean) {
+	if p.backlog == 0 || p.mine == 0 || m.endpoint.trial() || (!m.endpoint.full() && m.run() < slowRun*s.mean) {
 		return false
 	}
 	interval := p.run / float64(p.mine)
@@ -265,7 +266,7 @@
 	for _, m := range e.members {
 		p.rank(now, m)
 	}
-	at := e.nextEvent(now)
+	at := e.nextEvent()
 	switch {
 	case at.IsZero() && e.wake >= 0:
 		heap.Remove(&p.wakes, e.wake)
--- /dev/null
+++ b/place/rules_test.go
@@ -0,0 +1,358 @@
+package place_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carobpulley"
+	"carobpulley/place"
+)
+
+// Rapid draws from a fixed seed unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// held is a place that the test has not given back.
+type held struct {
+	endpoint carobpulley.Endpoint
+	at       time.Time
+}
+
+// machine drives a Placer and its naive twin with the same events.
+type machine struct {
+	ours   *place.Placer
+	naive  *place.Naive
+	now    time.Time
+	held   []held
+	out    string
+	paused map[string]bool
+}
+
+const machineEndpoints = 6
+
+func (m *machine) both(f func(carobpulley.Placer)) {
+	f(m.ours)
+	f(m.naive)
+}
+
+func (m *machine) configure(out string) {
+	m.out = out
+	c := catalogue("a", "b", "c")
+	c.Domains[out] = carobpulley.Domain{Name: out}
+	m.both(func(p carobpulley.Placer) { p.Configure(m.now, c) })
+}
+
+func (m *machine) taken(id string) int {
+	n := 0
+	for _, h := range m.held {
+		if h.endpoint.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *machine) pick(t *rapid.T) {
+	m.ours.Backlog(rapid.IntRange(0, 50).Draw(t, "backlog"))
+	e, ok := m.ours.Pick(m.now, service)
+	if _, possible := m.naive.Pick(m.now, service); ok && !possible {
+		t.Fatalf("picked %s, the twin finds no usable endpoint", e.ID)
+	}
+	if !ok {
+		return
+	}
+	if e.Domain == m.out || m.paused[e.ID] || e.Draining {
+		t.Fatalf("picked %s: domain %s is out: %v, suspect: %v, draining: %v",
+			e.ID, e.Domain, e.Domain == m.out, m.paused[e.ID], e.Draining)
+	}
+	m.held = append(m.held, held{e, m.now})
+	if n := m.taken(e.ID); n > e.Slots+1 {
+		t.Fatalf("%d places taken at %s with %d slots and a look-ahead of 1", n, e.ID, e.Slots)
+	}
+}
+
+func (m *machine) done(t *rapid.T) {
+	if len(m.held) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.held)-1).Draw(t, "held")
+	h := m.held[i]
+	m.held = slices.Delete(m.held, i, i+1)
+	// Run times far above the round trip keep the look-ahead at one task.
+	s := sample(h.endpoint, h.at, max(100*time.Millisecond, m.now.Sub(h.at)))
+	s.Load.Running = m.taken(h.endpoint.ID)
+	switch rapid.IntRange(0, 5).Draw(t, "end") {
+	case 0:
+		s.Failed = true
+	case 1:
+		s.Refused = true
+	case 2:
+		s.Lost = true
+	}
+	m.both(func(p carobpulley.Placer) { p.Done(m.now, s) })
+}
+
+// Guards against work for an endpoint that must not get any (domain out of
+// service, suspect, draining), against oversubscribed slots, and against places
+// that leak: with all given back and all healthy, every slot can be had again.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{now: start, paused: map[string]bool{}}
+		m.ours = place.New(rand.NewPCG(1, 2), nil, "a")
+		m.naive = place.NewNaive(rand.NewPCG(1, 2))
+		m.configure("none")
+		draw := func() carobpulley.Endpoint {
+			i := rapid.IntRange(0, machineEndpoints-1).Draw(t, "endpoint")
+			return endpoint(i, string("abc"[i%3]))
+		}
+		announce := func(e carobpulley.Endpoint) {
+			load := carobpulley.Load{Running: m.taken(e.ID)}
+			m.both(func(p carobpulley.Placer) { p.Upsert(m.now, e, load) })
+			delete(m.paused, e.ID)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pick":  m.pick,
+			"pick2": m.pick,
+			"done":  m.done,
+			"announce": func(t *rapid.T) {
+				e := draw()
+				e.Draining = rapid.IntRange(0, 9).Draw(t, "draining") == 0
+				announce(e)
+			},
+			"suspect": func(*rapid.T) {
+				e := draw()
+				m.paused[e.ID] = true
+				m.both(func(p carobpulley.Placer) { p.Suspect(m.now, e.ID) })
+			},
+			"configure": func(t *rapid.T) {
+				m.configure(rapid.SampledFrom([]string{"none", "a", "b"}).Draw(t, "out"))
+			},
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		for len(m.held) > 0 {
+			h := m.held[0]
+			m.held = m.held[1:]
+			m.ours.Done(m.now, sample(h.endpoint, h.at, 100*time.Millisecond))
+		}
+		m.configure("none")
+		for range 2 {
+			for i := range machineEndpoints {
+				announce(endpoint(i, string("abc"[i%3])))
+			}
+			m.now = m.now.Add(time.Minute)
+		}
+		// Under full load, half-open breakers get their probe and slow starts end.
+		m.ours.Backlog(0)
+		n := 0
+		for range 40 {
+			m.now = m.now.Add(time.Second)
+			var all []carobpulley.Endpoint
+			for e, ok := m.ours.Pick(m.now, service); ok; e, ok = m.ours.Pick(m.now, service) {
+				all = append(all, e)
+			}
+			n = len(all)
+			for _, e := range all {
+				m.ours.Done(m.now, sample(e, m.now, 100*time.Millisecond))
+			}
+		}
+		if n < 8*machineEndpoints {
+			t.Fatalf("%d places can be had of %d slots", n, 8*machineEndpoints)
+		}
+	})
+}
+
+// Guards against an endpoint that fails everything fast and thereby looks idle
+// and quick: it may get the failures that open its breaker and then one probe
+// per pause.
+func TestFailingEndpointGetsOnlyProbes(t *testing.T) {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	fill(p, start, 3)
+	failed := 0
+	now := start
+	for range 6000 {
+		now = now.Add(10 * time.Millisecond)
+		e, ok := p.Pick(now, service)
+		if !ok {
+			t.Fatal("no endpoint")
+		}
+		s := sample(e, now, 100*time.Millisecond)
+		if e.ID == "e0000" {
+			failed++
+			s.Run, s.Failed = time.Millisecond, true
+		}
+		p.Done(now, s)
+	}
+	// 5 to open, then pauses of 1, 2, 4, 8, 16 and 30 s within a minute.
+	if failed > 5+6 {
+		t.Errorf("the failing endpoint got %d of 6000 tasks", failed)
+	}
+}
+
+// Guards against a service that fails everywhere closing all endpoints to the
+// other services.
+func TestServiceThatFailsEverywhere(t *testing.T) {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	c := catalogue("a")
+	p.Configure(start, c)
+	for i := range 10 {
+		e := endpoint(i, "a")
+		e.Services = []string{"broken", service}
+		p.Upsert(start, e, carobpulley.Load{})
+	}
+	now := start
+	for range 2000 {
+		now = now.Add(20 * time.Millisecond)
+		if e, ok := p.Pick(now, "broken"); ok {
+			s := sample(e, now, time.Millisecond)
+			s.Service, s.Failed = "broken", true
+			p.Done(now, s)
+		}
+		if e, ok := p.Pick(now, service); ok {
+			p.Done(now, sample(e, now, 100*time.Millisecond))
+		}
+	}
+	n := 0
+	for ok := true; ok; n++ {
+		_, ok = p.Pick(now, service)
+	}
+	if n-1 < 8*9 {
+		t.Errorf("%d places can be had for the other service, want at least 72 of 80", n-1)
+	}
+}
+
+// Guards against a returned endpoint that gets its full load at once.
+func TestSlowStart(t *testing.T) {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	fill(p, start, 1)
+	p.Suspect(start, "e0000")
+	p.Upsert(start, endpoint(0, "a"), carobpulley.Load{})
+	got := 0
+	for second, want := range []int{1, 2, 4, 9} {
+		now := start.Add(time.Duration(second) * time.Second)
+		for _, ok := p.Pick(now, service); ok; _, ok = p.Pick(now, service) {
+			got++
+		}
+		if got != want {
+			t.Errorf("second %d: %d places, want %d", second, got, want)
+		}
+	}
+}
+
+// Guards against declared run times that are ten times off, and against the
+// mean of fast endpoints hiding a slow one.
+func TestDeclaredRunTimeIsForgotten(t *testing.T) {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	fill(p, start, 3)
+	now := start
+	took := map[string]int{}
+	for i := range 300 {
+		now = now.Add(250 * time.Millisecond)
+		e, _ := p.Pick(now, service)
+		if i >= 100 {
+			took[e.ID]++
+		}
+		run := 200 * time.Millisecond
+		if e.ID == "e0000" {
+			run *= 4
+		}
+		p.Done(now, sample(e, now, run))
+	}
+	if d := p.Expect(now, service, 0).Sub(now); d < 150*time.Millisecond || d > 300*time.Millisecond {
+		t.Errorf("expected run time is %v, declared 2s, true 200ms", d)
+	}
+	if took["e0000"] > 0 {
+		t.Errorf("the slow endpoint got %d of 200 tasks while others were idle", took["e0000"])
+	}
+}
+
+// Guards against an endpoint that was slow once and is never tried again.
+func TestRecoveredEndpointIsTriedAgain(t *testing.T) {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	fill(p, start, 3)
+	now := start
+	took := 0
+	for i := range 12000 {
+		now = now.Add(50 * time.Millisecond)
+		if i%20 == 0 {
+			for k := range 3 {
+				p.Upsert(now, endpoint(k, string("abc"[k])), carobpulley.Load{})
+			}
+		}
+		e, _ := p.Pick(now, service)
+		run := 200 * time.Millisecond
+		if e.ID == "e0000" && i < 300 {
+			run *= 5
+		} else if e.ID == "e0000" {
+			took++
+		}
+		p.Done(now, sample(e, now, run))
+	}
+	// It was slow for 15 s of the 10 min and is the nearest one.
+	if took < 6000 {
+		t.Errorf("the nearest endpoint got %d of 11700 tasks after it had become fast again", took)
+	}
+}
+
+// Guards against answers of a replaced host counting for the new one.
+func TestSampleOfEarlierIncarnation(t *testing.T) {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	fill(p, start, 1)
+	old, _ := p.Pick(start, service)
+	e := endpoint(0, "a")
+	e.Incarnation = 2
+	now := start.Add(time.Second)
+	p.Upsert(now, e, carobpulley.Load{})
+	if _, ok := p.Pick(now, service); !ok {
+		t.Fatal("no place at the new incarnation")
+	}
+	p.Done(now, sample(old, start, time.Second))
+	if _, ok := p.Pick(now, service); ok {
+		t.Error("an answer of the old incarnation freed a place at the new one")
+	}
+}
+
+// Guards against retries that add more than a tenth to a member's load.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := place.NewBudget(rand.NewPCG(1, 2))
+		now := start
+		requests, retries := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(t, "n") {
+					b.Request(now, "m")
+					requests++
+				}
+			},
+			"retry": func(t *rapid.T) {
+				if b.Retry(now, "m") {
+					retries++
+				}
+				if retries*10 > requests {
+					t.Fatalf("%d retries of %d requests", retries, requests)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		attempt := rapid.IntRange(1, 100).Draw(t, "attempt")
+		if d := b.Backoff(attempt); d < 10*time.Millisecond || d > 2*time.Second {
+			t.Fatalf("backoff %v before attempt %d", d, attempt)
+		}
+	})
+}
