--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -1,10 +1,15 @@
 package admit_test
 
 import (
+	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"carobpulley"
 	"carobpulley/admit"
 )
@@ -66,3 +71,172 @@
 		}
 	}
 }
+
+// Rapid draws from a fixed seed unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// startAll starts what may start and returns how many tasks that were.
+func startAll(a *admit.Admitter, now time.Time) int {
+	n := 0
+	for _, ok := a.Next(now, anywhere); ok; _, ok = a.Next(now, anywhere) {
+		n++
+	}
+	return n
+}
+
+// Guards against a member that stays blocked after its quota has refilled, a
+// full quota right after a restart, quotas that each entry grants in full, and
+// a service's cap that is ignored.
+func TestLimits(t *testing.T) {
+	a := admit.New(endpoints{})
+	c := catalogue(carobpulley.Member{Name: "rated", StartsPerSecond: 2 * quotaRate})
+	c.Services["capped"] = carobpulley.Service{Name: "capped", MaxConcurrent: 2 * serviceCap}
+	a.Configure(start, c)
+	a.SetShare(start, 0.5)
+	for k := range 100 {
+		a.Push(start, waiting("rated", carobpulley.ClassNormal, 1, k, start))
+		w := waiting("other", carobpulley.ClassNormal, 1, k, start)
+		w.Service = "capped"
+		a.Push(start, w)
+	}
+	got := make([]int, 4)
+	for i, ms := range []time.Duration{0, 0, 500, 1500} {
+		got[i] = startAll(a, start.Add(ms*time.Millisecond))
+	}
+	want := []int{serviceCap + quotaRate/2, 0, quotaRate / 2, quotaRate}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("starts (-want +got):\n%s", d)
+	}
+}
+
+// Guards against members of a class that do not share by weight, and against a
+// member that makes up for the time in which it had nothing queued.
+func TestMemberShares(t *testing.T) {
+	a := admit.New(endpoints{})
+	a.Configure(start, catalogue(
+		carobpulley.Member{Name: "early", Weight: 1}, carobpulley.Member{Name: "late", Weight: 3}))
+	for k := range 1000 {
+		a.Push(start, waiting("early", carobpulley.ClassBulk, 1, k, start))
+	}
+	for range 400 {
+		a.Next(start, anywhere)
+	}
+	for k := range 1000 {
+		a.Push(start, waiting("late", carobpulley.ClassBulk, 2, k, start))
+	}
+	late := 0
+	for range 400 {
+		if w, _ := a.Next(start, anywhere); w.Member == "late" {
+			late++
+		}
+	}
+	if late < 298 || late > 302 {
+		t.Errorf("a member with weight 3 of 4 got %d of 400 starts", late)
+	}
+}
+
+// Guards against a task that comes back and loses its place in the queue.
+func TestReturnedTaskGoesFirst(t *testing.T) {
+	a := admit.New(endpoints{})
+	a.Configure(start, catalogue(carobpulley.Member{Name: "m"}))
+	for k := range 3 {
+		a.Push(start, waiting("m", carobpulley.ClassBulk, k, 0, start.Add(time.Duration(k))))
+	}
+	w, _ := a.Next(start, anywhere)
+	a.Done(start, w)
+	a.Push(start, w)
+	if again, _ := a.Next(start, anywhere); again.Task != w.Task {
+		t.Errorf("after %v came back, %v was next", w.Task, again.Task)
+	}
+}
+
+// busy is an Estimator with ten slots and run times of a second.
+type busy struct{ endpoints }
+
+func (busy) Expect(now time.Time, _ string, ahead int) time.Time {
+	return now.Add(time.Second + time.Duration(ahead)*100*time.Millisecond)
+}
+
+func (busy) Least(string) time.Duration { return 100 * time.Millisecond }
+
+// Guards against jobs that are taken in though they can never run or cannot
+// meet their deadline, against refusals without NotRun, and against a member's
+// queue that makes another member's job look late.
+func TestRefusals(t *testing.T) {
+	a := admit.New(busy{})
+	c := catalogue(carobpulley.Member{Name: "m"}, carobpulley.Member{Name: "n"},
+		carobpulley.Member{Name: "rated", StartsPerSecond: 2})
+	c.Services["nowhere"] = carobpulley.Service{Name: "nowhere"}
+	c.Services["small"] = carobpulley.Service{Name: "small", MaxTasks: 3}
+	a.Configure(start, c)
+	for k := range 1000 {
+		a.Push(start, waiting("n", carobpulley.ClassNormal, 1, k, start))
+	}
+	cases := []struct {
+		name, member, service string
+		tasks                 int
+		deadline              time.Duration
+		want                  carobpulley.Kind
+	}{
+		{"runs", "m", "m-normal", 10, 5 * time.Second, ""},
+		{"unknown service", "m", "none", 1, time.Minute, carobpulley.KindImpossible},
+		{"other member's service", "m", "n-normal", 1, time.Minute, carobpulley.KindForbidden},
+		{"no tasks", "m", "m-normal", 0, time.Minute, carobpulley.KindInvalid},
+		{"too many tasks", "m", "m-normal", carobpulley.MaxTasks + 1, time.Minute, carobpulley.KindImpossible},
+		{"over the service's limit", "m", "small", 4, time.Minute, carobpulley.KindImpossible},
+		{"no endpoint", "m", "nowhere", 1, time.Minute, carobpulley.KindImpossible},
+		{"deadline passed", "m", "m-normal", 1, 0, carobpulley.KindImpossible},
+		{"deadline below the least run time", "m", "m-normal", 1, 50 * time.Millisecond, carobpulley.KindImpossible},
+		{"queue too long for the deadline", "n", "n-normal", 1, 20 * time.Second, carobpulley.KindOverload},
+		{"quota too small for the deadline", "rated", "rated-normal", 100, 10 * time.Second, carobpulley.KindQuota},
+	}
+	for _, tc := range cases {
+		spec := carobpulley.JobSpec{
+			ID: jobOf(tc.member, 9), Service: tc.service, Payloads: make([][]byte, tc.tasks), Deadline: start.Add(tc.deadline),
+		}
+		var got carobpulley.Kind
+		var refusal *carobpulley.Error
+		if err := a.Admit(start, spec); errors.As(err, &refusal) {
+			got = refusal.Kind
+			if !refusal.NotRun {
+				t.Errorf("%s: the refusal does not say not run", tc.name)
+			}
+		}
+		if d := cmp.Diff(tc.want, got); d != "" {
+			t.Errorf("%s (-want +got):\n%s", tc.name, d)
+		}
+	}
+}
+
+// Guards against queues without a bound and against one member that fills the
+// queue for the others.
+func TestQueueBounds(t *testing.T) {
+	a := admit.New(endpoints{})
+	a.Configure(start, catalogue(carobpulley.Member{Name: "m"}, carobpulley.Member{Name: "n"}))
+	taken := map[string]int{}
+	for i, member := range []string{"m", "n"} {
+		for k := range 3000 {
+			spec := carobpulley.JobSpec{
+				ID: jobOf(member, k), Service: serviceOf(member, carobpulley.ClassBulk),
+				Payloads: make([][]byte, carobpulley.MaxTasks), Deadline: start.Add(time.Minute),
+			}
+			if a.Admit(start, spec) != nil {
+				break
+			}
+			taken[member]++
+			for index := range spec.Payloads {
+				a.Push(start, waiting(member, carobpulley.ClassBulk, 10_000*i+k, index, start))
+			}
+		}
+	}
+	if taken["m"] >= 3000 || taken["n"] < taken["m"]-1 {
+		t.Errorf("jobs taken in: %v", taken)
+	}
+}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -85,3 +86,24 @@
 		t.Errorf("used %d endpoints, want 3", len(taken))
 	}
 }
+
+// Reports the memory of an endpoint that runs ten services.
+func BenchmarkEndpointBytes(b *testing.B) {
+	const n = 2600
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := place.New(rand.NewPCG(1, 2), nil, "a")
+		services := []string{"s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"}
+		for i := range n {
+			e := endpoint(i, "a")
+			e.Services = services
+			p.Upsert(start, e, carobpulley.Load{})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/endpoint")
+		runtime.KeepAlive(p)
+	}
+}
