Fix two findings of the linter in entry and entryd

The list gets its capacity, and entryd stops its signal context before it exits, as carobctl does.

Ruled out: excluding the findings.

--- a/cmd/entryd/main.go
+++ b/cmd/entryd/main.go
@@ -30,8 +30,9 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	os.Exit(setup.Run(ctx, command(), os.Args, os.Stderr))
+	code := setup.Run(ctx, command(), os.Args, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
 func command() *cli.Command {
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -292,14 +292,15 @@
 }
 
 func (e *Entry) entryStatus(now time.Time) []oper.Process {
-	out := []oper.Process{{
+	out := make([]oper.Process, 0, 1+len(e.peers))
+	out = append(out, oper.Process{
 		Role:        oper.RoleEntry,
 		Name:        e.cfg.Name,
 		Incarnation: e.cfg.Incarnation,
 		Domain:      e.cfg.Domain,
 		State:       drainState(carobpulley.RosterAlive, e.draining),
 		Version:     e.cat.Version,
-	}}
+	})
 	names := make([]string, 0, len(e.peers))
 	for name := range e.peers {
 		names = append(names, name)
