Add bench slopes, which measures the inputs of the capacity page

The load per role at the design size must come from measured slopes, and no command produced them.

Each line holds the values, the least-squares line and its error.

Tests cover the fit and the heap measurement only.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,6 @@
 
 bench:
 	@go run ./cmd/bench
+
+slopes:
+	@go run ./cmd/bench slopes
--- /dev/null
+++ b/cmd/bench/slopes_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"math"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+// TestFit guards against wrong slopes, intercepts and errors, which the figures
+// of docs/CAPACITY.md are worked out from.
+func TestFit(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		x, y []float64
+		want line
+	}{
+		{"exact line", []float64{1, 20, 120}, []float64{103, 160, 460}, line{Slope: 3, Intercept: 100}},
+		// Residuals are 1/3, -2/3 and 1/3.
+		{"scattered", []float64{0, 1, 2}, []float64{1, 1, 3}, line{
+			Slope: 1, Intercept: 2.0 / 3, SlopeError: math.Sqrt(1.0 / 3), Error: math.Sqrt(2.0/9) / (5.0 / 3),
+		}},
+		{"falling", []float64{0, 10, 20}, []float64{20, 10, 0}, line{Slope: -1, Intercept: 20}},
+		{"two points", []float64{1, 2}, []float64{1, 2}, line{}},
+		{"one size", []float64{5, 5, 5}, []float64{1, 2, 3}, line{}},
+		{"no values", []float64{1, 2, 3}, []float64{1, 2}, line{}},
+	} {
+		if d := cmp.Diff(c.want, fit(c.x, c.y), cmpopts.EquateApprox(0, 1e-9)); d != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, d)
+		}
+	}
+}
+
+// TestHeap guards against a figure that misses what is kept alive or counts
+// what is not.
+func TestHeap(t *testing.T) {
+	const size = 8 << 20
+	got := heapBytes(func() any {
+		_ = make([]byte, size)
+		return make([]byte, size)
+	})
+	if got < size || got > size*3/2 {
+		t.Errorf("heap of %d bytes measured as %.0f", size, got)
+	}
+}
