--- a/cmd/entryd/serve.go
+++ b/cmd/entryd/serve.go
@@ -90,6 +90,7 @@
 		Placer:    placer,
 		Admitter:  admit.New(placer),
 		Roster:    roster.New(),
+		Retry:     place.NewBudget(rand.NewPCG(seed, 2)),
 		Stats:     counts,
 		Logger:    p.logger,
 	})
--- a/entry/call.go
+++ b/entry/call.go
@@ -257,8 +257,8 @@
 	if !c.retryable || c.attempt >= maxAttempts || !now.Before(c.r.Deadline) {
 		return false
 	}
-	at, ok := e.retry.Allow(now, c.r.Member, c.attempt)
-	if !ok || !at.Before(c.r.Deadline) {
+	at := now.Add(e.retry.Backoff(c.attempt))
+	if !at.Before(c.r.Deadline) || !e.retry.Retry(now, c.r.Member) {
 		return false
 	}
 	e.counters.retries.Add(1)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -57,6 +57,7 @@
 		return ok
 	}
 	for {
+		e.tellBacklog()
 		w, ok := e.admitter.Next(now, ready)
 		if !ok {
 			break
@@ -70,6 +71,17 @@
 	}
 }
 
+// backlogged is a Placer that weighs waiting here against a slow endpoint.
+type backlogged interface {
+	Backlog(n int)
+}
+
+func (e *Entry) tellBacklog() {
+	if b, ok := e.placer.(backlogged); ok {
+		b.Backlog(e.admitter.Len())
+	}
+}
+
 // release gives a place back that nothing was sent to.
 func (e *Entry) release(now time.Time, service string, ep carobpulley.Endpoint) {
 	e.placer.Done(now, carobpulley.Sample{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,26 +44,22 @@
 	Placer    carobpulley.Placer
 	Admitter  carobpulley.Admitter
 	Roster    carobpulley.Roster
-	// Retry limits retries; nil allows none.
-	Retry  RetryBudget
-	Stats  *stats.Set
-	Logger zerolog.Logger
+	Retry     RetryBudget
+	Stats     *stats.Set
+	Logger    zerolog.Logger
 }
 
-// RetryBudget limits the extra load of retries per member.
+// RetryBudget limits the extra load of retries per member. Package place
+// implements it.
 type RetryBudget interface {
 	// Request counts a request towards the budget.
 	Request(now time.Time, member string)
-	// Allow takes a retry from the budget and returns when to send it.
-	Allow(now time.Time, member string, attempt int) (time.Time, bool)
+	// Retry takes a retry from the budget; it returns false if none is left.
+	Retry(now time.Time, member string) bool
+	// Backoff returns the pause before a retry, the first being attempt 1.
+	Backoff(attempt int) time.Duration
 }
 
-type noRetries struct{}
-
-func (noRetries) Request(time.Time, string) {}
-
-func (noRetries) Allow(time.Time, string, int) (time.Time, bool) { return time.Time{}, false }
-
 // Entry is the shell of one entry process.
 type Entry struct {
 	cfg    Settings
@@ -164,9 +160,6 @@
 		witnesses:      make(map[string]*witnessSender),
 		versionChanged: make(chan struct{}),
 	}
-	if e.retry == nil {
-		e.retry = noRetries{}
-	}
 	e.journal = stream.NewGroup(p.Log, carobpulley.StreamJournalPrefix+cfg.Name, e.newID)
 	for name := range cfg.Peers {
 		e.peers[name] = &peerState{}
