--- a/cmd/bench/slopesentry.go
+++ b/cmd/bench/slopesentry.go
@@ -36,15 +36,6 @@
 	settleLimit = 20 * time.Second
 )
 
-// noRetries is an empty retry budget.
-type noRetries struct{}
-
-// Request implements entry.RetryBudget.
-func (noRetries) Request(time.Time, string) {}
-
-// Allow implements entry.RetryBudget.
-func (noRetries) Allow(time.Time, string, int) (time.Time, bool) { return time.Time{}, false }
-
 // cluster is a set of entries and agents in this process.
 type cluster struct {
 	log     *memlog.Log
@@ -116,7 +107,7 @@
 		e := shell.New(shell.Settings{Name: name, Incarnation: 1, Domain: domainName(i), Peers: peers, Shards: shards}, shell.Parts{
 			Log: c.log, Client: c.client, Authority: owner.NewAuthority(time.Now(), name, 1, shards),
 			Table: owner.NewTable(name, shards), Placer: placer, Admitter: admit.New(placer), Roster: roster.New(),
-			Retry: noRetries{}, Stats: stats.New(), Logger: zerolog.Nop(),
+			Retry: place.NewBudget(rand.NewPCG(1, 1)), Stats: stats.New(), Logger: zerolog.Nop(),
 		})
 		muxes[i].Handle(inner.EntryHandler(e.Service()))
 		c.entries = append(c.entries, e)
