--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,8 +19,8 @@
 
 // Config holds the settings of an agent.
 type Config struct {
-	// Endpoint describes the endpoint. Addr is the agent's advertised address;
-	// Incarnation is set by New.
+	// Endpoint describes the endpoint. Addr is the agent's advertised address,
+	// by default the one it listens on; Incarnation is set by New.
 	Endpoint carobpulley.Endpoint
 	// Base is the URL of the endpoint; tasks are sent to {Base}/run/{service}.
 	Base *url.URL
--- a/agent/run.go
+++ b/agent/run.go
@@ -27,6 +27,7 @@
 		return err
 	}
 	srv.LogTo(a.log)
+	a.advertise(srv.Addr())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g run.Group
@@ -44,6 +45,15 @@
 	return err
 }
 
+// advertise takes the address that the server listens on if none is set.
+func (a *Agent) advertise(addr netip.AddrPort) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.cfg.Endpoint.Addr.IsValid() {
+		a.cfg.Endpoint.Addr = addr
+	}
+}
+
 // live announces until ctx ends, then drains and leaves.
 func (a *Agent) live(ctx context.Context) {
 	last := context.WithoutCancel(ctx)
--- a/cmd/agentd/run.go
+++ b/cmd/agentd/run.go
@@ -79,14 +79,9 @@
 	s.LogLevel(&cfg.level)
 }
 
-// advertise takes the listen address if no other is set.
+// advertise demands an address that others can reach.
 func advertise(cfg *settings) *setup.Problem {
-	e := &cfg.agent.Endpoint
-	if e.Addr.IsValid() {
-		return nil
-	}
-	e.Addr = cfg.listen
-	if e.Addr.Port() != 0 && !e.Addr.Addr().IsUnspecified() {
+	if cfg.agent.Endpoint.Addr.IsValid() || !cfg.listen.Addr().IsUnspecified() {
 		return nil
 	}
 	return &setup.Problem{
@@ -105,6 +100,9 @@
 	transport := agent.NewTransport(cfg.agent.Endpoint.Slots)
 	defer transport.CloseIdleConnections()
 	a := agent.New(cfg.agent, agent.ClientEntries(client), transport, log)
-	expvar.Publish("agent", a.Vars())
+	// Tests start the program more than once in a process.
+	if expvar.Get("agent") == nil {
+		expvar.Publish("agent", a.Vars())
+	}
 	return a.Run(ctx, cfg.listen, cfg.tls)
 }
