inner: raise the limit of replies to what a fence reply can reach

Cause: an agent keeps 64 MB of results and 262144 start records; with the longest ids that is about 154 MiB, and a reply over the limit would leave a new owner without the starts. No test: the limit is a bound only.

--- a/inner/client.go
+++ b/inner/client.go
@@ -31,8 +31,8 @@
 	// MaxAgentMessageBytes bounds a request to an agent: one payload and names.
 	MaxAgentMessageBytes = carobpulley.MaxPayloadBytes + 16<<10
 	// MaxReplyBytes bounds a reply. The largest one is a fence reply with all
-	// results that an agent keeps (64 MB) and their ids.
-	MaxReplyBytes = 80 << 20
+	// that an agent keeps: 64 MB of results and 262144 records of up to 360 bytes.
+	MaxReplyBytes = 160 << 20
 )
 
 // Client sends HTTP calls to other processes over HTTP/2. Calls share a
