Expect other entries' load to return to its usual level

Wasted messages are refusals by endpoints that another entry has filled since the last report. Between reports the number of other entries' tasks moves back to its mean, so the reported number now counts 0.7 and the mean of about 16 reports 0.3.

--- a/place/endpoint.go
+++ b/place/endpoint.go
@@ -17,6 +17,11 @@
 	// slowStartStep is the time in which the allowed places of an endpoint that
 	// returned double (design section 6).
 	slowStartStep = time.Second
+	// A report is on average as old as a good part of a run time. In that time
+	// the tasks of other entries move by towardsUsual to their usual number, the
+	// mean of about usualMemory reports.
+	towardsUsual = 0.3
+	usualMemory  = 16
 	// minLookAhead is the least number of tasks sent ahead of free slots. It
 	// hides the round trip, and lets an entry without tasks at the endpoint take
 	// its part of the slots that other entries' tasks free.
@@ -35,8 +40,10 @@
 	draining  bool
 	suspect   bool
 
-	mine     int
-	others   int
+	mine   int
+	others int
+	// usual is the mean of the reported tasks of other entries.
+	usual    float64
 	recent   int
 	lastSent time.Time
 
@@ -116,7 +123,9 @@
 		e.recent = 0
 	}
 	seen := max(0, e.mine-e.recent)
-	e.others = max(0, l.Running+l.Queued-seen)
+	reported := float64(max(0, l.Running+l.Queued-seen))
+	e.usual += (reported - e.usual) / usualMemory
+	e.others = int(math.Round(reported + towardsUsual*(e.usual-reported)))
 }
 
 func (e *endpoint) usable(now time.Time) bool {
