Benchmark placement with ten services and half the slots taken

The benchmark picked and released the same idle endpoint, so its heaps never changed. It now keeps half of the slots taken by ten services, and releases the oldest task.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -118,7 +118,8 @@
 	f.settleBin(j.bin)
 }
 
-// Next implements carobpulley.Admitter. Its time is logarithmic in members,
+// Next implements carobpulley.Admitter. Once ready has returned true, Next
+// returns a task of that service, so ready may reserve the place. Its time is logarithmic in members,
 // services and queued tasks, plus one call of ready for each waiting service
 // that is not ready. It drops tasks whose deadline has passed; the owner's job
 // table ends them.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -44,21 +44,45 @@
 	return carobpulley.Sample{Endpoint: e.ID, Service: service, SentAt: at, EndedAt: at.Add(run), Run: run}
 }
 
-// Guards against a decision that allocates or scans all endpoints.
+// ten lists the services of an endpoint in the benchmarks.
+var ten = []string{service, "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"}
+
+func crowd(n int) *place.Placer {
+	p := place.New(rand.NewPCG(1, 2), nil, "a")
+	p.Configure(start, catalogue("a", "b", "c"))
+	for i := range n {
+		e := endpoint(i, string("abc"[i%3]))
+		e.Services = ten
+		p.Upsert(start, e, carobpulley.Load{Running: i % 3})
+	}
+	return p
+}
+
+// Guards against a decision that allocates or scans all endpoints. Each
+// iteration is a Pick and a Done with half of the slots taken and ten services
+// at each endpoint.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{10, 300, 2600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			p := place.New(rand.NewPCG(1, 2), nil, "a")
-			fill(p, start, n)
+			p := crowd(n)
 			now := start
+			running := make([]carobpulley.Endpoint, 4*n)
+			for i := range running {
+				running[i], _ = p.Pick(now, ten[i%len(ten)])
+			}
+			i := 0
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(time.Millisecond)
-				e, ok := p.Pick(now, service)
+				s := sample(running[i%len(running)], now, time.Duration(100+i%50)*time.Millisecond)
+				s.Service = ten[i%len(ten)]
+				p.Done(now, s)
+				e, ok := p.Pick(now, ten[i%len(ten)])
 				if !ok {
 					b.Fatal("no endpoint")
 				}
-				p.Done(now, sample(e, now, 100*time.Millisecond))
+				running[i%len(running)] = e
+				i++
 			}
 		})
 	}
@@ -94,13 +118,7 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		p := place.New(rand.NewPCG(1, 2), nil, "a")
-		services := []string{"s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"}
-		for i := range n {
-			e := endpoint(i, "a")
-			e.Services = services
-			p.Upsert(start, e, carobpulley.Load{})
-		}
+		p := crowd(n)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/endpoint")
