bench: tell the end-to-end slopes of one and three entries apart

Both quantities had one name in the JSON lines, so a reader could not tell them apart by name. The number of entries is part of the name now. Nothing else changes.

--- a/cmd/bench/slopesentry.go
+++ b/cmd/bench/slopesentry.go
@@ -214,8 +214,8 @@
 			return nil, err
 		}
 		s := slope{
-			Quantity: "job end to end", Unit: unitNanos, Per: perTask, Code: "entry.Entry.Submit",
-			Fixed: fmt.Sprintf("%d entries, 16 agents that answer at once, 32 jobs open, all in one process, without the callers' HTTP", n),
+			Quantity: fmt.Sprintf("job end to end, entries: %d", n), Unit: unitNanos, Per: perTask, Code: "entry.Entry.Submit",
+			Fixed: "16 agents that answer at once, 32 jobs open, all in one process, without the callers' HTTP",
 		}
 		system := s
 		system.Quantity += ", system time"
