Add a load tool that audits answers, and the end to end run

make e2e runs three entries, six endpoints and their agents as separate programs, and during 45 s of load kills an entry and an agent, stops one of each, takes a domain out and in, and takes the log down. bench load compares every answer with the endpoints' record of starts.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 
 slopes:
 	@go run ./cmd/bench slopes
+
+e2e:
+	@scripts/e2e.sh
--- a/cmd/standin/endpoint.go
+++ b/cmd/standin/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -21,8 +22,8 @@
 POST /run/{service} runs one task with the body as its payload. It takes
 run time / speed, times a factor between 1-spread and 1+spread that is drawn
 from the seed. A payload that is a JSON object with a number "run_ms" gives its
-own run time. The result is the endpoint's name, a line feed and the payload,
-cut at 64 KiB. A caller that closes the request stops its task.
+own run time. The result is {"endpoint": NAME, "payload": PAYLOAD} for a JSON
+payload, else the name, a line feed and the payload; it is cut at 64 KiB. A caller that closes the request stops its task.
 
 GET /starts lists all starts in order, with the headers X-Carob-Job and
 X-Carob-Task and how often this task had started by then; a count over 1 is a
@@ -146,7 +147,10 @@
 	}
 	select {
 	case <-done:
-		result := append([]byte(e.name+"\n"), payload...)
+		result := fmt.Appendf(nil, "%s\n%s", e.name, payload)
+		if json.Valid(payload) {
+			result = fmt.Appendf(nil, `{"endpoint":%q,"payload":%s}`, e.name, payload)
+		}
 		_, _ = w.Write(result[:min(len(result), carobpulley.MaxResultBytes)])
 	case <-hung:
 		replyError(w, http.StatusServiceUnavailable, errors.New("run: endpoint is stopping"))
--- a/cmd/standin/standin_test.go
+++ b/cmd/standin/standin_test.go
@@ -46,7 +46,7 @@
 		}{
 			{settings{200, 1, 0, modeRun}, "abc", 200 * time.Millisecond, 200, "e1\nabc"},
 			{settings{200, 4, 0, modeRun}, "", 50 * time.Millisecond, 200, "e1\n"},
-			{settings{200, 1, 0, modeRun}, `{"run_ms": 30}`, 30 * time.Millisecond, 200, "e1\n{\"run_ms\": 30}"},
+			{settings{200, 1, 0, modeRun}, `{"run_ms": 30}`, 30 * time.Millisecond, 200, `{"endpoint":"e1","payload":{"run_ms": 30}}`},
 			{settings{200, 1, 0, modeFail}, "", 0, 500, "{\"message\":\"run: set to fail\"}\n"},
 			{settings{200, 1, 0, modeHang}, "", time.Hour - 280*time.Millisecond, 503, "{\"message\":\"run: endpoint is stopping\"}\n"},
 		} {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -26,7 +26,7 @@
 }
 
 wait_for_exit() {
-	wait "${pid_of[$1]}" 2>/dev/null || true
+	{ wait "${pid_of[$1]}" || true; } 2>/dev/null
 }
 
 # start NAME COMMAND... starts a program with its output in files.
@@ -135,3 +135,16 @@
 	done
 	fail "the catalogue was not accepted: $(cat "$dir/apply.out")"
 }
+
+# set_log_faults BASE JSON sets the faults of the stand-in log.
+set_log_faults() {
+	local status
+	exec 3<>"/dev/tcp/$host/$1"
+	printf 'PUT /faults HTTP/1.0\r\nContent-Length: %d\r\n\r\n%s' "${#2}" "$2" >&3
+	read -r status <&3
+	exec 3>&-
+	case "$status" in
+	*" 20"*) ;;
+	*) fail "the log's faults were not set: $status" ;;
+	esac
+}
