Add the fault matrix, the state machines and the order of claims

Cause: the guarantees have to hold under any fault and any pair of faults at each step of a job's life.

Change: tests play schedules in virtual time with three entries, six agents and a log, and check every start and every answer. docs/fault-matrix.md is written by the test. rapid compares the table with a map of keys, porcupine checks the order of claims. make test-long adds 20,000 schedules.

A takeover that could not read the log took it for the job's body, and its caller got the results of the other body. Copies are pending until the owner has taken the job (Claim.Pending). Also fixed, by reading: an answer taken over was told with one holder only; a closed shard's claims were lost if the new owner asked later.

Ruled out: a digest in each start record at the agents, which is more memory at each of them.

--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,9 @@
 
 fmt:
 	@bin="$$(scripts/tools.sh)"; for m in . cmd/*/; do (cd $$m && $$bin/golangci-lint fmt ./...); done
+
+# Runs the fault matrix with 20,000 further schedules and the state machines
+# with 20,000 runs, ten minutes at most. SEED chooses others than the default.
+SEED ?= 1
+test-long:
+	CAROB_SCHEDULES=20000 go test -count=1 -timeout 10m -run 'TestFaultMatrix$$|AgainstModel' ./owner -rapid.checks=20000 -rapid.seed=$(SEED)
--- a/job.go
+++ b/job.go
@@ -120,6 +120,8 @@
 	// Digest identifies the body; zero if it is to be computed from Spec. It
 	// stays when the payloads are dropped.
 	Digest uint64
+	// Pending is set in a receiver's copy until the owner has taken the job.
+	Pending bool
 	// Answer is set once the job has ended. An owner that hands its shard over
 	// sets it to the running state, with all results.
 	Answer *Answer
--- a/owner/job.go
+++ b/owner/job.go
@@ -30,8 +30,9 @@
 	refused bool
 	// merged is an earlier owner's answer while the shard is being opened.
 	merged *carobpulley.Claim
-	// disputed is set if the merge cannot tell which body the key has.
-	disputed bool
+	// pending is set while all merged claims are receivers' copies that no
+	// owner is known to have taken.
+	pending bool
 	// handed is set if the previous owner handed over the state of the tasks.
 	handed bool
 	// dropped is set once the answer is no longer stored.
@@ -58,6 +59,15 @@
 	unresolved bool
 }
 
+// disputed is the digest of a key of which the merge cannot tell the body. It
+// equals that of no body, in claims too.
+const disputed = 1
+
+// disputed reports whether the body of the job is not known.
+func (j *job) disputed() bool {
+	return j.digest == disputed
+}
+
 // Digest identifies the body of a job. The deadline is not part of it, since
 // an entry may derive it from the time at which a submission arrived.
 func Digest(spec carobpulley.JobSpec) uint64 {
@@ -74,7 +84,7 @@
 		part(len(p))
 		_, _ = d.Write(p)
 	}
-	return max(d.Sum64(), 1)
+	return max(d.Sum64(), disputed+1)
 }
 
 // settled reports whether all tasks have ended.
@@ -147,7 +157,7 @@
 
 // conclude returns the outcome of a job whose tasks have all ended.
 func (j *job) conclude() (carobpulley.Outcome, *carobpulley.Error) {
-	if j.disputed {
+	if j.disputed() {
 		return carobpulley.OutcomeFailed, newError("job", carobpulley.KindUnknown, "claims of the key were lost or conflict")
 	}
 	done, notRun := 0, 0
--- a/owner/merge.go
+++ b/owner/merge.go
@@ -11,7 +11,7 @@
 
 // openShard takes a shard over with all that was found of its jobs.
 func (t *Table) openShard(now time.Time, ev carobpulley.ShardOpened, out *[]carobpulley.Action) {
-	t.closeShard(ev.Shard, out)
+	t.closeShard(now, ev.Shard, out)
 	sh := &shard{index: ev.Shard, epoch: ev.Epoch, jobs: map[carobpulley.JobID]*job{}}
 	t.shards[ev.Shard] = sh
 	if !ev.AllAgents && !ev.AllClaims {
@@ -24,16 +24,20 @@
 		t.mergeStarted(now, sh, s)
 	}
 	for _, j := range sh.sorted() {
-		t.resume(now, j, ev.AllAgents && ev.AllClaims, out)
+		t.resume(now, j, ev, out)
 	}
 }
 
-// closeShard forgets the jobs of a shard that another entry owns from now on.
-func (t *Table) closeShard(index int, out *[]carobpulley.Action) {
+// closeShard forgets the jobs of a shard that another entry owns from now on,
+// except for their claims.
+func (t *Table) closeShard(now time.Time, index int, out *[]carobpulley.Action) {
 	sh := t.shards[index]
 	if sh == nil {
 		return
 	}
+	for _, c := range t.Claims(index) {
+		t.closed.Hold(now, c)
+	}
 	for _, j := range sh.sorted() {
 		if j.held && !j.settled() && j.has(carobpulley.PhaseWaiting) {
 			*out = append(*out, carobpulley.DropTasks{Job: j.spec.ID})
@@ -44,16 +48,21 @@
 }
 
 // Claims implements carobpulley.JobTable. The state of jobs that run is part
-// of their claims, so that the new owner knows which tasks were never sent.
+// of their claims, so that the new owner knows which tasks were never sent. Of
+// a closed shard it returns the claims at the time of its closing.
 func (t *Table) Claims(index int) []carobpulley.Claim {
 	sh := t.shards[index]
 	if sh == nil {
-		return nil
+		return t.closed.list(index)
 	}
 	out := make([]carobpulley.Claim, 0, len(sh.jobs))
 	for _, j := range sh.sorted() {
+		if j.settled() {
+			out = append(out, j.finalClaim())
+			continue
+		}
 		c := j.claim()
-		a := j.state(j.outcome == carobpulley.OutcomeRunning || j.outcome == carobpulley.OutcomeComplete)
+		a := j.state(true)
 		c.Answer = &a
 		out = append(out, c)
 	}
@@ -76,38 +85,57 @@
 }
 
 // mergeClaim adds one copy of a claim. An answer prevails over a claim without
-// one, a complete answer over any other. Copies with different bodies come from
-// submissions in conflict of which the old owner took at most one; since it is
-// not known which, the job's outcome is unknown.
+// one, a complete answer over any other.
 func (t *Table) mergeClaim(sh *shard, c carobpulley.Claim) {
-	digest := c.Digest
-	if digest == 0 {
-		digest = Digest(c.Spec)
+	if c.Digest == 0 {
+		c.Digest = Digest(c.Spec)
 	}
 	j := sh.jobs[c.Spec.ID]
 	if j == nil {
-		j = newJob(sh, c.Spec, digest)
+		j = newJob(sh, c.Spec, c.Digest)
+		j.pending = c.Pending
 		t.store(j)
 	}
 	j.spec.Deadline = earlier(j.spec.Deadline, c.Spec.Deadline)
 	heap.Fix(&t.running, j.index)
 	switch {
-	case c.Answer != nil && c.Answer.Outcome == carobpulley.OutcomeRunning:
-		if c.Epoch+1 == sh.epoch {
-			j.adopt(c, digest)
+	case c.Answer == nil:
+		j.mergeBody(c)
+	case c.Answer.Outcome != carobpulley.OutcomeRunning:
+		if j.merged == nil || prevails(c, *j.merged) {
+			j.merged, j.digest = &c, c.Digest
 		}
-	case c.Answer != nil && (j.merged == nil || prevails(c, *j.merged)):
-		j.merged, j.digest = &c, digest
-	case c.Answer == nil && j.merged == nil && !j.handed && j.digest != digest:
-		j.disputed = true
+	case c.Epoch+1 == sh.epoch:
+		j.adopt(c)
+	default:
+		j.mergeBody(c)
+	}
+}
+
+// mergeBody compares the bodies of two claims. A claim that an owner took
+// prevails over a receiver's copy. Among copies that no owner is known to have
+// taken, the old owner took at most one, and it is not known which.
+func (j *job) mergeBody(c carobpulley.Claim) {
+	if j.merged != nil || j.handed {
+		return
+	}
+	switch {
+	case j.digest == c.Digest:
+		j.pending = j.pending && c.Pending
+	case j.pending && !c.Pending:
+		j.pending, j.digest = false, c.Digest
+		j.spec.Payloads = c.Spec.Payloads
+		j.tasks = newJob(j.shard, c.Spec, c.Digest).tasks
+	case j.pending == c.Pending:
+		j.digest = disputed
 	}
 }
 
 // adopt takes the state that the owner of the epoch before handed over. The
 // state of any other epoch is out of date.
-func (j *job) adopt(c carobpulley.Claim, digest uint64) {
-	j.handed, j.disputed = true, false
-	j.digest = digest
+func (j *job) adopt(c carobpulley.Claim) {
+	j.handed, j.pending = true, false
+	j.digest = c.Digest
 	j.spec.Payloads = c.Spec.Payloads
 	j.cancelled = c.Answer.Cancelled
 	j.tasks = restored(c.Answer.Tasks)
@@ -139,8 +167,7 @@
 func (t *Table) mergeStarted(now time.Time, sh *shard, s carobpulley.StartedTask) {
 	j := sh.jobs[s.ID.Job]
 	if j == nil {
-		j = newJob(sh, carobpulley.JobSpec{ID: s.ID.Job, Deadline: now}, 0)
-		j.disputed = true
+		j = newJob(sh, carobpulley.JobSpec{ID: s.ID.Job, Deadline: now}, disputed)
 		t.store(j)
 	}
 	if s.ID.Index < 0 || s.ID.Index >= len(j.tasks) {
@@ -158,25 +185,19 @@
 }
 
 // resume continues a merged job. Its claim needs a second holder again before a
-// further start, since this entry may have been the only one left. Tasks that no agent reports as started are
-// queued if every agent and every claim is known: without all agents they may
-// have started, without all claims the job may have been answered as not run.
-func (t *Table) resume(now time.Time, j *job, known bool, out *[]carobpulley.Action) {
+// further start, since this entry may have been the only one left. Tasks that
+// no agent reports as started are queued if every agent and every claim is
+// known: without all agents they may have started, without all claims the job
+// may have been answered as not run or have another body.
+func (t *Table) resume(now time.Time, j *job, ev carobpulley.ShardOpened, out *[]carobpulley.Action) {
 	if j.merged != nil {
 		t.restore(now, j, out)
 		return
 	}
-	j.open = 0
-	known = (known || j.handed) && !j.disputed
-	for i := range j.tasks {
-		k := &j.tasks[i]
-		if k.phase == carobpulley.PhaseWaiting && !known {
-			k.phase, k.err = carobpulley.PhaseUnknown, "the task may have started under an earlier owner"
-		}
-		if !k.phase.Ended() {
-			j.open++
-		}
+	if j.pending && !ev.AllClaims {
+		j.digest = disputed
 	}
+	j.endUnknown(j.handed || ev.AllAgents && ev.AllClaims)
 	for i := range j.tasks {
 		if k := &j.tasks[i]; k.phase == carobpulley.PhaseRunning || k.phase == carobpulley.PhaseDispatched {
 			k.attempt = int(j.shard.epoch) << attemptBits
@@ -191,7 +212,23 @@
 	}
 }
 
-// restore sets a job to the answer that an earlier owner gave.
+// endUnknown ends the tasks that may have started elsewhere: all open ones if
+// the body is not known, else those not reported unless all is known.
+func (j *job) endUnknown(known bool) {
+	j.open = 0
+	for i := range j.tasks {
+		k := &j.tasks[i]
+		if j.disputed() && !k.phase.Ended() || !known && k.phase == carobpulley.PhaseWaiting {
+			k.phase, k.err = carobpulley.PhaseUnknown, "the task may have started under an earlier owner"
+		}
+		if !k.phase.Ended() {
+			j.open++
+		}
+	}
+}
+
+// restore sets a job to the answer that an earlier owner gave or was to give.
+// One that is not complete needs a second holder again before it is told.
 func (t *Table) restore(now time.Time, j *job, out *[]carobpulley.Action) {
 	a := j.merged.Answer
 	j.merged = nil
@@ -203,8 +240,10 @@
 		t.refusals++
 	}
 	j.tasks = restored(a.Tasks)
-	t.retire(now, j)
-	j.dropped = j.final == carobpulley.OutcomeComplete && len(j.tasks) == 0
+	if j.final == carobpulley.OutcomeComplete || !now.Before(j.spec.Deadline) {
+		t.retire(now, j)
+		j.dropped = j.final == carobpulley.OutcomeComplete && len(j.tasks) == 0
+	}
 	c := j.finalClaim()
 	*out = append(*out, carobpulley.WriteJournal{Claim: c}, carobpulley.HoldClaim{Claim: c})
 }
--- a/owner/retain.go
+++ b/owner/retain.go
@@ -143,6 +143,7 @@
 
 // expire ends what has passed its time.
 func (t *Table) expire(now time.Time, out *[]carobpulley.Action) {
+	t.closed.Expire(now)
 	t.dropAnswers(now)
 	for j := t.ended.first; j != nil && now.Sub(j.endedAt) >= KeyRetention; j = t.ended.first {
 		t.forget(j)
--- /dev/null
+++ b/owner/simagent_test.go
@@ -0,0 +1,180 @@
+package owner
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"carobpulley"
+)
+
+// simGate is a small model of the agent's gate.
+type simGate struct {
+	w       *world
+	epochs  map[int]uint64
+	started map[carobpulley.TaskID]*carobpulley.StartedTask
+	refused map[carobpulley.TaskID]int
+	version uint64
+	out     bool
+	running int
+	offset  int64
+}
+
+var _ carobpulley.Gate = (*simGate)(nil)
+
+func (g *simGate) Enter(now time.Time, in carobpulley.Entering) error {
+	d := in.Dispatch
+	if g.started[d.ID] != nil && !g.w.lacks("started") {
+		return &carobpulley.Error{Kind: carobpulley.KindStarted}
+	}
+	kind := g.check(now, in)
+	if kind != "" {
+		g.refused[d.ID] = max(g.refused[d.ID], d.Attempt)
+		return &carobpulley.Error{Kind: kind, NotRun: true}
+	}
+	g.epochs[d.Shard] = d.Epoch
+	g.started[d.ID] = &carobpulley.StartedTask{ID: d.ID, Phase: carobpulley.PhaseRunning}
+	g.running++
+	return nil
+}
+
+func (g *simGate) check(now time.Time, in carobpulley.Entering) carobpulley.Kind {
+	d := in.Dispatch
+	g.Configure(in.ConfigVersion, in.InService)
+	switch {
+	case d.Epoch < g.epochs[d.Shard] && !g.w.lacks("epoch"):
+		return carobpulley.KindStaleEpoch
+	case d.Attempt <= g.refused[d.ID]:
+		return carobpulley.KindCancelled
+	case g.Clock(now)-in.Echo > int64(carobpulley.EchoValidity) && !g.w.lacks("echo"):
+		return carobpulley.KindStaleEcho
+	case !now.Before(d.Deadline):
+		return carobpulley.KindDeadline
+	case g.out:
+		return carobpulley.KindOutOfService
+	case g.running >= 3 || g.w.slow && g.running >= 1:
+		return carobpulley.KindBusy
+	}
+	return ""
+}
+
+func (g *simGate) End(_ time.Time, t carobpulley.StartedTask) {
+	if k := g.started[t.ID]; k != nil && !k.Phase.Ended() {
+		*k = t
+		g.running--
+	}
+}
+
+func (g *simGate) Query(_ time.Time, id carobpulley.TaskID, _ int, _ uint64, attempt int) (carobpulley.StartedTask, error) {
+	if k := g.started[id]; k != nil {
+		return *k, nil
+	}
+	if !g.w.lacks("query") {
+		g.refused[id] = max(g.refused[id], attempt)
+	}
+	return carobpulley.StartedTask{ID: id, Phase: carobpulley.PhaseNotRun}, nil
+}
+
+func (g *simGate) Fence(_ time.Time, shards []carobpulley.Ownership) (out []carobpulley.StartedTask, complete bool) {
+	for _, o := range shards {
+		g.epochs[o.Shard] = max(g.epochs[o.Shard], o.Epoch)
+	}
+	for _, k := range g.started {
+		shard := carobpulley.ShardOf(k.ID.Job, simShards)
+		if slices.ContainsFunc(shards, func(o carobpulley.Ownership) bool { return o.Shard == shard }) {
+			out = append(out, *k)
+		}
+	}
+	slices.SortFunc(out, func(a, b carobpulley.StartedTask) int {
+		return strings.Compare(fmt.Sprint(a.ID), fmt.Sprint(b.ID))
+	})
+	return out, true
+}
+
+func (g *simGate) Configure(version uint64, inService bool) {
+	if version > g.version && !g.w.lacks("config") {
+		g.version, g.out = version, !inService
+	}
+}
+
+func (g *simGate) Drain() {}
+
+func (g *simGate) Clock(now time.Time) int64 { return now.Sub(start).Nanoseconds() + g.offset }
+
+// simAgent is an agent with its endpoint.
+type simAgent struct {
+	proc
+	w    *world
+	gate *simGate
+}
+
+// dispatched is an agent's answer to a dispatch, a query or a cancellation.
+type dispatched struct {
+	state       carobpulley.StartedTask
+	kind        carobpulley.Kind
+	clock       int64
+	incarnation uint64
+}
+
+// boot starts a new process without memory.
+func (a *simAgent) boot() {
+	a.gen++
+	a.dead, a.pausedUntil = false, time.Time{}
+	a.gate = &simGate{
+		w: a.w, epochs: map[int]uint64{}, started: map[carobpulley.TaskID]*carobpulley.StartedTask{},
+		refused: map[carobpulley.TaskID]int{}, offset: a.w.rng.Int64N(1e12),
+	}
+	a.w.every(&a.proc, time.Second, func() {
+		clock, gen := a.gate.Clock(a.w.now), a.gen
+		for _, e := range a.w.entries {
+			a.w.send(&a.proc, &e.proc, func() { e.announced(a, gen, clock) })
+		}
+	})
+}
+
+func (a *simAgent) answer(state carobpulley.StartedTask, kind carobpulley.Kind) dispatched {
+	return dispatched{state: state, kind: kind, clock: a.gate.Clock(a.w.now), incarnation: a.gen}
+}
+
+// dispatch gates a task and runs it.
+func (a *simAgent) dispatch(in carobpulley.Entering, reply func(dispatched)) {
+	id := in.Dispatch.ID
+	if in.Incarnation != a.gen {
+		reply(a.answer(carobpulley.StartedTask{}, carobpulley.KindWrongAgent))
+		return
+	}
+	var refusal *carobpulley.Error
+	if errors.As(a.gate.Enter(a.w.now, in), &refusal) {
+		reply(a.answer(carobpulley.StartedTask{}, refusal.Kind))
+		return
+	}
+	a.w.started(a, in.Dispatch)
+	run := 30*time.Millisecond + a.w.upTo(600*time.Millisecond)
+	if a.w.slow {
+		run *= 8
+	}
+	a.w.on(&a.proc, run, func() {
+		a.end(carobpulley.StartedTask{
+			ID: id, Phase: carobpulley.PhaseDone, Status: 200, Result: []byte("r:" + string(in.Dispatch.Payload)),
+		})
+		reply(a.answer(*a.gate.started[id], ""))
+	})
+	a.w.at("started", id.Job, a.w.entryOf(id.Job), a)
+}
+
+func (a *simAgent) end(t carobpulley.StartedTask) {
+	t.Endpoint = a.name
+	a.gate.End(a.w.now, t)
+}
+
+// query returns the state of a task; stop also stops one that runs.
+func (a *simAgent) query(d carobpulley.Dispatch, stop bool, reply func(dispatched)) {
+	state, _ := a.gate.Query(a.w.now, d.ID, d.Shard, d.Epoch, d.Attempt)
+	if stop && state.Phase == carobpulley.PhaseRunning {
+		a.end(carobpulley.StartedTask{ID: d.ID, Phase: carobpulley.PhaseStopped})
+		state, _ = a.gate.Query(a.w.now, d.ID, d.Shard, d.Epoch, d.Attempt)
+	}
+	reply(a.answer(state, ""))
+}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -103,6 +103,11 @@
 
 // resubmit joins a submission to the job that has its key.
 func (t *Table) resubmit(j *job, digest uint64, ev carobpulley.Submitted, out *[]carobpulley.Action) {
+	if j.disputed() {
+		err := newError("submit", carobpulley.KindUnknown, "claims of the key were lost or conflict")
+		*out = append(*out, carobpulley.Rejected{Job: ev.Spec.ID, Err: err})
+		return
+	}
 	if j.digest != digest {
 		err := newError("submit", carobpulley.KindConflict, "the key is in use with another body")
 		*out = append(*out, carobpulley.Rejected{Job: ev.Spec.ID, Err: err})
--- a/owner/table.go
+++ b/owner/table.go
@@ -43,6 +43,9 @@
 	ended       retained
 	answerBytes int
 	refusals    int
+	// closed keeps the claims of shards that this entry gave away, since the
+	// new owner may ask for them later.
+	closed *Witness
 }
 
 // shard is an owned part of the key space.
@@ -59,7 +62,7 @@
 
 // NewTable returns a table without shards for the entry of the given name.
 func NewTable(name string, shards int) *Table {
-	return &Table{name: name, shards: make([]*shard, shards)}
+	return &Table{name: name, shards: make([]*shard, shards), closed: NewWitness(shards)}
 }
 
 // Step implements carobpulley.JobTable.
@@ -85,7 +88,7 @@
 	case carobpulley.ShardOpened:
 		t.openShard(now, ev, &out)
 	case carobpulley.ShardClosed:
-		t.closeShard(ev.Shard, &out)
+		t.closeShard(now, ev.Shard, &out)
 	case carobpulley.Tick:
 		t.expire(now, &out)
 	}
--- a/owner/task.go
+++ b/owner/task.go
@@ -7,7 +7,8 @@
 )
 
 // taskEnded takes a result. A doubled or reordered answer changes nothing,
-// since only the newest attempt counts and an ended job stays as it is.
+// since only the newest attempt counts and an ended job stays as it is. A result
+// after a refusal of the same attempt counts: the task must not start again.
 func (t *Table) taskEnded(now time.Time, ev carobpulley.TaskEnded, out *[]carobpulley.Action) {
 	j, k := t.task(ev.ID)
 	if k == nil || k.attempt != ev.Attempt || j.settled() {
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -47,7 +47,8 @@
 
 // Hold stores a copy of a claim. It returns false if this entry gave way to a
 // newer epoch of the shard: the new owner would not learn of the copy. A
-// receiver holds the claim before it forwards the submission.
+// receiver holds the claim as pending before it forwards the submission, and
+// again without the mark once the owner has taken the job.
 func (w *Witness) Hold(now time.Time, c carobpulley.Claim) bool {
 	if c.Shard < 0 || c.Shard >= len(w.shards) || c.Epoch < w.yielded[c.Shard] {
 		return false
@@ -63,6 +64,9 @@
 		heap.Push(&w.expiry, h)
 		return true
 	}
+	if c.Pending && !h.claim.Pending {
+		return true
+	}
 	if c.Answer == nil && h.claim.Answer != nil && c.Epoch <= h.claim.Epoch {
 		return true
 	}
@@ -98,12 +102,18 @@
 			continue
 		}
 		w.yielded[o.Shard] = max(w.yielded[o.Shard], o.Epoch)
-		from := len(out)
-		for _, h := range w.shards[o.Shard] {
-			out = append(out, h.claim)
-		}
-		slices.SortFunc(out[from:], compareClaims)
+		out = append(out, w.list(o.Shard)...)
+	}
+	return out
+}
+
+// list returns the claims held of a shard in the order of their jobs.
+func (w *Witness) list(shard int) []carobpulley.Claim {
+	out := make([]carobpulley.Claim, 0, len(w.shards[shard]))
+	for _, h := range w.shards[shard] {
+		out = append(out, h.claim)
 	}
+	slices.SortFunc(out, compareClaims)
 	return out
 }
 
