Mark claims of receivers as pending until the owner took the job

The fault matrix found that a receiver whose conflict answer was lost holds a body that no owner took; the shell now marks its copies and drops them only on a conflict.

--- a/entry/submit.go
+++ b/entry/submit.go
@@ -184,7 +184,7 @@
 
 // submitThere forwards a submission, with this entry as second holder of its claim.
 func (e *Entry) submitThere(ctx context.Context, own carobpulley.Ownership, spec carobpulley.JobSpec, wait bool) (carobpulley.Answer, error) {
-	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch}
+	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true}
 	receiver := ""
 	if e.holdFor(claim) {
 		receiver = e.cfg.Name
@@ -210,30 +210,40 @@
 	return e.witness.Hold(time.Now(), c)
 }
 
-// keep stores what the owner answered beside the claim: a final answer, or a
-// refusal as not run, which a new owner must not contradict. The claim of a
-// submission that the owner did not take is dropped, so that it does not stand
-// against the one that it took.
+// keep stores what the owner answered beside the claim: that it took the job, a
+// final answer, or a refusal as not run, which a new owner must not contradict.
+// The claim of a body that is in conflict is dropped, so that it does not stand
+// against the one that the owner took. After any other error the claim stays
+// pending.
 func (e *Entry) keep(c carobpulley.Claim, a carobpulley.Answer, err error) {
-	switch {
-	case err == nil && a.Outcome == carobpulley.OutcomeRunning:
+	c.Digest = owner.Digest(c.Spec)
+	if err != nil {
+		e.keepRefusal(c, inner.AsError(err))
 		return
-	case err == nil:
+	}
+	c.Pending = false
+	if a.Outcome != carobpulley.OutcomeRunning {
 		c.Answer = &a
-	case inner.AsError(err).NotRun:
+		c.Spec.Payloads = nil
+	}
+	e.holdFor(c)
+}
+
+func (e *Entry) keepRefusal(c carobpulley.Claim, err *carobpulley.Error) {
+	switch {
+	case err.NotRun:
+		c.Pending = false
+		c.Spec.Payloads = nil
 		c.Answer = &carobpulley.Answer{
 			ID:      c.Spec.ID,
 			Service: c.Spec.Service,
 			Outcome: carobpulley.OutcomeNotRun,
-			Err:     inner.AsError(err),
+			Err:     err,
 		}
-	default:
+		e.holdFor(c)
+	case err.Kind == carobpulley.KindConflict:
 		e.dropFor(c)
-		return
 	}
-	c.Digest = owner.Digest(c.Spec)
-	c.Spec.Payloads = nil
-	e.holdFor(c)
 }
 
 func (e *Entry) dropFor(c carobpulley.Claim) {
--- a/inner/job.go
+++ b/inner/job.go
@@ -292,6 +292,8 @@
 		Shard:  uint32(v.Shard),
 		Epoch:  v.Epoch,
 		Digest: v.Digest,
+
+		Pending: v.Pending,
 	}
 	if v.Answer != nil {
 		out.Answer = stateToWire(JobReply{Answer: *v.Answer})
@@ -307,7 +309,7 @@
 }
 
 func (c *check) claim(v *wire.Claim) carobpulley.Claim {
-	out := carobpulley.Claim{Digest: v.GetDigest()}
+	out := carobpulley.Claim{Digest: v.GetDigest(), Pending: v.GetPending()}
 	out.Shard, out.Epoch = c.shard(v.GetShard(), v.GetEpoch(), false)
 	if v.GetAnswer() == nil {
 		out.Spec = c.spec(v.GetSpec())
