Announce the agent's configuration version, map job errors to exit codes

TestAgentsTellTheirVersion fails without the change after its limit. carobctl job printed every refusal as a usage error with exit code 2; it now names the kind and has exit codes of its own.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -112,6 +112,7 @@
 		Leaving:   leaving,
 	}
 	v.Endpoint.Draining = a.draining
+	v.ConfigVersion, _ = a.gate.Config()
 	return v
 }
 
--- a/cmd/carobctl/job.go
+++ b/cmd/carobctl/job.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/urfave/cli/v3"
 
@@ -22,7 +23,11 @@
   carobctl job submit --key order-1 --service booking.check --payload '{"van":12}' --wait
   carobctl job submit --key order-2 --service booking.check --tasks 120 --wait
   carobctl job get order-1
-  carobctl job cancel order-1`
+  carobctl job cancel order-1
+
+Exit codes: 0 answered, 1 failed, 2 wrong input, 3 the key is in use with another
+body, 4 refused and nothing has run, 5 the outcome is not known: ask again with
+the same key.`
 
 // flagMemberToken is not --token, which is the operators'.
 const flagMemberToken = "member-token"
@@ -139,10 +144,38 @@
 	}
 }
 
+// printAnswer prints an answer. A refusal keeps its kind in the message and in
+// the exit code.
 func printAnswer(cmd *cli.Command, b []byte, err error) error {
+	var e *carobpulley.Error
+	if errors.As(err, &e) {
+		return exitf(jobExit(e), "%s: %s%s", e.Kind, e.Msg, notRun(e))
+	}
 	if err != nil {
-		return err
+		return exitf(exitUnknown, "no answer: %v; ask again with the same key", err)
 	}
 	_, err = cmd.Root().Writer.Write(b)
 	return err
 }
+
+func notRun(e *carobpulley.Error) string {
+	if e.NotRun {
+		return " (nothing has run)"
+	}
+	return ""
+}
+
+func jobExit(e *carobpulley.Error) int {
+	switch {
+	case e.Kind == carobpulley.KindConflict:
+		return exitConflict
+	case e.Kind == carobpulley.KindInvalid:
+		return exitUsage
+	case e.NotRun:
+		return exitNotAccepted
+	case e.Kind == carobpulley.KindUnknown || e.Kind == carobpulley.KindUnavailable:
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -221,3 +221,19 @@
 	}
 	c.starts.checkOnce(t)
 }
+
+// Guards against a status that never shows which version the agents know, on
+// which apply --wait depends.
+func TestAgentsTellTheirVersion(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 10*time.Millisecond)
+	n := c.entries["entry-1"]
+	for c.ctx.Err() == nil {
+		s := n.Status()
+		if len(s.Processes) == 9 && len(s.Behind(1)) == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Errorf("processes that are not known to have version 1: %v", n.Status().Behind(1))
+}
