Harden holding, circuit breaker and slow start

Four faults found by tests and by reading: - Tasks waited for a faster endpoint although none was usable, so a slow one alone served one task at a time. Holding now needs a usable fast endpoint. - One failure doubled an endpoint's estimate until its next success, so rare failures moved work to slow endpoints. A failure now counts a quarter and fades by 2% with each announcement. - A service that fails everywhere opened all breakers where three endpoints run it; its failure rate now remembers 8 results instead of 32. - The steps of a slow start were lost while no event came.

--- a/place/breaker.go
+++ b/place/breaker.go
@@ -9,6 +9,10 @@
 	// breakerFailures is the weighted number of failures in a row that opens
 	// the breaker.
 	breakerFailures = 4.5
+	// breakerForget is the part of the failures that counts on after an
+	// announcement, about a second later, so that rare failures without a
+	// success in between do not add up.
+	breakerForget = 0.98
 	// breakerPause is the first pause of an open breaker. It doubles with each
 	// failed probe up to breakerPauseMax.
 	breakerPause    = time.Second
@@ -67,6 +71,13 @@
 	b.until = now.Add(pause + time.Duration(breakerJitter*rng.Float64()*float64(pause)))
 }
 
+// forget weakens the failures of a closed breaker.
+func (b *breaker) forget() {
+	if b.opened == 0 {
+		b.failures *= breakerForget
+	}
+}
+
 // tick lets the time pass; an open breaker becomes half open at b.until.
 func (b *breaker) tick(now time.Time) {
 	if !b.until.After(now) {
--- a/place/endpoint.go
+++ b/place/endpoint.go
@@ -190,7 +190,7 @@
 	}
 	if !e.warm && !e.growAt.After(now) {
 		e.grow(e.allow)
-		e.growAt = now.Add(slowStartStep)
+		e.growAt = e.growAt.Add(slowStartStep)
 	}
 }
 
--- a/place/estimate.go
+++ b/place/estimate.go
@@ -32,10 +32,13 @@
 	meanDrift = 0.25
 	// failureMemory is the number of results that the failure rate of a service
 	// remembers.
-	failureMemory = 32
+	failureMemory = 8
 	// slowRun is the run time over the service's mean from which an endpoint is
 	// slow enough that a task may wait for another.
 	slowRun = 1.1
+	// failureRaise is the part by which each recent failure raises the expected
+	// run time at an endpoint. One failure among many changes little.
+	failureRaise = 0.25
 	// leastMemory is the number of results after which a shortest run time is
 	// largely forgotten, so that an outlier does not count for ever.
 	leastMemory = 1024
@@ -45,8 +48,9 @@
 type service struct {
 	ready     readyHeap
 	endpoints int
-	// slots and busy are sums over the usable endpoints.
-	slots, busy int
+	// slots and busy are sums over the usable endpoints, fast is the sum of the
+	// slots of those that are not slow.
+	slots, busy, fast int
 	// mean is the run time, base the mean at the last scoring.
 	mean, base float64
 	// least is the shortest run time of the recent results.
@@ -89,9 +93,9 @@
 	name     string
 	score    float64
 	place    int
-	// slots and busy are this member's parts of the service's sums.
-	slots, busy int
-	estimate    estimate
+	// slots, busy and fast are this member's parts of the service's sums.
+	slots, busy, fast int
+	estimate          estimate
 }
 
 // estimate is a mean run time in nanoseconds.
@@ -100,10 +104,24 @@
 	samples float64
 }
 
-func (m *member) count(slots, busy int) {
+// count updates the member's parts of the service's sums.
+func (m *member) count(usable bool) {
+	slots, busy, fast := 0, 0, 0
+	if usable {
+		slots, busy = m.endpoint.info.Slots, m.endpoint.ahead()
+		if !m.slow() {
+			fast = slots
+		}
+	}
 	m.service.slots += slots - m.slots
 	m.service.busy += busy - m.busy
-	m.slots, m.busy = slots, busy
+	m.service.fast += fast - m.fast
+	m.slots, m.busy, m.fast = slots, busy, fast
+}
+
+// slow reports whether a task may wait for another endpoint.
+func (m *member) slow() bool {
+	return m.run() >= slowRun*m.service.mean
 }
 
 // run is the expected run time: the mean of the service at this endpoint,
@@ -117,6 +135,7 @@
 // idle counts an announcement of the endpoint without a result before it.
 func (e *endpoint) idle() {
 	e.announces++
+	e.breaker.forget()
 	if e.announces < idleAnnounces {
 		return
 	}
@@ -128,7 +147,7 @@
 
 // trial reports whether the endpoint is due to be tried with one task.
 func (e *endpoint) trial() bool {
-	return e.mine == 0 && e.announces >= idleAnnounces && e.breaker.failures == 0
+	return e.mine == 0 && e.announces >= idleAnnounces && e.breaker.failures < 0.5
 }
 
 // learn takes an observed run time.
@@ -152,7 +171,7 @@
 // raise it.
 func (m *member) finish() float64 {
 	e := m.endpoint
-	run := m.run() * (1 + e.breaker.failures)
+	run := m.run() * (1 + failureRaise*e.breaker.failures)
 	if e.trial() {
 		run = min(run, trialRun*m.service.mean)
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -151,7 +151,10 @@
 // at the best endpoint that has room.
 func (p *Placer) hold(m *member) bool {
 	s := m.service
-	if p.backlog == 0 || p.mine == 0 || m.endpoint.trial() || (!m.endpoint.full() && m.run() < slowRun*s.mean) {
+	if p.backlog == 0 || p.mine == 0 || s.fast == 0 || m.endpoint.trial() {
+		return false
+	}
+	if !m.endpoint.full() && !m.slow() {
 		return false
 	}
 	interval := p.run / float64(p.mine)
@@ -252,7 +255,7 @@
 func (p *Placer) leave(e *endpoint) {
 	for _, m := range e.members {
 		m.service.endpoints--
-		m.count(0, 0)
+		m.count(false)
 		if m.place >= 0 {
 			heap.Remove(&m.service.ready, m.place)
 		}
@@ -282,11 +285,7 @@
 
 func (p *Placer) rank(now time.Time, m *member) {
 	e := m.endpoint
-	if e.usable(now) {
-		m.count(e.info.Slots, e.ahead())
-	} else {
-		m.count(0, 0)
-	}
+	m.count(e.usable(now))
 	switch room := e.room(now, m.run()); {
 	case !room && m.place >= 0:
 		heap.Remove(&m.service.ready, m.place)
