--- a/cmd/bench/report.go
+++ b/cmd/bench/report.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// figures compares the quantiles of response times with those of the ideal,
-// and gives the quantiles of each job's own quotient and messages per task.
+// figures compares the means and quantiles of response times with those of the
+// ideal, and gives the quantiles of each job's own quotient and messages per task.
 func (t *times) figures() []figure {
 	each := make([]float64, len(t.ours[allClasses]))
 	for i, v := range t.ours[allClasses] {
@@ -63,6 +63,7 @@
 	}
 	all := []figure{{"each job p50", quantile(each, 0.5)}, {"each job p99", quantile(each, 0.99)}}
 	for _, class := range append([]carobpulley.Class{allClasses}, carobpulley.Classes()...) {
+		all = append(all, figure{string(class) + " mean", mean(t.ours[class]) / mean(t.ideal[class])})
 		for _, q := range []float64{0.5, 0.99} {
 			name := fmt.Sprintf("%s p%.0f", class, 100*q)
 			all = append(all, figure{name, quantile(t.ours[class], q) / quantile(t.ideal[class], q)})
@@ -77,6 +78,14 @@
 	return slices.Sorted(slices.Values(v))[int(q*float64(len(v)))]
 }
 
+func mean(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
+
 // writeJSON writes a line for each result.
 func writeJSON(w io.Writer, results []*result) error {
 	enc := json.NewEncoder(w)
