--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -93,15 +93,17 @@
 
 // Guards against a member that stays blocked after its quota has refilled, a
 // full quota right after a restart, quotas that each entry grants in full, and
-// a service's cap that is ignored.
+// caps of members and services that are ignored.
 func TestLimits(t *testing.T) {
 	a := admit.New(endpoints{})
-	c := catalogue(carobpulley.Member{Name: "rated", StartsPerSecond: 2 * quotaRate})
+	c := catalogue(carobpulley.Member{Name: "rated", StartsPerSecond: 2 * quotaRate},
+		carobpulley.Member{Name: "wide", MaxConcurrent: 2 * quotaCap})
 	c.Services["capped"] = carobpulley.Service{Name: "capped", MaxConcurrent: 2 * serviceCap}
 	a.Configure(start, c)
 	a.SetShare(start, 0.5)
 	for k := range 100 {
 		a.Push(start, waiting("rated", carobpulley.ClassNormal, 1, k, start))
+		a.Push(start, waiting("wide", carobpulley.ClassNormal, 1, k, start))
 		w := waiting("other", carobpulley.ClassNormal, 1, k, start)
 		w.Service = "capped"
 		a.Push(start, w)
@@ -110,7 +112,7 @@
 	for i, ms := range []time.Duration{0, 0, 500, 1500} {
 		got[i] = startAll(a, start.Add(ms*time.Millisecond))
 	}
-	want := []int{serviceCap + quotaRate/2, 0, quotaRate / 2, quotaRate}
+	want := []int{serviceCap + quotaCap + quotaRate/2, 0, quotaRate / 2, quotaRate}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Errorf("starts (-want +got):\n%s", d)
 	}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// Reports the cost of an announcement.
+func BenchmarkUpsert(b *testing.B) {
+	const n = 2600
+	p := crowd(n)
+	now := start
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second / n)
+		e := endpoint(i%n, string("abc"[i%n%3]))
+		e.Services = ten
+		p.Upsert(now, e, carobpulley.Load{Running: i % 7})
+		i++
+	}
+}
+
 // Reports the memory of an endpoint that runs ten services.
 func BenchmarkEndpointBytes(b *testing.B) {
 	const n = 2600
