Allow for shrinking stacks in the test of the heap measure

The measure adds StackInuse, which the runtime can lower between the two readings by whole spans. Ruled out: a lost allocation, which would be missing as a whole.

--- a/cmd/bench/slopes_test.go
+++ b/cmd/bench/slopes_test.go
@@ -36,11 +36,14 @@
 // what is not.
 func TestHeap(t *testing.T) {
 	const size = 8 << 20
+	// The measure includes the stacks in use, and those of the runtime can
+	// shrink by a few spans of 32 KiB meanwhile.
+	const stacks = 128 << 10
 	got := heapBytes(func() any {
 		_ = make([]byte, size)
 		return make([]byte, size)
 	})
-	if got < size || got > size*3/2 {
+	if got < size-stacks || got > size*3/2 {
 		t.Errorf("heap of %d bytes measured as %.0f", size, got)
 	}
 }
