Report no failure when the callers' server stops in order

The quickstart's stop logged "callers were cut off" though none was: errors.Wrap of go-faster/errors makes an error of a nil cause. The other uses in the tree wrap only errors that are not nil. TestStopWaitsForCalls printed "stop serving callers" before the change and passes now.

--- a/cmd/entryd/api.go
+++ b/cmd/entryd/api.go
@@ -59,5 +59,8 @@
 
 // Stop waits for calls in progress until ctx ends.
 func (s *apiServer) Stop(ctx context.Context) error {
-	return errors.Wrap(s.srv.Shutdown(ctx), "stop serving callers")
+	if err := s.srv.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "stop serving callers")
+	}
+	return nil
 }
