Bound the copies of claims held for other entries

Copies of claims had no bound in bytes, and a receiver's copy of an answer kept all results until 15 min after the deadline: 5.5 GB per entry at the design size, and over 256 MB from 28 jobs/s of 20 tasks on.

Ruled out: dropping the oldest claims (the owner counts on them as second holder), dropping outcomes early (a lost owner and agent would allow a second start), and a bound per shard (uneven shards refuse early).

A witness now holds 64 MiB. Results go 2 min after the answer. The outcome stays, and a new owner that finds only it answers `expired`; of two complete copies the one with results prevails. A table that is handed over is held whatever its size, since the new owner takes it as complete. A task that is done in a handed-over state becomes unknown when its result goes. A quarter of the schedules of the fault matrix run with room for a claim or two.

--- a/cmd/bench/slopesjobs.go
+++ b/cmd/bench/slopesjobs.go
@@ -214,6 +214,9 @@
 		byTasks("witnessed claim after its deadline", unitBytes, "owner.Witness.Expire", func(n int) float64 { return hold(deadline, false, n) }),
 		byTasks("receiver's copy with the answer, after its deadline", unitBytes, "entry.Entry.keep, owner.Witness.Expire",
 			func(n int) float64 { return hold(deadline, true, n) }),
+		byTasks("receiver's copy, 2 min after the answer", unitBytes, "entry.Entry.keep, owner.Witness.Expire",
+			func(n int) float64 { return hold(origin.Add(owner.AnswerRetention), true, n) }),
+		heldSlope(),
 		byTasks("holding a claim", unitNanos, code, func(tasks int) float64 {
 			claims := make([]carobpulley.Claim, jobsOf(tasks))
 			for i := range claims {
@@ -231,6 +234,27 @@
 	}, nil
 }
 
+// heldSlope measures the copies that a receiver holds after a number of claims
+// of 20 tasks that are all answered at once.
+func heldSlope() slope {
+	s := slope{
+		Quantity: "all receiver's copies with answers", Unit: unitBytes, Per: "job", Code: "entry.Entry.keep, owner.Witness.Hold",
+		Fixed: "20 tasks of 256 bytes, all answered within 2 min",
+	}
+	return series(s, []int{5000, 20_000, 40_000}, func(n int) float64 {
+		return heapBytes(func() any {
+			w := owner.NewWitness(1)
+			for i := range n {
+				c := claimAt(i, 20)
+				if w.Hold(origin, c) {
+					w.Hold(origin, answeredClaim(c))
+				}
+			}
+			return w
+		})
+	})
+}
+
 // answeredClaim returns the claim that a receiver keeps of a complete job.
 func answeredClaim(c carobpulley.Claim) carobpulley.Claim {
 	a := &carobpulley.Answer{ID: c.Spec.ID, Service: c.Spec.Service, Outcome: carobpulley.OutcomeComplete}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,6 +17,7 @@
 	contacts       atomic.Int64
 	witness        atomic.Int64
 	journalRefused atomic.Int64
+	heldRefused    atomic.Int64
 }
 
 // metrics are the values published by expvar.
@@ -30,6 +31,8 @@
 	Contacts       int64  `json:"contacts"`
 	Witness        int64  `json:"witness_messages"`
 	JournalRefused int64  `json:"journal_refused"`
+	HeldRefused    int64  `json:"held_refused"`
+	HeldBytes      int    `json:"held_bytes"`
 	Queued         int    `json:"tasks_queued"`
 	InFlight       int    `json:"tasks_in_flight"`
 	Agents         int    `json:"agents"`
@@ -44,6 +47,7 @@
 		InFlight:      len(e.flights),
 		Agents:        len(e.agents),
 		ConfigVersion: e.cat.Version,
+		HeldBytes:     e.witness.Bytes(),
 	}
 	e.mu.Unlock()
 	m.Jobs = e.counters.jobs.Load()
@@ -55,6 +59,7 @@
 	m.Contacts = e.counters.contacts.Load()
 	m.Witness = e.counters.witness.Load()
 	m.JournalRefused = e.counters.journalRefused.Load()
+	m.HeldRefused = e.counters.heldRefused.Load()
 	b, err := json.Marshal(m)
 	if err != nil {
 		return "{}"
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -204,10 +204,17 @@
 	return a, err
 }
 
+// holdFor holds a claim for another entry, unless that entry has lost the shard
+// or the copies take up all their memory. The owner then waits for another
+// holder or the journal.
 func (e *Entry) holdFor(c carobpulley.Claim) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.witness.Hold(time.Now(), c)
+	held := e.witness.Hold(time.Now(), c)
+	if !held {
+		e.counters.heldRefused.Add(1)
+	}
+	return held
 }
 
 // keep stores what the owner answered beside the claim: that it took the job, a
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -332,7 +332,7 @@
 	for _, s := range shards {
 		closed[s.Shard] = true
 		for _, c := range e.table.Claims(s.Shard) {
-			e.witness.Hold(now, c)
+			e.witness.HandOver(now, c)
 		}
 		e.step(now, carobpulley.ShardClosed{Shard: s.Shard})
 	}
--- a/owner/merge.go
+++ b/owner/merge.go
@@ -36,7 +36,7 @@
 		return
 	}
 	for _, c := range t.Claims(index) {
-		t.closed.Hold(now, c)
+		t.closed.HandOver(now, c)
 	}
 	for _, j := range sh.sorted() {
 		if j.held && !j.settled() && j.has(carobpulley.PhaseWaiting) {
@@ -152,13 +152,17 @@
 	return tasks
 }
 
-// prevails reports whether answer a is kept rather than b: a complete one, else
-// the newer one.
+// prevails reports whether answer a is kept rather than b: a complete one, of
+// two complete ones the one that still has its results, else the newer one.
 func prevails(a, b carobpulley.Claim) bool {
 	complete := a.Answer.Outcome == carobpulley.OutcomeComplete
 	if complete != (b.Answer.Outcome == carobpulley.OutcomeComplete) {
 		return complete
 	}
+	results := len(a.Answer.Tasks) > 0
+	if complete && results != (len(b.Answer.Tasks) > 0) {
+		return results
+	}
 	return a.Epoch > b.Epoch
 }
 
--- a/owner/sim_test.go
+++ b/owner/sim_test.go
@@ -70,6 +70,9 @@
 	without string
 	// slow makes tasks run for seconds, so that others queue.
 	slow bool
+	// fewHeld bounds the copies that entries hold for others, so that owners wait
+	// for the journal.
+	fewHeld bool
 
 	claims  []carobpulley.ClaimRead
 	config  []change
@@ -106,6 +109,7 @@
 		complete: map[carobpulley.JobID]string{}, removed: map[string]time.Time{},
 	}
 	w.slow = w.chance(0.2) || s.slow
+	w.fewHeld = s.seed%4 == 3
 	for i, n := range w.names {
 		w.entries = append(w.entries, &simEntry{w: w, proc: proc{name: n, domain: simDomains[i]}})
 	}
--- a/owner/simentry_test.go
+++ b/owner/simentry_test.go
@@ -13,6 +13,8 @@
 const (
 	simShards = 4
 	simTasks  = 12
+	// simHeldBytes has room for a claim or two, so that others are not held.
+	simHeldBytes = 1500
 )
 
 // reading is what an entry last heard of an agent.
@@ -60,6 +62,9 @@
 	e.auth = NewAuthority(e.w.now, e.name, e.gen, simShards)
 	e.auth.Step(e.w.now, carobpulley.Configured{Entries: e.w.names})
 	e.witness = NewWitness(simShards)
+	if e.w.fewHeld {
+		e.witness.limit = simHeldBytes
+	}
 	e.read, e.version, e.queue = 0, 0, nil
 	e.heard, e.opening = map[string]reading{}, map[carobpulley.Ownership]*opening{}
 	e.w.every(&e.proc, carobpulley.ContactInterval, e.contact)
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"container/list"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -9,6 +11,10 @@
 	"carobpulley"
 )
 
+// MaxHeldBytes is the size of all copies of claims that a Witness holds. A claim
+// beyond it is not held; its owner waits for the journal.
+const MaxHeldBytes = 64 << 20
+
 // Witness holds copies of claims for the owners of shards: those that this
 // entry forwarded as receiver, those that owners sent to it, and those of
 // shards that it handed over. It is not safe for concurrent use.
@@ -17,6 +23,12 @@
 	yielded []uint64
 	shards  []map[heldKey]*held
 	expiry  expiries
+	// results lists the copies with the results of a complete answer, oldest
+	// first.
+	results *list.List
+	bytes   int
+	// limit is MaxHeldBytes; tests set a smaller one.
+	limit int
 }
 
 // heldKey tells copies with different bodies apart, since a receiver may have
@@ -26,30 +38,41 @@
 	digest uint64
 }
 
-// held is a stored copy.
-type held struct {
-	claim carobpulley.Claim
-	// at is the time of the next change: at the deadline the payloads go, a
-	// retention time later the key.
-	at       time.Time
-	stripped bool
-	index    int
-}
-
 // NewWitness returns a store without claims.
 func NewWitness(shards int) *Witness {
-	w := &Witness{yielded: make([]uint64, shards), shards: make([]map[heldKey]*held, shards)}
+	w := &Witness{
+		yielded: make([]uint64, shards),
+		shards:  make([]map[heldKey]*held, shards),
+		results: list.New(),
+		limit:   MaxHeldBytes,
+	}
 	for i := range w.shards {
 		w.shards[i] = map[heldKey]*held{}
 	}
 	return w
 }
 
+// Bytes returns the approximate size of all copies.
+func (w *Witness) Bytes() int {
+	return w.bytes
+}
+
 // Hold stores a copy of a claim. It returns false if this entry gave way to a
-// newer epoch of the shard: the new owner would not learn of the copy. A
-// receiver holds the claim as pending before it forwards the submission, and
-// again without the mark once the owner has taken the job.
+// newer epoch of the shard, since the new owner would not learn of the copy, or
+// if there is no room for it. Results of complete answers make room for claims,
+// the oldest first. A receiver holds the claim as pending before it forwards
+// the submission, and again without the mark once the owner has taken the job.
 func (w *Witness) Hold(now time.Time, c carobpulley.Claim) bool {
+	return w.hold(now, c, w.limit)
+}
+
+// HandOver stores a claim of a shard that this entry gives up, whatever its
+// size: the new owner takes the table handed over as complete.
+func (w *Witness) HandOver(now time.Time, c carobpulley.Claim) {
+	w.hold(now, c, math.MaxInt)
+}
+
+func (w *Witness) hold(now time.Time, c carobpulley.Claim, limit int) bool {
 	if c.Shard < 0 || c.Shard >= len(w.shards) || c.Epoch < w.yielded[c.Shard] {
 		return false
 	}
@@ -59,9 +82,12 @@
 	key := heldKey{id: c.Spec.ID, digest: c.Digest}
 	h := w.shards[c.Shard][key]
 	if h == nil {
-		h = &held{claim: c, at: c.Spec.Deadline}
+		if !w.makeRoom(heldSize(c), limit) {
+			return false
+		}
+		h = &held{index: -1}
 		w.shards[c.Shard][key] = h
-		heap.Push(&w.expiry, h)
+		w.set(now, h, c)
 		return true
 	}
 	if c.Pending && !h.claim.Pending {
@@ -74,13 +100,66 @@
 		return true
 	}
 	c.Spec.Deadline = earlier(c.Spec.Deadline, h.claim.Spec.Deadline)
-	h.claim = c
-	if !now.Before(c.Spec.Deadline) {
-		h.strip()
+	return w.replace(now, h, c, limit)
+}
+
+// replace sets a held copy to a newer one. If there is no room for the results
+// of a complete answer, its outcome is held. The outcome takes no more than the
+// claim, and a refusal must be held since its owner counts on the receiver.
+func (w *Witness) replace(now time.Time, h *held, c carobpulley.Claim, limit int) bool {
+	grows := heldSize(c) - h.size
+	if grows > 0 && !w.makeRoom(grows, limit) {
+		switch {
+		case isComplete(c):
+			c = withoutResults(c)
+		case c.Answer == nil || len(c.Answer.Tasks) > 0:
+			return false
+		}
 	}
+	w.set(now, h, c)
 	return true
 }
 
+// makeRoom drops results until a number of bytes fits under the limit. It
+// returns false if it does not.
+func (w *Witness) makeRoom(need, limit int) bool {
+	for w.bytes > limit-need && w.results.Len() > 0 {
+		h := w.results.Front().Value.(*held)
+		w.set(h.answeredAt, h, withoutResults(h.claim))
+	}
+	return w.bytes <= limit-need
+}
+
+// set stores a claim in a copy and brings the lists and sums up to date.
+func (w *Witness) set(now time.Time, h *held, c carobpulley.Claim) {
+	h.assign(now, c)
+	w.bytes -= h.size
+	h.size = heldSize(h.claim)
+	w.bytes += h.size
+	switch hasResults := isComplete(h.claim) && len(h.claim.Answer.Tasks) > 0; {
+	case hasResults && h.listed == nil:
+		h.listed = w.results.PushBack(h)
+	case !hasResults && h.listed != nil:
+		w.results.Remove(h.listed)
+		h.listed = nil
+	}
+	if h.index < 0 {
+		heap.Push(&w.expiry, h)
+		return
+	}
+	heap.Fix(&w.expiry, h.index)
+}
+
+// remove forgets a copy.
+func (w *Witness) remove(h *held) {
+	heap.Remove(&w.expiry, h.index)
+	if h.listed != nil {
+		w.results.Remove(h.listed)
+	}
+	w.bytes -= h.size
+	delete(w.shards[h.claim.Shard], heldKey{id: h.claim.Spec.ID, digest: h.claim.Digest})
+}
+
 // Drop removes the copy of a submission that the owner did not take.
 func (w *Witness) Drop(c carobpulley.Claim) {
 	if c.Digest == 0 {
@@ -88,8 +167,7 @@
 	}
 	key := heldKey{id: c.Spec.ID, digest: c.Digest}
 	if h := w.shards[c.Shard][key]; h != nil && h.claim.Answer == nil {
-		heap.Remove(&w.expiry, h.index)
-		delete(w.shards[c.Shard], key)
+		w.remove(h)
 	}
 }
 
@@ -121,24 +199,14 @@
 func (w *Witness) Expire(now time.Time) {
 	for len(w.expiry) > 0 && !now.Before(w.expiry[0].at) {
 		h := w.expiry[0]
-		c := &h.claim
-		if !h.stripped {
-			h.strip()
-			h.at = h.at.Add(KeyRetention)
-			heap.Fix(&w.expiry, 0)
+		if h.expired(now) {
+			w.remove(h)
 			continue
 		}
-		heap.Pop(&w.expiry)
-		delete(w.shards[c.Shard], heldKey{id: c.Spec.ID, digest: c.Digest})
+		w.set(now, h, h.claim)
 	}
 }
 
-// strip drops the payloads and keeps their number.
-func (h *held) strip() {
-	h.stripped = true
-	h.claim.Spec.Payloads = make([][]byte, len(h.claim.Spec.Payloads))
-}
-
 // earlier returns the earlier of two deadlines. A resubmission may carry a later
 // one than the job that it joins.
 func earlier(a, b time.Time) time.Time {
@@ -161,31 +229,3 @@
 	}
 	return 1
 }
-
-// expiries is a heap of copies, earliest change first.
-type expiries []*held
-
-func (e expiries) Len() int           { return len(e) }
-func (e expiries) Less(a, b int) bool { return e[a].at.Before(e[b].at) }
-
-func (e expiries) Swap(a, b int) {
-	e[a], e[b] = e[b], e[a]
-	e[a].index, e[b].index = a, b
-}
-
-// Push implements heap.Interface.
-func (e *expiries) Push(x any) {
-	h := x.(*held)
-	h.index = len(*e)
-	*e = append(*e, h)
-}
-
-// Pop implements heap.Interface.
-func (e *expiries) Pop() any {
-	old := *e
-	n := len(old) - 1
-	h := old[n]
-	old[n] = nil
-	*e = old[:n]
-	return h
-}
