Hand shards over without reading journals

A new owner read the journals of all entries from their oldest record and waited for it up to 10 s, also when the old owner handed its table over. At the design size they cannot be read in that time, so that each planned stop ended with incomplete shards.

The crash case stays as it was.

Answers to Yield name the epochs opened and the remaining time of unknown keys.

--- a/authority.go
+++ b/authority.go
@@ -81,6 +81,8 @@
 		Shards      []Ownership
 		// Missing lists shards of which the peer may have lost claims.
 		Missing []int
+		// Opened lists the epochs under which the peer last opened shards.
+		Opened []Ownership
 	}
 	// AgentsFenced tells that every agent answered the fence of the shards.
 	AgentsFenced struct{ Shards []Ownership }
@@ -106,12 +108,18 @@
 	}
 	// SendFence asks to raise the epochs at all agents and collect what they started.
 	SendFence struct{ Shards []Ownership }
+	// ReadJournals asks to collect the claims of shards from the journals, since
+	// their previous owner has not handed its table over.
+	ReadJournals struct{ Shards []Ownership }
 	// OpenShards asks to open shards with all that was collected.
 	OpenShards struct {
 		Shards []Ownership
 		// Missing lists shards of which some claims may be lost, unless the old
 		// owner's journal is known to be complete.
 		Missing []int
+		// HandedOver lists shards whose previous owner handed its table over, so
+		// that no journal is needed.
+		HandedOver []int
 	}
 	// CloseShards asks to close shards that another entry claimed.
 	CloseShards struct{ Shards []Ownership }
@@ -121,6 +129,8 @@
 		Entry   string
 		Shards  []Ownership
 		Missing []int
+		// Opened lists the epochs under which this entry last opened shards.
+		Opened []Ownership
 	}
 	// VouchFor is the answer to ContactAsked.
 	VouchFor struct {
@@ -140,10 +150,11 @@
 func (DrainStarted) authorityEvent()    {}
 func (AuthorityTick) authorityEvent()   {}
 
-func (AppendClaim) authorityAction() {}
-func (SendYield) authorityAction()   {}
-func (SendFence) authorityAction()   {}
-func (OpenShards) authorityAction()  {}
-func (CloseShards) authorityAction() {}
-func (YieldFor) authorityAction()    {}
-func (VouchFor) authorityAction()    {}
+func (AppendClaim) authorityAction()  {}
+func (SendYield) authorityAction()    {}
+func (SendFence) authorityAction()    {}
+func (ReadJournals) authorityAction() {}
+func (OpenShards) authorityAction()   {}
+func (CloseShards) authorityAction()  {}
+func (YieldFor) authorityAction()     {}
+func (VouchFor) authorityAction()     {}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -126,11 +126,12 @@
 }
 
 // Guards against a planned stop that loses the answer of a job under way or
-// starts one of its tasks again.
+// starts one of its tasks again, and against one that waits for journals.
 func TestOwnerDrains(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 200*time.Millisecond)
 	victim := c.ownerOf("drain")
+	c.journals.blocked.Store(true)
 	var answer carobpulley.Answer
 	var err error
 	var wg sync.WaitGroup
@@ -145,6 +146,10 @@
 		t.Error("the drain did not end")
 	}
 	wg.Wait()
+	c.ownerOf("drain")
+	if n := c.journals.ended.Load(); n > 0 {
+		t.Errorf("the new owner waited for %d reads of journals", n)
+	}
 	if err != nil || answer.Outcome != carobpulley.OutcomeComplete {
 		t.Errorf("outcome %s, %v, %v", answer.Outcome, answer.Err, err)
 	}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -37,6 +37,8 @@
 	// whether all of them could be read.
 	journal   chan struct{}
 	journalOK bool
+	// unknownUntil is the end of an earlier owner's time of unknown keys.
+	unknownUntil time.Time
 	// ended is set if the journal says that it holds all claims of the shard.
 	ended bool
 }
@@ -59,6 +61,8 @@
 		e.sendYield(a)
 	case carobpulley.SendFence:
 		e.sendFence(now, a.Shards)
+	case carobpulley.ReadJournals:
+		e.sendRead(a.Shards)
 	case carobpulley.OpenShards:
 		e.openShards(a)
 	case carobpulley.CloseShards:
@@ -112,11 +116,18 @@
 			t.claims = append(t.claims, c)
 		}
 	}
-	e.stepAuthority(time.Now(), carobpulley.YieldAnswered{
+	now := time.Now()
+	for _, u := range ans.Unknown {
+		if t := e.opening[u.Shard]; t != nil && t.unknownUntil.Before(now.Add(u.Remaining)) {
+			t.unknownUntil = now.Add(u.Remaining)
+		}
+	}
+	e.stepAuthority(now, carobpulley.YieldAnswered{
 		Peer:        a.Peer,
 		Incarnation: ans.Incarnation,
 		Shards:      a.Shards,
 		Missing:     ans.Missing,
+		Opened:      ans.Opened,
 	})
 }
 
@@ -127,20 +138,33 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := inner.YieldAnswer{Incarnation: e.cfg.Incarnation}
-	for _, a := range e.stepAuthority(time.Now(), carobpulley.YieldAsked{Entry: y.Entry, Shards: y.Shards}) {
+	now := time.Now()
+	for _, a := range e.stepAuthority(now, carobpulley.YieldAsked{Entry: y.Entry, Shards: y.Shards}) {
 		v, ok := a.(carobpulley.YieldFor)
 		if !ok || len(v.Shards) == 0 {
 			continue
 		}
 		out.Yielded = true
 		out.Missing = v.Missing
+		out.Opened = v.Opened
+		out.Unknown = e.unknownShards(now, v.Shards)
 		out.Claims = e.witness.Yield(v.Shards)
 	}
 	return out
 }
 
-// sendFence raises the epochs at all agents, collects what they started, and
-// reads the journals.
+// unknownShards lists the shards that this entry owned with claims lost.
+func (e *Entry) unknownShards(now time.Time, shards []carobpulley.Ownership) []inner.UnknownShard {
+	var out []inner.UnknownShard
+	for _, s := range shards {
+		if until := e.table.UnknownUntil(s.Shard); now.Before(until) {
+			out = append(out, inner.UnknownShard{Shard: s.Shard, Remaining: until.Sub(now)})
+		}
+	}
+	return out
+}
+
+// sendFence raises the epochs at all agents and collects what they started.
 func (e *Entry) sendFence(now time.Time, shards []carobpulley.Ownership) {
 	takes := make([]*takeover, 0, len(shards))
 	for _, s := range shards {
@@ -152,6 +176,14 @@
 	}
 	whole := !e.agentsLost(now)
 	e.goDo(func() { e.fenceAll(shards, takes, agents, whole) })
+}
+
+// sendRead collects claims from the journals.
+func (e *Entry) sendRead(shards []carobpulley.Ownership) {
+	takes := make([]*takeover, 0, len(shards))
+	for _, s := range shards {
+		takes = append(takes, e.collect(s))
+	}
 	e.goDo(func() { e.readJournals(shards, takes) })
 }
 
@@ -280,20 +312,29 @@
 	return nil
 }
 
-// openShards opens shards once all that was asked for has come in.
+// openShards opens shards once all that was asked for has come in. A table that
+// was handed over is complete without the journals.
 func (e *Entry) openShards(a carobpulley.OpenShards) {
 	missing := make(map[int]bool, len(a.Missing))
 	for _, s := range a.Missing {
 		missing[s] = true
 	}
+	handed := make(map[int]bool, len(a.HandedOver))
+	for _, s := range a.HandedOver {
+		handed[s] = true
+	}
 	for _, s := range a.Shards {
 		t := e.collect(s)
-		e.goDo(func() { e.openShard(s, t, missing[s.Shard]) })
+		e.goDo(func() { e.openShard(s, t, missing[s.Shard], handed[s.Shard]) })
 	}
 }
 
-func (e *Entry) openShard(s carobpulley.Ownership, t *takeover, missing bool) {
-	for _, c := range []chan struct{}{t.fenced, t.journal} {
+func (e *Entry) openShard(s carobpulley.Ownership, t *takeover, missing, handed bool) {
+	needed := []chan struct{}{t.fenced, t.journal}
+	if handed {
+		needed = needed[:1]
+	}
+	for _, c := range needed {
 		select {
 		case <-c:
 		case <-e.ctx.Done():
@@ -311,16 +352,17 @@
 		return
 	}
 	e.step(now, carobpulley.ShardOpened{
-		Shard:     s.Shard,
-		Epoch:     s.Epoch,
-		Claims:    t.claims,
-		Started:   t.started,
-		AllAgents: t.allAgents || s.Epoch == 1,
-		AllClaims: t.journalOK && (!missing || t.ended) || s.Epoch == 1,
+		Shard:        s.Shard,
+		Epoch:        s.Epoch,
+		Claims:       t.claims,
+		Started:      t.started,
+		AllAgents:    t.allAgents || s.Epoch == 1,
+		AllClaims:    handed || t.journalOK && (!missing || t.ended) || s.Epoch == 1,
+		UnknownUntil: t.unknownUntil,
 	})
 	delete(e.opening, s.Shard)
 	e.logger.Info().Int("shard", s.Shard).Uint64("epoch", s.Epoch).Int("claims", len(t.claims)).
-		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Bool("missing", missing).Msg("shard opened")
+		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Bool("missing", missing).Bool("handed_over", handed).Msg("shard opened")
 	e.pump(now)
 }
 
--- a/inner/entry.go
+++ b/inner/entry.go
@@ -1,6 +1,8 @@
 package inner
 
 import (
+	"time"
+
 	"carobpulley"
 	"carobpulley/wire"
 )
@@ -71,6 +73,17 @@
 	Incarnation uint64
 	// Missing are shards of which the peer may have lost claims.
 	Missing []int
+	// Opened are the epochs under which the peer last opened the shards.
+	Opened []carobpulley.Ownership
+	// Unknown are shards in which unknown keys may have been started earlier.
+	Unknown []UnknownShard
+}
+
+// UnknownShard is a shard of which claims were lost. Remaining is how long
+// unknown keys stay unknown, in whole milliseconds.
+type UnknownShard struct {
+	Shard     int
+	Remaining time.Duration
 }
 
 // ContactToWire converts a contact.
@@ -268,10 +281,17 @@
 		Yielded:     v.Yielded,
 		Claims:      claimsToWire(v.Claims),
 		Incarnation: v.Incarnation,
+		Opened:      shardsToWire(v.Opened),
 	}
 	for _, s := range v.Missing {
 		out.Missing = append(out.Missing, uint32(s))
 	}
+	for _, u := range v.Unknown {
+		out.Unknown = append(out.Unknown, &wire.UnknownShard{
+			Shard:           uint32(u.Shard),
+			RemainingMillis: uint32(u.Remaining.Milliseconds()),
+		})
+	}
 	return out
 }
 
@@ -282,10 +302,17 @@
 		Yielded:     r.GetYielded(),
 		Claims:      c.claims(r.GetClaims()),
 		Incarnation: r.GetIncarnation(),
+		Opened:      c.shards("", r.GetOpened()),
 	}
 	for _, s := range r.GetMissing() {
 		out.Missing = append(out.Missing, c.number("missing", s, 0, MaxShards-1))
 	}
+	for _, u := range r.GetUnknown() {
+		out.Unknown = append(out.Unknown, UnknownShard{
+			Shard:     c.number("unknown", u.GetShard(), 0, MaxShards-1),
+			Remaining: time.Duration(u.GetRemainingMillis()) * time.Millisecond,
+		})
+	}
 	return out, c.result()
 }
 
--- a/owner.go
+++ b/owner.go
@@ -42,6 +42,10 @@
 	Answer(now time.Time, id JobID) (Answer, error)
 	// Claims returns all that a new owner needs to go on with a shard.
 	Claims(shard int) []Claim
+	// UnknownUntil returns the end of the time in which a key not known in the
+	// shard may have been started earlier; zero if there was none. It stays known
+	// after the shard was closed.
+	UnknownUntil(shard int) time.Time
 	// Start marks a waiting task as dispatched to an endpoint's agent and returns
 	// its attempt. It returns false if the task may not be dispatched any more.
 	Start(now time.Time, id TaskID, endpoint string, incarnation uint64) (Dispatch, bool)
@@ -113,6 +117,8 @@
 		AllAgents bool
 		// AllClaims is set if every claim of earlier epochs is known.
 		AllClaims bool
+		// UnknownUntil is that of earlier owners; zero if there was none.
+		UnknownUntil time.Time
 	}
 	// ShardClosed takes the shard from this entry.
 	ShardClosed struct{ Shard int }
--- a/owner/authority.go
+++ b/owner/authority.go
@@ -93,6 +93,8 @@
 	// orderly is set once the previous owner itself has yielded.
 	orderly bool
 	fenced  bool
+	// journals is set once the journals were asked for.
+	journals bool
 	// majorityAt is when a majority had yielded; askedAt is the newest request.
 	majorityAt, askedAt time.Time
 }
--- a/owner/merge.go
+++ b/owner/merge.go
@@ -14,8 +14,9 @@
 	t.closeShard(now, ev.Shard, out)
 	sh := &shard{index: ev.Shard, epoch: ev.Epoch, jobs: map[carobpulley.JobID]*job{}}
 	t.shards[ev.Shard] = sh
+	t.unknownUntil[ev.Shard] = later(t.unknownUntil[ev.Shard], ev.UnknownUntil)
 	if !ev.AllAgents && !ev.AllClaims {
-		sh.unknownUntil = now.Add(MaxDeadline + KeyRetention)
+		t.unknownUntil[ev.Shard] = now.Add(MaxDeadline + KeyRetention)
 	}
 	for _, c := range ev.Claims {
 		t.mergeClaim(sh, c)
@@ -28,6 +29,14 @@
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // closeShard forgets the jobs of a shard that another entry owns from now on,
 // except for their claims.
 func (t *Table) closeShard(now time.Time, index int, out *[]carobpulley.Action) {
--- a/owner/naive.go
+++ b/owner/naive.go
@@ -62,6 +62,9 @@
 	return j.answer(), nil
 }
 
+// UnknownUntil implements carobpulley.JobTable. Naive knows of no lost claims.
+func (n *Naive) UnknownUntil(int) time.Time { return time.Time{} }
+
 // Claims implements carobpulley.JobTable.
 func (n *Naive) Claims(index int) []carobpulley.Claim {
 	var out []carobpulley.Claim
--- a/owner/spread.go
+++ b/owner/spread.go
@@ -12,7 +12,7 @@
 // tick claims, hands over and opens shards. Claims need authority, so that an
 // entry cut off from the others takes nothing.
 func (a *Authority) tick(now time.Time) []carobpulley.AuthorityAction {
-	out := a.askYields(now)
+	out := append(a.askYields(now), a.readJournals(now)...)
 	if !a.Has(now) {
 		return out
 	}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -47,7 +47,7 @@
 	if len(ev.Spec.Payloads) == 0 || len(ev.Spec.Payloads) > carobpulley.MaxTasks {
 		return nil, newError("submit", carobpulley.KindInvalid, "a job has 1 to 120 tasks")
 	}
-	if sh.jobs[ev.Spec.ID] == nil && now.Before(sh.unknownUntil) {
+	if sh.jobs[ev.Spec.ID] == nil && now.Before(t.unknownUntil[sh.index]) {
 		return nil, newError("submit", carobpulley.KindUnknown, "the shard lost claims of an earlier owner")
 	}
 	return sh, nil
--- a/owner/table.go
+++ b/owner/table.go
@@ -46,6 +46,9 @@
 	// closed keeps the claims of shards that this entry gave away, since the
 	// new owner may ask for them later.
 	closed *Witness
+	// unknownUntil is, by shard, the end of the time in which an unknown key may
+	// have been started under an earlier epoch.
+	unknownUntil []time.Time
 }
 
 // shard is an owned part of the key space.
@@ -53,16 +56,18 @@
 	index int
 	epoch uint64
 	jobs  map[carobpulley.JobID]*job
-	// unknownUntil is the end of the time in which an unknown key may have been
-	// started under an earlier epoch.
-	unknownUntil time.Time
 	// stale is set once an agent has seen a newer epoch.
 	stale bool
 }
 
 // NewTable returns a table without shards for the entry of the given name.
 func NewTable(name string, shards int) *Table {
-	return &Table{name: name, shards: make([]*shard, shards), closed: NewWitness(shards)}
+	return &Table{
+		name:         name,
+		shards:       make([]*shard, shards),
+		closed:       NewWitness(shards),
+		unknownUntil: make([]time.Time, shards),
+	}
 }
 
 // Step implements carobpulley.JobTable.
@@ -103,7 +108,7 @@
 		return carobpulley.Answer{}, newError("answer", carobpulley.KindUnavailable, "the shard has no owner here")
 	}
 	j := sh.jobs[id]
-	if j == nil && now.Before(sh.unknownUntil) {
+	if j == nil && now.Before(t.unknownUntil[sh.index]) {
 		return carobpulley.Answer{}, newError("answer", carobpulley.KindUnknown, "the shard lost claims of an earlier owner")
 	}
 	if j == nil {
@@ -131,6 +136,11 @@
 	return j.dispatch(id.Index), true
 }
 
+// UnknownUntil implements carobpulley.JobTable.
+func (t *Table) UnknownUntil(shard int) time.Time {
+	return t.unknownUntil[shard]
+}
+
 // Len returns the number of stored keys, running and ended.
 func (t *Table) Len() int {
 	return t.open + t.ended.n
--- a/owner/table_test.go
+++ b/owner/table_test.go
@@ -116,3 +116,22 @@
 		t.Fatalf("%d keys left", tab.Len())
 	}
 }
+
+// Guards against a key that starts again because the owner that knew of lost
+// claims handed its shard over.
+func TestUnknownKeysAreHandedOver(t *testing.T) {
+	a, b := NewTable("a", 1), NewTable("b", 1)
+	a.Step(start, carobpulley.ShardOpened{Epoch: 2})
+	a.Step(start, carobpulley.ShardClosed{})
+	later := start.Add(10 * time.Minute)
+	b.Step(later, carobpulley.ShardOpened{Epoch: 3, AllAgents: true, AllClaims: true, UnknownUntil: a.UnknownUntil(0)})
+	s := spec("k", 1)
+	s.Deadline = later.Add(time.Minute)
+	got := b.Step(later, carobpulley.Submitted{Spec: s, Receiver: "c"})
+	if r, ok := got[0].(carobpulley.Rejected); !ok || r.Err.Kind != carobpulley.KindUnknown || r.Err.NotRun {
+		t.Errorf("a key that may have been started: %+v", got)
+	}
+	if until := b.UnknownUntil(0); !until.Equal(start.Add(MaxDeadline + KeyRetention)) {
+		t.Errorf("unknown until %v", until)
+	}
+}
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -66,6 +66,9 @@
 		if a.missing(now, &next) {
 			answer.Missing = append(answer.Missing, o.Shard)
 		}
+		if s.opened > 0 {
+			answer.Opened = append(answer.Opened, carobpulley.Ownership{Shard: o.Shard, Owner: a.name, Epoch: s.opened})
+		}
 		s.yielded = max(s.yielded, o.Epoch)
 		answer.Shards = append(answer.Shards, o)
 	}
@@ -86,7 +89,12 @@
 		t := s.take
 		t.acks[ev.Peer] = true
 		if ev.Peer == t.previous.owner {
-			t.orderly = t.orderly || ev.Incarnation == t.previous.incarnation
+			// An owner that never opened the shard has no table to hand over, and
+			// the owner before it may still have authority.
+			opened := slices.ContainsFunc(ev.Opened, func(p carobpulley.Ownership) bool {
+				return p.Shard == o.Shard && p.Epoch == t.previous.epoch
+			})
+			t.orderly = t.orderly || opened && ev.Incarnation == t.previous.incarnation
 		} else {
 			t.missing = t.missing || slices.Contains(ev.Missing, o.Shard)
 		}
@@ -180,6 +188,9 @@
 		if !a.complete(s.take) || young && !s.take.orderly {
 			open.Missing = append(open.Missing, i)
 		}
+		if s.take.orderly || s.take.previous.epoch == 0 {
+			open.HandedOver = append(open.HandedOver, i)
+		}
 		s.opened, s.take = s.epoch, nil
 	}
 	if len(open.Shards) == 0 {
@@ -188,6 +199,24 @@
 	return []carobpulley.AuthorityAction{open}
 }
 
+// readJournals asks for the journals of shards whose previous owner has not
+// answered in the time in which one that hands over does.
+func (a *Authority) readJournals(now time.Time) []carobpulley.AuthorityAction {
+	var read carobpulley.ReadJournals
+	for i := range a.shards {
+		s := &a.shards[i]
+		if s.take == nil || s.take.orderly || s.take.journals || s.take.previous.epoch == 0 || now.Sub(s.readAt) < yieldRepeat {
+			continue
+		}
+		s.take.journals = true
+		read.Shards = append(read.Shards, carobpulley.Ownership{Shard: i, Owner: a.name, Epoch: s.epoch})
+	}
+	if len(read.Shards) == 0 {
+		return nil
+	}
+	return []carobpulley.AuthorityAction{read}
+}
+
 // askYields asks the peers that have not given way, one request each.
 func (a *Authority) askYields(now time.Time) []carobpulley.AuthorityAction {
 	ask := map[string][]carobpulley.Ownership{}
