--- a/owner/merge.go
+++ b/owner/merge.go
@@ -14,8 +14,9 @@
 	t.closeShard(now, ev.Shard, out)
 	sh := &shard{index: ev.Shard, epoch: ev.Epoch, jobs: map[carobpulley.JobID]*job{}}
 	t.shards[ev.Shard] = sh
+	t.unknownUntil[ev.Shard] = later(t.unknownUntil[ev.Shard], ev.UnknownUntil)
 	if !ev.AllAgents && !ev.AllClaims {
-		sh.unknownUntil = now.Add(MaxDeadline + KeyRetention)
+		t.unknownUntil[ev.Shard] = now.Add(MaxDeadline + KeyRetention)
 	}
 	for _, c := range ev.Claims {
 		t.mergeClaim(sh, c)
@@ -28,6 +29,14 @@
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // closeShard forgets the jobs of a shard that another entry owns from now on,
 // except for their claims.
 func (t *Table) closeShard(now time.Time, index int, out *[]carobpulley.Action) {
@@ -36,7 +45,7 @@
 		return
 	}
 	for _, c := range t.Claims(index) {
-		t.closed.Hold(now, c)
+		t.closed.HandOver(now, c)
 	}
 	for _, j := range sh.sorted() {
 		if j.held && !j.settled() && j.has(carobpulley.PhaseWaiting) {
@@ -152,13 +161,17 @@
 	return tasks
 }
 
-// prevails reports whether answer a is kept rather than b: a complete one, else
-// the newer one.
+// prevails reports whether answer a is kept rather than b: a complete one, of
+// two complete ones the one that still has its results, else the newer one.
 func prevails(a, b carobpulley.Claim) bool {
 	complete := a.Answer.Outcome == carobpulley.OutcomeComplete
 	if complete != (b.Answer.Outcome == carobpulley.OutcomeComplete) {
 		return complete
 	}
+	results := len(a.Answer.Tasks) > 0
+	if complete && results != (len(b.Answer.Tasks) > 0) {
+		return results
+	}
 	return a.Epoch > b.Epoch
 }
 
