Decide on the spread of configurations in conf.Spread

They are now a pure type; the shell carries them out. Reading them again found these faults, each with a test:

- A version was told accepted without a majority if the lists of entries before it were not known, which is so after a peer served a later version.
- Two changes of the list in a row were accepted by the last two lists, while entries of the first one could still act.
A version is now confirmed only after the one before it.
- Accepted went back to published when a peer restarted.
- An id whose first append lost its answer was told unavailable when it was sent again during an outage.
The entry now remembers ids in doubt.
- The log's vote counted though retention had overtaken the reader, and the log's and the peers' votes though the newest version could not be parsed.

A list of entries without a majority that was ever heard of is refused: it would stop the service, and no later version could be confirmed.

Ruled out: refusing a change whose base is not confirmed, since a wrong list of entries could then not be corrected.

--- a/conf/fold.go
+++ b/conf/fold.go
@@ -39,6 +39,8 @@
 	serve  served
 	newer  bool
 	lastAt time.Time
+	// confirmed is the largest version that a record tells to be confirmed.
+	confirmed uint64
 	// documents holds those of recent versions for History.
 	documents     map[uint64][]byte
 	documentBytes int
@@ -153,6 +155,7 @@
 		f.next = rec.Offset
 		return nil
 	}
+	f.confirmed = max(f.confirmed, r.Confirmed)
 	switch r.Kind {
 	case kindChange:
 		return f.change(rec, r.change())
@@ -267,6 +270,11 @@
 // publish serves the state if it is newer than what is served.
 func (f *Fold) publish() {
 	f.serveIfNewer(f.state.version, f.state.document)
+	if f.state.version < f.serve.version {
+		// A peer served a newer version first. The document read here is still
+		// needed for rollbacks and for the list of entries.
+		f.keep(f.state.version, f.state.document)
+	}
 }
 
 func (f *Fold) serveIfNewer(version uint64, document []byte) {
@@ -280,7 +288,7 @@
 
 // keep stores a document for History within the bounds.
 func (f *Fold) keep(version uint64, document []byte) {
-	if version == 0 {
+	if _, kept := f.documents[version]; kept || version == 0 {
 		return
 	}
 	f.documents[version] = document
--- a/conf/record.go
+++ b/conf/record.go
@@ -24,6 +24,8 @@
 	// Time is the writer's clock, for display only.
 	Time     time.Time
 	Document []byte
+	// Confirmed is the writer's Spread.Confirmed.
+	Confirmed uint64
 }
 
 // Outcome is the fold's decision on a change.
@@ -63,6 +65,8 @@
 	// Recent are the last decisions in log order, at most MaxHistory. They are
 	// part of the state, since a second record of an id is dropped.
 	Recent []Result
+	// Confirmed is the writer's Spread.Confirmed.
+	Confirmed uint64
 }
 
 // record is the JSON form of both kinds.
@@ -77,6 +81,9 @@
 	Version  uint64    `json:"version,omitempty"`
 	Recent   []Result  `json:"recent,omitempty"`
 	Document string    `json:"document"`
+	// Confirmed lets a reader that starts here do without the lists of entries
+	// of earlier versions.
+	Confirmed uint64 `json:"confirmed_version,omitempty"`
 }
 
 // Encode returns the record's bytes. An error of kind KindInvalid tells that a
@@ -93,6 +100,8 @@
 		Author:   c.Author,
 		Time:     c.Time.UTC(),
 		Document: string(c.Document),
+
+		Confirmed: c.Confirmed,
 	})
 }
 
@@ -121,6 +130,8 @@
 		Version:  s.Version,
 		Recent:   s.Recent,
 		Document: string(s.Document),
+
+		Confirmed: s.Confirmed,
 	})
 }
 
@@ -141,7 +152,7 @@
 	if len(r.Recent) > MaxHistory || len(r.Document) > MaxDocumentBytes {
 		return Snapshot{}, invalid("DecodeSnapshot", "the snapshot is too large")
 	}
-	return Snapshot{Position: r.Position, Version: r.Version, Document: []byte(r.Document), Recent: r.Recent}, nil
+	return Snapshot{Position: r.Position, Version: r.Version, Document: []byte(r.Document), Recent: r.Recent, Confirmed: r.Confirmed}, nil
 }
 
 func (r record) change() Change {
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -65,42 +65,64 @@
 
 // Publish implements oper.Backend.
 func (e *Entry) Publish(ctx context.Context, c conf.Change) oper.Answer {
-	if a, stop := e.refuseChange(c); stop {
+	if err := c.Check(); err != nil {
+		return oper.Answer{Outcome: oper.OutcomeUnavailable, ChangeID: c.ID, Message: err.Error()}
+	}
+	if a, stop := e.beginChange(&c); stop {
 		return a
 	}
 	data, err := c.Encode()
-	if err != nil {
-		return oper.Answer{Outcome: oper.OutcomeUnavailable, ChangeID: c.ID, Message: err.Error()}
+	if err == nil {
+		_, err = e.log.Append(ctx, carobpulley.StreamConfig, c.ID, data)
 	}
-	if _, err := e.log.Append(ctx, carobpulley.StreamConfig, c.ID, data); err != nil {
-		kind := inner.AsError(err).Kind
-		if kind == carobpulley.KindUnavailable || kind == carobpulley.KindInvalid {
-			return oper.Answer{
-				Outcome:  oper.OutcomeUnavailable,
-				ChangeID: c.ID,
-				Message:  "the log did not take the change: " + err.Error(),
-			}
-		}
+	if a, stop := e.endChange(c.ID, err); stop {
+		return a
 	}
 	return e.awaitChange(ctx, c.ID)
 }
 
-// refuseChange answers a change that is decided already or cannot be appended.
-func (e *Entry) refuseChange(c conf.Change) (oper.Answer, bool) {
+// beginChange answers a change that is decided already or cannot be appended.
+func (e *Entry) beginChange(c *conf.Change) (oper.Answer, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, known := e.fold.Outcome(c.ID); known {
+	progress, reason := e.spread.Begin(*c, e.platform.Up)
+	c.Confirmed = e.spread.Confirmed()
+	switch {
+	case reason == "":
+		return oper.Answer{}, false
+	case progress == conf.ProgressUnavailable:
+		return e.unavailableChange(c.ID, reason), true
+	default:
 		return e.changeState(c.ID), true
 	}
-	if !e.platform.Up {
-		return oper.Answer{
-			Outcome:  oper.OutcomeUnavailable,
-			ChangeID: c.ID,
-			Version:  e.fold.Version(),
-			Message:  "the log is down; the change was not accepted",
-		}, true
+}
+
+// endChange answers a change that the log did not take.
+func (e *Entry) endChange(id string, err error) (oper.Answer, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.spread.End(id, untaken(err)) != conf.ProgressUnavailable {
+		return oper.Answer{}, false
+	}
+	return e.unavailableChange(id, "the log did not take the change: "+err.Error()), true
+}
+
+// untaken reports whether an append certainly had no effect.
+func untaken(err error) bool {
+	if err == nil {
+		return false
+	}
+	kind := inner.AsError(err).Kind
+	return kind == carobpulley.KindUnavailable || kind == carobpulley.KindInvalid
+}
+
+func (e *Entry) unavailableChange(id, message string) oper.Answer {
+	return oper.Answer{
+		Outcome:  oper.OutcomeUnavailable,
+		ChangeID: id,
+		Version:  e.fold.Version(),
+		Message:  message,
 	}
-	return oper.Answer{}, false
 }
 
 // awaitChange waits until a change is decided and a majority has confirmed it.
@@ -135,70 +157,20 @@
 
 // changeState is the state of a change as this entry knows it. mu is held.
 func (e *Entry) changeState(id string) oper.Answer {
-	r, ok := e.fold.Outcome(id)
-	a := oper.Answer{ChangeID: id, Version: e.fold.Version()}
-	switch {
-	case !ok:
-		a.Outcome = oper.OutcomeUnknown
+	progress, version := e.spread.Change(id)
+	a := oper.Answer{ChangeID: id, Outcome: oper.Outcome(progress), Version: version}
+	switch progress {
+	case conf.ProgressUnknown:
 		a.Message = "the change has not been read back from the log; ask again by its id"
-	case r.Outcome == conf.Conflict:
-		a.Outcome = oper.OutcomeConflict
+	case conf.ProgressConflict:
 		a.Document = string(e.fold.Document())
 		a.Message = "the change was made against another version"
-	case e.confirmed(r.Version):
-		a.Outcome = oper.OutcomeAccepted
-		a.Version = r.Version
-	default:
-		a.Outcome = oper.OutcomePublished
-		a.Version = r.Version
+	case conf.ProgressPublished:
 		a.Message = "in the log; not confirmed by a majority of the entries yet"
 	}
 	return a
 }
 
-// confirmed reports whether majorities of the entries before and after a change
-// have its version, so that no majority can act without it.
-func (e *Entry) confirmed(version uint64) bool {
-	return e.majorityHas(version, e.entriesAt(version)) && e.majorityHas(version, e.entriesAt(version-1))
-}
-
-// entriesAt returns the entries of a version; none for version 0.
-func (e *Entry) entriesAt(version uint64) []string {
-	if version == e.cat.Version {
-		return e.cat.Entries
-	}
-	doc, ok := e.fold.DocumentAt(version)
-	if !ok {
-		return nil
-	}
-	cat, err := conf.Parse(doc)
-	if err != nil {
-		return nil
-	}
-	return cat.Entries
-}
-
-func (e *Entry) majorityHas(version uint64, entries []string) bool {
-	if len(entries) == 0 {
-		return true
-	}
-	votes := 0
-	if len(entries)%2 == 0 {
-		// The record is in the log, which has the tie-breaking vote.
-		votes++
-	}
-	for _, name := range entries {
-		p := e.peers[name]
-		switch {
-		case name == e.cfg.Name && e.cat.Version >= version:
-			votes++
-		case p != nil && p.configVersion >= version:
-			votes++
-		}
-	}
-	return votes >= len(entries)/2+1
-}
-
 // pushConfig hands the newest version to all peers at once, so that it spreads
 // though the log goes down.
 func (e *Entry) pushConfig() {
@@ -219,10 +191,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.peers[peer]
-	version := inner.PublishAnswerFromWire(r.Msg)
-	if version > p.configVersion {
-		p.configVersion = version
+	if e.spread.Answered(peer, inner.PublishAnswerFromWire(r.Msg)) {
 		e.signalVersions()
 	}
 }
@@ -248,10 +217,10 @@
 func (e *Entry) snapshotDue(now time.Time) ([]byte, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.authority.Active(now, 0) || !e.fold.SnapshotDue(now, e.cfg.LogRetention) {
+	if !e.authority.Active(now, 0) {
 		return nil, false
 	}
-	s, ok := e.fold.Snapshot()
+	s, ok := e.spread.Snapshot(now, e.cfg.LogRetention)
 	if !ok {
 		return nil, false
 	}
@@ -322,7 +291,7 @@
 			Name:        name,
 			Incarnation: p.incarnation,
 			State:       drainState(state, p.draining),
-			Version:     p.configVersion,
+			Version:     e.spread.PeerVersion(name),
 			LagMillis:   lag.Milliseconds(),
 		})
 	}
@@ -339,6 +308,7 @@
 			Incarnation: r.Endpoint.Incarnation,
 			Domain:      r.Endpoint.Domain,
 			State:       drainState(r.State, r.Endpoint.Draining),
+			Running:     r.Load.Running,
 			LagMillis:   now.Sub(r.HeardAt).Milliseconds(),
 		}
 		if s := e.agents[r.Endpoint.ID]; s != nil {
--- a/entry/contact.go
+++ b/entry/contact.go
@@ -7,7 +7,6 @@
 	"connectrpc.com/connect"
 
 	"carobpulley"
-	"carobpulley/conf"
 	"carobpulley/inner"
 )
 
@@ -51,7 +50,7 @@
 		Peer:        a.Entry,
 		Incarnation: a.Incarnation,
 		SentAt:      sentAt,
-		Vouch:       a.Vouch,
+		Vouch:       a.Vouch && e.spread.Counts(a.ConfigVersion),
 		Draining:    a.Draining,
 	})
 	e.pump(now)
@@ -95,7 +94,7 @@
 			out.Vouch = v.Vouch
 		}
 	}
-	if c.ConfigVersion < e.cat.Version {
+	if e.spread.Lacks(c.ConfigVersion) {
 		out.Config = e.configRecord()
 	}
 	return out
@@ -108,13 +107,10 @@
 	if p == nil || c.Incarnation < p.incarnation {
 		return
 	}
-	if c.Incarnation > p.incarnation {
-		*p = peerState{incarnation: c.Incarnation}
-	}
+	p.incarnation = c.Incarnation
 	p.answeredAt = now
 	p.draining = c.Draining
-	if c.ConfigVersion > p.configVersion {
-		p.configVersion = c.ConfigVersion
+	if e.spread.Heard(c.Entry, c.Incarnation, c.ConfigVersion) {
 		e.signalVersions()
 	}
 }
@@ -130,9 +126,8 @@
 	if r == nil {
 		return
 	}
-	if e.fold.Adopt(conf.Snapshot{Version: r.Version, Document: r.Document}) {
-		e.configured(now)
-	}
+	changed := e.spread.Adopt(r.Version, r.Document)
+	e.configured(now, changed)
 }
 
 func (e *Entry) configRecord() *inner.ConfigRecord {
@@ -142,22 +137,22 @@
 	}
 }
 
-// configured puts the fold's newest version in force. mu is held.
-func (e *Entry) configured(now time.Time) {
-	cat, err := e.fold.Catalogue()
-	if err != nil {
-		e.logger.Error().Err(err).Uint64("version", e.fold.Version()).Msg("configuration cannot be read")
-		return
+// configured hands the version in force to the parts that act by it. mu is
+// held.
+func (e *Entry) configured(now time.Time, changed bool) {
+	if _, err := e.fold.Catalogue(); err != nil && e.unreadable != e.fold.Version() {
+		e.unreadable = e.fold.Version()
+		e.logger.Error().Err(err).Uint64("version", e.unreadable).Msg("configuration cannot be read")
 	}
-	if cat.Version <= e.cat.Version {
+	if !changed {
 		return
 	}
-	e.cat = cat
-	e.stepAuthority(now, carobpulley.Configured{Entries: cat.Entries})
-	e.placer.Configure(now, cat)
-	e.admitter.Configure(now, cat)
+	e.cat = e.spread.InForce()
+	e.stepAuthority(now, carobpulley.Configured{Entries: e.cat.Entries})
+	e.placer.Configure(now, e.cat)
+	e.admitter.Configure(now, e.cat)
 	e.signalVersions()
-	e.logger.Info().Uint64("version", cat.Version).Msg("configuration in force")
+	e.logger.Info().Uint64("version", e.cat.Version).Msg("configuration in force")
 }
 
 // configLoop follows the config stream until ctx ends.
@@ -173,12 +168,9 @@
 		}
 		e.mu.Lock()
 		now := time.Now()
-		before := e.fold.Version()
-		e.fold.Apply(from, page)
-		if e.fold.Version() > before {
-			e.configured(now)
-		}
-		if e.fold.Next() >= page.Next {
+		read := e.spread.Read(now, from, page)
+		e.configured(now, read.Changed)
+		if read.AtEnd {
 			e.owners.configReadAt = sentAt
 			e.logVote(now)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,8 +95,13 @@
 	roster    carobpulley.Roster
 	retry     RetryBudget
 	witness   *owner.Witness
-	fold      *conf.Fold
-	cat       *carobpulley.Catalogue
+	// spread decides on the configuration. fold is its fold and cat the version
+	// in force.
+	spread *conf.Spread
+	fold   *conf.Fold
+	cat    *carobpulley.Catalogue
+	// unreadable is the newest version that could not be parsed.
+	unreadable uint64
 	// owners are the ownership claims read so far, in log order.
 	owners owners
 	agents map[string]*agentState
@@ -123,15 +128,15 @@
 
 // peerState is what is known of another entry.
 type peerState struct {
-	incarnation   uint64
-	configVersion uint64
-	answeredAt    time.Time
-	draining      bool
+	incarnation uint64
+	answeredAt  time.Time
+	draining    bool
 }
 
 // New returns an entry. Run starts it.
 func New(cfg Settings, p Parts) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
+	fold := conf.NewFold()
 	e := &Entry{
 		cfg:            cfg,
 		log:            p.Log,
@@ -148,7 +153,8 @@
 		roster:         p.Roster,
 		retry:          p.Retry,
 		witness:        owner.NewWitness(cfg.Shards),
-		fold:           conf.NewFold(),
+		spread:         conf.NewSpread(cfg.Name, fold),
+		fold:           fold,
 		startedAt:      time.Now(),
 		cat:            &carobpulley.Catalogue{},
 		agents:         make(map[string]*agentState),
