--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,6 +11,8 @@
 
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
+
+	"carobpulley/setup"
 )
 
 const usage = `Runs every way of placement and admission on the same arrivals and prints
@@ -29,6 +31,9 @@
 			&cli.StringFlag{Name: "only", Usage: "run only scenarios whose experiment and title contain this"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return fmt.Errorf("there is no command %q", c.Args().First())
+			}
 			results := measure(c.Int("seeds"), c.String("way"), c.String("only"))
 			if c.Bool("json") {
 				return writeJSON(os.Stdout, results)
@@ -36,7 +41,7 @@
 			writeMarkdown(os.Stdout, results)
 			return nil
 		},
-		Commands: []*cli.Command{slopesCommand(), loadCommand()},
+		Commands: []*cli.Command{slopesCommand(), loadCommand(), setup.VersionCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,14 +10,14 @@
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
+
+	"carobpulley/setup"
 )
 
 const usage = `Stand-ins of the systems around carobpulley, for trials and tests.
 
-Each subcommand is one server. It writes JSON lines to standard error; the
-message "listening" has the field addr. SIGTERM and SIGINT stop it after the
-requests in progress, in at most 30 s. Each flag can also be set by the
-environment variable that the help shows.`
+Each subcommand but version is one server. Its log is JSON lines on stderr; the
+message "listening" has the field addr. SIGTERM stops it gracefully within 30 s.`
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -34,6 +34,6 @@
 		Name:        "standin",
 		Usage:       "serve a stand-in of a system around carobpulley",
 		Description: usage,
-		Commands:    []*cli.Command{logCommand(log), endpointCommand(log), workerCommand(log)},
+		Commands:    []*cli.Command{logCommand(log), endpointCommand(log), workerCommand(log), setup.VersionCommand()},
 	}
 }
