--- a/cmd/entryd/serve.go
+++ b/cmd/entryd/serve.go
@@ -39,6 +39,14 @@
 	api    *apiServer
 }
 
+// jsonVar is an expvar.Var whose value is JSON already.
+type jsonVar func() string
+
+// String implements expvar.Var.
+func (v jsonVar) String() string {
+	return v()
+}
+
 func serve(ctx context.Context, cfg config) error {
 	p := &program{
 		cfg:    cfg,
@@ -62,7 +70,7 @@
 		return err
 	}
 	expvar.Publish("latency", counts)
-	expvar.Publish("entry", expvar.Func(func() any { return p.entry.Metrics() }))
+	expvar.Publish("entry", jsonVar(p.entry.Metrics))
 	return nil
 }
 
