--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,9 @@
 e2e:
 	@scripts/e2e.sh
 
-# Runs the fault matrix with 20,000 further schedules and the state machines
-# with 20,000 runs, ten minutes at most. SEED chooses others than the default.
+# Runs the fault matrices with 20,000 further schedules each and the state
+# machines with 20,000 runs, ten minutes at most for each package. SEED chooses others than the default.
 SEED ?= 1
 test-long:
 	CAROB_SCHEDULES=20000 go test -count=1 -timeout 10m -run 'TestFaultMatrix$$|AgainstModel' ./owner -rapid.checks=20000 -rapid.seed=$(SEED)
+	CAROB_SPREAD_SCHEDULES=20000 go test -count=1 -timeout 10m -run 'TestSpreadMatrix$$' ./conf
--- a/conf/spread.go
+++ b/conf/spread.go
@@ -127,6 +127,7 @@
 	if err != nil || cat.Version <= s.cat.Version {
 		return false
 	}
+	s.lists[s.cat.Version] = s.cat.Entries
 	s.cat = cat
 	s.settle()
 	return true
@@ -326,8 +327,13 @@
 //
 // It is due a third of the retention time after the newest one by the log's
 // clock, or after that one was read by this process's: a host whose clock is
-// behind would otherwise never carry the configuration forward.
-func (s *Spread) Snapshot(now time.Time, retention time.Duration) (Snapshot, bool) {
+// behind would otherwise never carry the configuration forward. Entries that
+// are not the first to write leave half as much time more, since the first one
+// may be unable to: it may have missed records.
+func (s *Spread) Snapshot(now time.Time, retention time.Duration, first bool) (Snapshot, bool) {
+	if !first {
+		retention += retention / 2
+	}
 	long := !s.snapshotReadAt.IsZero() && now.Sub(s.snapshotReadAt) >= retention/snapshotParts
 	if !long && !s.fold.SnapshotDue(now, retention) {
 		return Snapshot{}, false
--- a/conf/spread_test.go
+++ b/conf/spread_test.go
@@ -160,7 +160,7 @@
 	s := readSpread("a", listLog(t, "a, b, c", "a, b, c"))
 	s.Heard("b", 1, 2)
 	behind, retention := spreadStart.Add(-time.Hour), 30*time.Minute
-	snap, due := s.Snapshot(behind, retention)
+	snap, due := s.Snapshot(behind, retention, true)
 	if !due || snap.Confirmed != 2 {
 		t.Fatalf("due %v, confirmed %d", due, snap.Confirmed)
 	}
@@ -170,9 +170,13 @@
 	}
 	page := carobpulley.Page{Records: []carobpulley.Record{{Offset: 3, Time: spreadStart, Data: data}}, Oldest: 3, Next: 4}
 	s.Read(behind, 3, page)
-	for after, want := range map[time.Duration]bool{9 * time.Minute: false, 11 * time.Minute: true} {
-		if _, due := s.Snapshot(behind.Add(after), retention); due != want {
-			t.Errorf("due %v after %v", due, after)
+	for after, want := range map[time.Duration][2]bool{
+		9 * time.Minute: {false, false}, 11 * time.Minute: {true, false}, 16 * time.Minute: {true, true},
+	} {
+		_, first := s.Snapshot(behind.Add(after), retention, true)
+		_, other := s.Snapshot(behind.Add(after), retention, false)
+		if d := cmp.Diff(want, [2]bool{first, other}); d != "" {
+			t.Errorf("after %v, at the first writer and at another one:\n%s", after, d)
 		}
 	}
 	late := NewSpread("c", NewFold())
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -197,7 +197,7 @@
 }
 
 // snapshotLoop carries the configuration forward in the log before it expires.
-// The owner of shard 0 does so for all.
+// The owner of shard 0 does so first; the others if it does not.
 func (e *Entry) snapshotLoop(ctx context.Context) error {
 	for sleepCtx(ctx, time.Now().Add(snapshotPoll)) {
 		data, due := e.snapshotDue(time.Now())
@@ -217,10 +217,10 @@
 func (e *Entry) snapshotDue(now time.Time) ([]byte, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.authority.Active(now, 0) {
+	if !e.authority.Has(now) {
 		return nil, false
 	}
-	s, ok := e.spread.Snapshot(now, e.cfg.LogRetention)
+	s, ok := e.spread.Snapshot(now, e.cfg.LogRetention, e.authority.Active(now, 0))
 	if !ok {
 		return nil, false
 	}
