bench: measure the spread of a configuration change

The time in which a change is in force everywhere was only bounded by the design. The subcommand spread runs conf.Spread, conf.Fold and fence.Gate of 30 and of 2,600 nodes in virtual time, with the log up and with a log that answers one entry only, and prints what a node spends per change and at rest.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -36,7 +36,7 @@
 			writeMarkdown(os.Stdout, results)
 			return nil
 		},
-		Commands: []*cli.Command{slopesCommand(), loadCommand()},
+		Commands: []*cli.Command{slopesCommand(), loadCommand(), spreadCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
