--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -41,7 +41,7 @@
 			writeMarkdown(os.Stdout, results)
 			return nil
 		},
-		Commands: []*cli.Command{slopesCommand(), loadCommand(), setup.VersionCommand()},
+		Commands: []*cli.Command{slopesCommand(), spreadCommand(), loadCommand(), setup.VersionCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
