entry: do not say "not run" for a forwarded call without an answer

Tests of the entry shell with faults of the platform's log: down after the start, appends of 500 ms, and no answers to appends. They found two faults.

A forwarded submission, lookup or cancellation whose connection could not be opened was reported with not_run, since that message was never sent. The dead owner may have started the key in an earlier call, so that the refusal was not true while the log was down. The receiver now clears the flag of every error that is not the owner's own answer, and a malformed reply does not carry it either; before, such a reply made the receiver keep a refusal of the key as second holder.

Claims that may still lack a holder are now sent again after 250 ms.

Ruled out: the owner's own refusals, which are stored under the key and stay.

Without the first protection TestLogDownAfterTheStart printed, for all six keys of the dead owner: outcome "", Submit: unavailable: dial tcp: connection refused (with not_run set). Without the second one TestWitnessLostWhileTheLogIsDown printed: outcome not_run, job: deadline: the deadline passed before all tasks started, after 30.6 s; with it the test ends in 1.2 s.

The tests' cluster now opens the entries' servers before the entries exist, because a port that was picked and closed could be taken meanwhile ("address already in use", once in three race runs), and waits until each entry is ready: TestNonIdempotentRequests sent requests through an entry that had no contact with a majority yet.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -5,12 +5,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
-	"net/url"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +17,6 @@
 
 	"carobpulley"
 	"carobpulley/admit"
-	"carobpulley/agent"
 	"carobpulley/conf"
 	"carobpulley/entry"
 	"carobpulley/inner"
@@ -35,9 +33,13 @@
   - name: depots
     token_sha256: ["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]
     quota: {starts_per_second: 100000, max_concurrent: 10000, weight: 1}
+  - name: others
+    token_sha256: ["d9298a10d1b0735837dc4bd85dac641b0f3cef27a47e5d53a54f2f3f5b2fcffa"]
+    quota: {starts_per_second: 100000, max_concurrent: 10000, weight: 1}
 services:
   - {name: check, member: depots, class: normal, run_time: 20ms, idempotent: true}
   - {name: confirm, member: depots, class: urgent, run_time: 20ms, idempotent: false}
+  - {name: single, member: depots, class: normal, run_time: 20ms, idempotent: true, limits: {max_concurrent: 1}}
 domains:
   - {name: d1, region: r, in_service: %t}
   - {name: d2, region: r, in_service: true}
@@ -45,10 +47,26 @@
 entries: [entry-1, entry-2, entry-3]
 `
 
-// starts is the endpoints' own record: when each task started, by job and task.
+// Payloads that start with one of these make the endpoint fail the task at
+// once, fail it after failTime, or hold it until it is released or its request
+// is closed.
+const (
+	failing = "fail:"
+	slowly  = "fail:slowly:"
+	holding = "hold:"
+)
+
+const failTime = 200 * time.Millisecond
+
+// starts is the endpoints' own record: when each task started, by job and task,
+// and how often each payload did.
 type starts struct {
-	mu sync.Mutex
-	at map[string][]start
+	mu       sync.Mutex
+	at       map[string][]start
+	payloads map[string]int
+	// closed counts the requests that were closed before their end, by job and task.
+	closed  map[string]int
+	release chan struct{}
 }
 
 type start struct {
@@ -56,11 +74,19 @@
 	at     time.Time
 }
 
-func (s *starts) add(r *http.Request, domain string) {
+func (s *starts) add(r *http.Request, domain, payload string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.payloads[payload]++
 	id := r.Header.Get("X-Carob-Job") + "#" + r.Header.Get("X-Carob-Task")
 	s.at[id] = append(s.at[id], start{domain: domain, at: time.Now()})
+	return id
+}
+
+func (s *starts) close(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed[id]++
 }
 
 // of returns how often a task started.
@@ -70,8 +96,43 @@
 	return len(s.at[fmt.Sprintf("depots/%s#%d", key, task)])
 }
 
+// serve runs a task as its payload says.
+func (s *starts) serve(w http.ResponseWriter, r *http.Request, domain string, runTime time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	payload := string(body)
+	id := s.add(r, domain, payload)
+	switch {
+	case err != nil:
+		s.close(id)
+		return
+	case strings.HasPrefix(payload, failing):
+		if strings.HasPrefix(payload, slowly) {
+			time.Sleep(failTime)
+		}
+		http.Error(w, "no van", http.StatusInternalServerError)
+		return
+	case strings.HasPrefix(payload, holding):
+		select {
+		case <-s.release:
+		case <-r.Context().Done():
+			s.close(id)
+			return
+		}
+	default:
+		time.Sleep(runTime)
+	}
+	_, _ = w.Write(body)
+}
+
+// with returns how often a payload started.
+func (s *starts) with(payload string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.payloads[payload]
+}
+
 // checkOnce reports every task that started twice.
-func (s *starts) checkOnce(t *testing.T) {
+func (s *starts) checkOnce(t testing.TB) {
 	t.Helper()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,15 +143,27 @@
 	}
 }
 
-// cluster is three entries and six endpoints with their agents on loopback.
+// cluster is three entries and the endpoints with their agents on loopback.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
+	opts    options
 	log     *memlog.Log
 	client  *inner.Client
 	starts  *starts
 	entries map[string]*node
 	addrs   map[string]netip.AddrPort
+	servers map[string]*server
+	hosts   []*host
+}
+
+// options of a cluster.
+type options struct {
+	runTime   time.Duration
+	endpoints int
+	tls       inner.TLS
+	// table wraps the entries' job tables if it is set.
+	table func(carobpulley.JobTable) carobpulley.JobTable
 }
 
 // node is one entry process.
@@ -99,45 +172,86 @@
 	kill func()
 }
 
-func newCluster(t *testing.T, runTime time.Duration) *cluster {
+func newCluster(t testing.TB, runTime time.Duration) *cluster {
+	t.Helper()
+	return newClusterWith(t, options{runTime: runTime, endpoints: 6})
+}
+
+func newClusterWith(t testing.TB, opts options) *cluster {
 	t.Helper()
-	client, err := inner.NewClient(inner.TLS{})
+	client, err := inner.NewClient(opts.tls)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 	t.Cleanup(cancel)
 	c := &cluster{
-		t:       t,
-		ctx:     ctx,
-		log:     memlog.New(memlog.Retention{}, time.Now),
-		client:  client,
-		starts:  &starts{at: make(map[string][]start)},
+		t:      t,
+		ctx:    ctx,
+		log:    memlog.New(memlog.Retention{}, time.Now),
+		opts:   opts,
+		client: client,
+		starts: &starts{
+			at:       make(map[string][]start),
+			payloads: make(map[string]int),
+			closed:   make(map[string]int),
+			release:  make(chan struct{}),
+		},
 		entries: make(map[string]*node),
 		addrs:   make(map[string]netip.AddrPort),
+		servers: make(map[string]*server),
 	}
 	c.log.SetFaults(memlog.Faults{Delay: 3 * time.Millisecond})
 	for i := range 3 {
-		c.addrs[fmt.Sprintf("entry-%d", i+1)] = freeAddr(t)
+		c.listen(fmt.Sprintf("entry-%d", i+1))
 	}
 	for name := range c.addrs {
 		c.startEntry(name)
 	}
-	for i := range 6 {
-		c.startEndpoint(i, runTime)
+	for i := range opts.endpoints {
+		c.startEndpoint(i)
 	}
 	c.publish("first", 0, fmt.Sprintf(document, true))
+	for name, n := range c.entries {
+		for n.Ready() != nil {
+			if c.ctx.Err() != nil {
+				t.Fatalf("%s is not ready: %v", name, n.Ready())
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
 	return c
 }
 
-func freeAddr(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// listen opens an entry's server on a free port before the entry exists, since
+// the entries must know each other's addresses.
+func (c *cluster) listen(name string) {
+	c.t.Helper()
+	s := &server{mux: http.NewServeMux()}
+	srv, err := inner.NewServer(c.ctx, netip.MustParseAddrPort("127.0.0.1:0"), c.opts.tls, s)
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
+	}
+	srv.LogTo(io.Discard)
+	s.Server = srv
+	c.servers[name] = s
+	c.addrs[name] = srv.Addr()
+}
+
+// server is an entry's server with the handler that the entry mounts.
+type server struct {
+	*inner.Server
+	mux *http.ServeMux
+	// lostWitness is the number of next Witness calls that get no answer and
+	// have no effect.
+	lostWitness atomic.Int32
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/Witness") && s.lostWitness.Add(-1) >= 0 {
+		panic(http.ErrAbortHandler)
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	s.mux.ServeHTTP(w, r)
 }
 
 func (c *cluster) startEntry(name string) {
@@ -150,6 +264,10 @@
 			peers[other] = addr
 		}
 	}
+	var table carobpulley.JobTable = owner.NewTable(name, carobpulley.Shards)
+	if c.opts.table != nil {
+		table = c.opts.table(table)
+	}
 	placer := place.New(rand.NewPCG(1, incarnation), nil, "d1")
 	e := entry.New(entry.Settings{
 		Name:         name,
@@ -162,7 +280,7 @@
 		Log:       c.log,
 		Client:    c.client,
 		Authority: owner.NewAuthority(now, name, incarnation, carobpulley.Shards),
-		Table:     owner.NewTable(name, carobpulley.Shards),
+		Table:     table,
 		Placer:    placer,
 		Admitter:  admit.New(placer),
 		Roster:    roster.New(),
@@ -170,12 +288,8 @@
 		Stats:     stats.New(),
 		Logger:    zerolog.Nop(),
 	})
-	mux := http.NewServeMux()
-	mux.Handle(inner.EntryHandler(e.Service()))
-	srv, err := inner.NewServer(c.ctx, c.addrs[name], inner.TLS{}, mux)
-	if err != nil {
-		c.t.Fatal(err)
-	}
+	srv := c.servers[name]
+	srv.mux.Handle(inner.EntryHandler(e.Service()))
 	ctx, cancel := context.WithCancel(c.ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = e.Run(ctx) })
@@ -192,47 +306,6 @@
 	c.entries[name] = &node{Entry: e, kill: kill}
 }
 
-func (c *cluster) startEndpoint(i int, runTime time.Duration) {
-	c.t.Helper()
-	domain := fmt.Sprintf("d%d", i%3+1)
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.starts.add(r, domain)
-		body, _ := io.ReadAll(r.Body)
-		time.Sleep(runTime)
-		_, _ = w.Write(body)
-	}))
-	c.t.Cleanup(srv.Close)
-	base, err := url.Parse(srv.URL)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	addr := freeAddr(c.t)
-	cfg := agent.Config{
-		Endpoint: carobpulley.Endpoint{
-			ID:       fmt.Sprintf("ep-%d", i+1),
-			Addr:     addr,
-			Domain:   domain,
-			Services: []string{"check", "confirm"},
-			Slots:    8,
-		},
-		Base:       base,
-		LookAhead:  4,
-		RunLimit:   time.Minute,
-		DrainLimit: 5 * time.Second,
-	}
-	for _, a := range c.addrs {
-		cfg.Entries = append(cfg.Entries, a)
-	}
-	a := agent.New(cfg, agent.ClientEntries(c.client), agent.NewTransport(8), zerolog.Nop())
-	ctx, cancel := context.WithCancel(c.ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = a.Run(ctx, addr, inner.TLS{}) })
-	c.t.Cleanup(func() {
-		cancel()
-		wg.Wait()
-	})
-}
-
 // publish makes a document the next version, with tries while entries start.
 func (c *cluster) publish(id string, base uint64, doc string) {
 	c.t.Helper()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -112,7 +112,7 @@
 }
 
 // checkTrue compares an answer with the endpoints' record.
-func checkTrue(t *testing.T, c *cluster, key string, a carobpulley.Answer) {
+func checkTrue(t testing.TB, c *cluster, key string, a carobpulley.Answer) {
 	t.Helper()
 	for _, k := range a.Tasks {
 		n := c.starts.of(key, k.Index)
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	// maxWitnessBytes bounds the payloads and results of one Witness call, so
 	// that the message stays below the limit of inner messages.
 	maxWitnessBytes = 8 << 20
+	// witnessRetry is the time before claims that got no answer are sent again.
+	witnessRetry = 250 * time.Millisecond
 )
 
 // holdClaim asks a peer to hold a claim. The journal counts as a second holder
@@ -30,9 +33,7 @@
 	if c.Answer != nil {
 		e.writeJournal(c)
 	}
-	if s := e.witnessOf(c.Shard); s != nil {
-		s.add(c)
-	}
+	e.holdAgain(c)
 }
 
 // witnessOf returns the sender to the next entry in the order of the shard that
@@ -141,6 +142,7 @@
 	held, err := inner.WitnessAnswerFromWire(len(group), r.Msg)
 	if err != nil {
 		s.e.logger.Warn().Err(err).Str("peer", s.peer).Msg("witness answer is not valid")
+		s.lost(group)
 		return
 	}
 	s.e.mu.Lock()
@@ -155,16 +157,68 @@
 }
 
 // lost looks for another holder of claims that got no answer. While there is
-// none the journal's append is awaited.
+// none they are sent again later.
 func (s *witnessSender) lost(group []carobpulley.Claim) {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
+	var later []carobpulley.Claim
 	for _, c := range group {
 		other := s.e.witnessOf(c.Shard)
 		if other != nil && other != s {
 			other.add(c)
+		} else {
+			later = append(later, c)
 		}
 	}
+	s.e.holdLater(later)
+}
+
+// holdAgain sends a claim to its witness, or tries later while no peer is known
+// to be there. mu is held.
+func (e *Entry) holdAgain(c carobpulley.Claim) {
+	if s := e.witnessOf(c.Shard); s != nil {
+		s.add(c)
+		return
+	}
+	e.holdLater([]carobpulley.Claim{c})
+}
+
+// holdLater sends claims to a witness after a pause if they still lack a second
+// holder. To await the journal alone does not do: the log may be down.
+func (e *Entry) holdLater(group []carobpulley.Claim) {
+	if len(group) == 0 || len(e.witnesses) == 0 {
+		return
+	}
+	e.goDo(func() {
+		if !e.sleep(time.Now().Add(witnessRetry)) {
+			return
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		now := time.Now()
+		for _, c := range group {
+			if e.lacksHolder(now, c) {
+				e.holdAgain(c)
+			}
+		}
+	})
+}
+
+// lacksHolder reports whether a claim may still wait for its second holder: no
+// task of the job has been sent, or its final answer is not told. mu is held.
+func (e *Entry) lacksHolder(now time.Time, c carobpulley.Claim) bool {
+	own, ok := e.authority.Owner(c.Shard)
+	if !ok || own.Owner != e.cfg.Name || own.Epoch != c.Epoch || !now.Before(c.Spec.Deadline) {
+		return false
+	}
+	a, err := e.table.Answer(now, c.Spec.ID)
+	if err != nil || a.Outcome != carobpulley.OutcomeRunning {
+		return false
+	}
+	if c.Answer != nil {
+		return true
+	}
+	return !slices.ContainsFunc(a.Tasks, func(t carobpulley.Task) bool { return t.Attempt > 0 })
 }
 
 func claimBytes(c carobpulley.Claim) int {
--- /dev/null
+++ b/entry/logfault_test.go
@@ -0,0 +1,296 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobpulley"
+	"carobpulley/api"
+	"carobpulley/conf"
+	"carobpulley/memlog"
+	"carobpulley/oper"
+)
+
+// runKeys submits jobs through two entries each and checks that both get the
+// whole answer.
+func (c *cluster) runKeys(prefix string, n, tasks int) {
+	c.t.Helper()
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			key := fmt.Sprintf("%s-%d", prefix, i)
+			var got [2]carobpulley.Answer
+			var both sync.WaitGroup
+			for k := range got {
+				both.Go(func() {
+					name := fmt.Sprintf("entry-%d", (i+k)%3+1)
+					a, err := c.entries[name].Submit(c.ctx, spec(key, tasks), true)
+					if err != nil || a.Outcome != carobpulley.OutcomeComplete {
+						c.t.Errorf("%s through %s: outcome %s, %v, %v", key, name, a.Outcome, a.Err, err)
+					}
+					got[k] = a
+				})
+			}
+			both.Wait()
+			if diff := cmp.Diff(results(got[0]), results(got[1])); diff != "" {
+				c.t.Errorf("%s: %s", key, diff)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// settle waits until every shard has an active owner.
+func (c *cluster) settle() {
+	c.t.Helper()
+	for c.ctx.Err() == nil {
+		active := 0
+		for _, s := range c.entries["entry-1"].Status().Shards {
+			if s.Active {
+				active++
+			}
+		}
+		if active == carobpulley.Shards {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatal("some shards have no owner")
+}
+
+// keysOf returns keys of shards that an entry owns.
+func (c *cluster) keysOf(owner, prefix string, n int) []string {
+	c.t.Helper()
+	var keys []string
+	for i := 0; len(keys) < n; i++ {
+		key := fmt.Sprintf("%s-%d", prefix, i)
+		if c.ownerOf(key) == owner {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// survivor returns an entry that is not the victim.
+func (c *cluster) survivor(victim string) *node {
+	for name, n := range c.entries {
+		if name != victim {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against work that stops with the log, a change that is accepted
+// without it, and keys of an owner that dies meanwhile being called not run,
+// although that owner may have started them.
+func TestLogDownAfterTheStart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 20*time.Millisecond)
+	c.settle()
+	c.runKeys("before", 3, 10)
+	c.log.SetFaults(memlog.Faults{Outage: true})
+	c.runKeys("during", 20, 20)
+	for i := range 10 {
+		payload := fmt.Sprintf("van-%d", i)
+		k, err := c.entries[fmt.Sprintf("entry-%d", i%3+1)].Call(c.ctx, request("confirm", payload, 10*time.Second))
+		if err != nil || string(k.Result) != payload || c.starts.with(payload) != 1 {
+			t.Errorf("request %s: result %q, %v, %d starts", payload, k.Result, err, c.starts.with(payload))
+		}
+	}
+	c.cancelDuring("cancelled-during")
+	c.refuseChange()
+
+	victim := c.ownerOf("dies-0")
+	keys := c.keysOf(victim, "dies", 6)
+	held, fresh := keys[:3], keys[3:]
+	n := c.survivor(victim)
+	for _, key := range held {
+		if _, err := n.Submit(c.ctx, holdSpec(key, 4), false); err != nil {
+			t.Errorf("%s: %v", key, err)
+		}
+		c.awaitStart(holding + key + "/0")
+	}
+	c.entries[victim].kill()
+	var wg sync.WaitGroup
+	for _, key := range keys {
+		wg.Go(func() {
+			s := spec(key, 4)
+			if key == held[0] || key == held[1] || key == held[2] {
+				s = holdSpec(key, 4)
+			}
+			a, err := n.Submit(c.ctx, s, true)
+			var e *carobpulley.Error
+			if !errors.As(err, &e) || e.Kind != carobpulley.KindUnavailable || e.NotRun {
+				t.Errorf("%s of the dead owner: outcome %q, %v", key, a.Outcome, err)
+			}
+		})
+	}
+	wg.Wait()
+	for _, key := range fresh {
+		if got := c.starts.of(key, 0); got != 0 {
+			t.Errorf("%s was answered unavailable and started %d times without an owner", key, got)
+		}
+	}
+
+	c.log.SetFaults(memlog.Faults{Delay: 3 * time.Millisecond})
+	close(c.starts.release)
+	for _, key := range held {
+		wg.Go(func() { c.mustComplete(n, holdSpec(key, 4)) })
+	}
+	for _, key := range fresh {
+		wg.Go(func() { c.mustComplete(n, spec(key, 4)) })
+	}
+	wg.Wait()
+	c.starts.checkOnce(t)
+}
+
+// mustComplete submits until the key's shard has an owner again, and checks the
+// answer against the record of starts.
+func (c *cluster) mustComplete(n *node, s carobpulley.JobSpec) {
+	for c.ctx.Err() == nil {
+		a, err := n.Submit(c.ctx, s, true)
+		var e *carobpulley.Error
+		if errors.As(err, &e) && e.Kind == carobpulley.KindUnavailable && !e.NotRun {
+			continue
+		}
+		checkTrue(c.t, c, s.ID.Key, a)
+		if err != nil || a.Outcome != carobpulley.OutcomeComplete {
+			c.t.Errorf("%s: outcome %q, %v, %v", s.ID.Key, a.Outcome, a.Err, err)
+		}
+		return
+	}
+	c.t.Errorf("%s got no answer", s.ID.Key)
+}
+
+// cancelDuring cancels a job of which a part runs and checks what is told.
+func (c *cluster) cancelDuring(key string) {
+	c.t.Helper()
+	n := c.entries["entry-1"]
+	if _, err := n.Submit(c.ctx, holdSpec(key, 100), false); err != nil {
+		c.t.Fatal(err)
+	}
+	c.awaitStart(holding + key + "/0")
+	if _, err := n.Cancel(c.ctx, carobpulley.JobID{Member: "depots", Key: key}); err != nil {
+		c.t.Error(err)
+	}
+	a, err := n.Lookup(c.ctx, carobpulley.JobID{Member: "depots", Key: key}, true)
+	if err != nil || a.Outcome != carobpulley.OutcomeFailed {
+		c.t.Errorf("%s: outcome %q, %v", key, a.Outcome, err)
+	}
+	checkTrue(c.t, c, key, a)
+}
+
+// refuseChange checks that no entry accepts a change while the log is down.
+func (c *cluster) refuseChange() {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+	defer cancel()
+	for name, n := range c.entries {
+		a := n.Publish(ctx, conf.Change{
+			ID:       "outage-" + name,
+			Base:     1,
+			Author:   "test",
+			Time:     time.Now(),
+			Document: fmt.Appendf(nil, document, false),
+		})
+		if a.Outcome == oper.OutcomeAccepted {
+			c.t.Errorf("%s accepted a change without the log", name)
+		}
+		if v := n.Catalogue().Version; v != 1 {
+			c.t.Errorf("%s is at version %d", name, v)
+		}
+	}
+}
+
+// awaitStart waits until a payload has started.
+func (c *cluster) awaitStart(payload string) {
+	c.t.Helper()
+	for c.starts.with(payload) == 0 {
+		if c.ctx.Err() != nil {
+			c.t.Fatalf("%s did not start", payload)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// holdSpec is a job whose tasks are held by the endpoints.
+func holdSpec(key string, tasks int) carobpulley.JobSpec {
+	s := spec(key, tasks)
+	for i := range s.Payloads {
+		s.Payloads[i] = fmt.Appendf(nil, "%s%s/%d", holding, key, i)
+	}
+	s.Deadline = time.Now().Add(time.Minute)
+	return s
+}
+
+func request(service, payload string, timeout time.Duration) api.Request {
+	return api.Request{
+		Member:        "depots",
+		Service:       service,
+		Payload:       []byte(payload),
+		NonIdempotent: service == "confirm",
+		Deadline:      time.Now().Add(timeout),
+	}
+}
+
+// Guards against a takeover, a change or a job that is lost, or done twice, on
+// a log whose appends take 500 ms or whose answers do not arrive.
+func TestLogSlowOrUnanswered(t *testing.T) {
+	t.Parallel()
+	for name, faults := range map[string]memlog.Faults{
+		"slow":         {Delay: 500 * time.Millisecond},
+		"answers lost": {Delay: 3 * time.Millisecond, LostAnswers: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 20*time.Millisecond)
+			c.settle()
+			c.log.SetFaults(faults)
+			c.runKeys("before", 20, 20)
+			c.publish("out", 1, fmt.Sprintf(document, false))
+			c.publish("in", 2, fmt.Sprintf(document, true))
+			victim := c.ownerOf("dies-0")
+			keys := c.keysOf(victim, "dies", 6)
+			n := c.survivor(victim)
+			var wg sync.WaitGroup
+			for _, key := range keys {
+				wg.Go(func() { c.mustComplete(n, spec(key, 40)) })
+			}
+			c.awaitStart(keys[0] + "/0")
+			c.entries[victim].kill()
+			wg.Wait()
+			delete(c.entries, victim)
+			for name, n := range c.entries {
+				if v := n.Catalogue().Version; v != 3 {
+					t.Errorf("%s is at version %d after two changes", name, v)
+				}
+			}
+			c.starts.checkOnce(t)
+		})
+	}
+}
+
+// Guards against a job that waits until its deadline because the message to its
+// witness was lost while the log, the other possible holder, was down.
+func TestWitnessLostWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 20*time.Millisecond)
+	c.settle()
+	c.log.SetFaults(memlog.Faults{Outage: true})
+	for _, s := range c.servers {
+		s.lostWitness.Store(2)
+	}
+	name := c.ownerOf("lost")
+	a, err := c.entries[name].Submit(c.ctx, spec("lost", 10), true)
+	if err != nil || a.Outcome != carobpulley.OutcomeComplete {
+		t.Errorf("outcome %s, %v, %v", a.Outcome, a.Err, err)
+	}
+	c.starts.checkOnce(t)
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -197,7 +197,7 @@
 	})))
 	if err != nil {
 		// The owner may have taken the claim: it stays held.
-		return carobpulley.Answer{}, err
+		return carobpulley.Answer{}, unanswered(err)
 	}
 	a, err := answerFrom(spec.ID, r, nil)
 	e.keep(claim, a, err)
@@ -254,7 +254,7 @@
 
 func answerFrom(id carobpulley.JobID, r *connect.Response[wire.JobReply], err error) (carobpulley.Answer, error) {
 	if err != nil {
-		return carobpulley.Answer{}, err
+		return carobpulley.Answer{}, unanswered(err)
 	}
 	out, err := inner.JobReplyFromWire(id, r.Msg)
 	if err != nil {
@@ -263,6 +263,15 @@
 	return out.Answer, nil
 }
 
+// unanswered is the error of a forwarded call that the owner did not answer. It
+// does not say "not run", even if the call was never sent: the owner may have
+// started the key in an earlier call.
+func unanswered(err error) error {
+	out := *inner.AsError(err)
+	out.NotRun = false
+	return &out
+}
+
 func (e *Entry) peer(name string) wire.EntryServiceClient {
 	return e.client.Entry(e.cfg.Peers[name])
 }
--- a/inner/job.go
+++ b/inner/job.go
@@ -169,8 +169,10 @@
 	c := check{op: "job reply"}
 	out, refusal := c.jobReply(id, r)
 	c.answer(out.Answer)
-	if err := c.result(); err != nil {
-		return JobReply{}, err
+	if c.err != nil {
+		// The job may have run whatever is wrong with the reply.
+		c.err.NotRun = false
+		return JobReply{}, c.err
 	}
 	if refusal != nil {
 		return out, refusal
