entry: end every request, and know a returned agent by its answer

Tests of requests through faults: the agent's answer lost after the start, the agent unreachable or killed, its domain taken out, the entry's own deadline. They found four faults.

A request that the admitter dropped at its deadline was never ended if that happened before the caller's timer ran: the call waited for ever and kept a stopping entry from being drained. The same happened to a request whose caller left during an attempt that was then put back. A request now ends at its deadline unless an attempt has no outcome yet, and nothing is put back once the caller has left. Calls end when the entry stops.

A request whose first attempt had started and whose retry waited for a place at the deadline was answered with not_run. The flag now says that no attempt started; in return, a request that was refused before each start carries it.

The agent answers a Query for an earlier incarnation with the error wrong_agent, which the entry took for no answer at all and repeated until the deadline. The error now ends the task or request as unknown at once.

--- a/entry/call.go
+++ b/entry/call.go
@@ -11,6 +11,8 @@
 // maxAttempts bounds the dispatches of an idempotent request.
 const maxAttempts = 3
 
+const opCall = "call"
+
 // call is a single request under way.
 type call struct {
 	id      carobpulley.JobID
@@ -21,15 +23,22 @@
 	incarnation uint64
 	// retryable is set for idempotent requests.
 	retryable bool
-	ended     bool
-	done      chan struct{}
-	task      carobpulley.Task
-	err       *carobpulley.Error
+	// open is set while the newest attempt has no final outcome.
+	open bool
+	// started is set once an attempt has started or may have.
+	started bool
+	// left is set once nobody waits for another attempt.
+	left  bool
+	ended bool
+	done  chan struct{}
+	task  carobpulley.Task
+	err   *carobpulley.Error
 }
 
 // next counts an attempt and returns its dispatch.
 func (c *call) next(ep carobpulley.Endpoint) carobpulley.Dispatch {
 	c.attempt++
+	c.open = true
 	c.endpoint, c.incarnation = ep.ID, ep.Incarnation
 	return c.dispatch()
 }
@@ -72,7 +81,13 @@
 		e.expire(c)
 		// A dispatched request is followed to its outcome, since the caller
 		// must learn whether it ran.
-		<-c.done
+		select {
+		case <-c.done:
+		case <-e.ctx.Done():
+			e.abandon(c)
+		}
+	case <-e.ctx.Done():
+		e.abandon(c)
 	}
 	if c.err != nil {
 		return carobpulley.Task{}, c.err
@@ -84,12 +99,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if err := e.mayServe(now, "call", r.Member, r.Service); err != nil {
+	if err := e.mayServe(now, opCall, r.Member, r.Service); err != nil {
 		err.NotRun = true
 		return nil, err
 	}
 	if now.Sub(e.startedAt) < warmUp && !e.placer.CanRun(r.Service) {
-		err := e.unavailable(now, "call", carobpulley.KindUnavailable, "the endpoints have not announced themselves yet")
+		err := e.unavailable(now, opCall, carobpulley.KindUnavailable, "the endpoints have not announced themselves yet")
 		err.NotRun = true
 		return nil, err
 	}
@@ -110,19 +125,38 @@
 	return c, nil
 }
 
-// expire ends a call that waits in the queue past its deadline.
+// expire ends a call at its deadline or when its caller leaves, unless an
+// attempt is under way. The admitter may have dropped the call already.
 func (e *Entry) expire(c *call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
-	if e.admitter.Drop(now, c.id) == 0 {
+	c.left = true
+	if c.open {
 		return
 	}
+	e.admitter.Drop(time.Now(), c.id)
 	e.endCall(c, carobpulley.Task{}, &carobpulley.Error{
-		Op:     "call",
+		Op:     opCall,
 		Kind:   carobpulley.KindDeadline,
 		Msg:    "no endpoint was free before the deadline",
-		NotRun: true,
+		NotRun: !c.started,
+	})
+}
+
+// abandon ends a call when the entry stops.
+func (e *Entry) abandon(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.open {
+		e.endCall(c, carobpulley.Task{}, unknownCall())
+		return
+	}
+	e.admitter.Drop(time.Now(), c.id)
+	e.endCall(c, carobpulley.Task{}, &carobpulley.Error{
+		Op:     opCall,
+		Kind:   carobpulley.KindDraining,
+		Msg:    "the entry stopped",
+		NotRun: !c.started,
 	})
 }
 
@@ -172,12 +206,13 @@
 	if c == nil {
 		return ok
 	}
+	c.open, c.started = false, true
 	if ev.Phase != carobpulley.PhaseDone {
 		if e.again(now, c) {
 			return true
 		}
 		e.endCall(c, carobpulley.Task{}, &carobpulley.Error{
-			Op:   "call",
+			Op:   opCall,
 			Kind: carobpulley.KindFailed,
 			Msg:  "the endpoint failed the request: " + ev.Err,
 		})
@@ -193,15 +228,16 @@
 	if c == nil {
 		return ok
 	}
-	if c.retryable && now.Before(c.r.Deadline) {
+	c.open = false
+	if c.retryable && !c.left && now.Before(c.r.Deadline) {
 		e.queue(now, c.waiting(now))
 		return true
 	}
 	e.endCall(c, carobpulley.Task{}, &carobpulley.Error{
-		Op:      "call",
+		Op:      opCall,
 		Kind:    ev.Kind,
 		Msg:     "the endpoint's agent refused the request before its start",
-		NotRun:  c.attempt == 1,
+		NotRun:  !c.started,
 		RetryAt: now,
 	})
 	return true
@@ -246,7 +282,7 @@
 
 func unknownCall() *carobpulley.Error {
 	return &carobpulley.Error{
-		Op:   "call",
+		Op:   opCall,
 		Kind: carobpulley.KindUnknown,
 		Msg:  "the endpoint's agent did not answer; the request may have run",
 	}
@@ -254,13 +290,14 @@
 
 // again retries an idempotent request inside the member's budget.
 func (e *Entry) again(now time.Time, c *call) bool {
-	if !c.retryable || c.attempt >= maxAttempts || !now.Before(c.r.Deadline) {
+	if !c.retryable || c.left || c.attempt >= maxAttempts || !now.Before(c.r.Deadline) {
 		return false
 	}
 	at := now.Add(e.retry.Backoff(c.attempt))
 	if !at.Before(c.r.Deadline) || !e.retry.Retry(now, c.r.Member) {
 		return false
 	}
+	c.open, c.started = false, true
 	e.counters.retries.Add(1)
 	e.goDo(func() { e.requeue(c, at) })
 	return true
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -364,11 +364,14 @@
 		Incarnation: d.Incarnation,
 	})))
 	a, err := answerOf(r, err)
-	if err != nil {
-		e.logger.Warn().Err(err).Str("endpoint", d.Endpoint).Msg("query got no answer")
-		return nil
+	if err == nil {
+		return a
+	}
+	if refusal := inner.AsError(err); refusal.Kind == carobpulley.KindWrongAgent {
+		return &inner.DispatchAnswer{Phase: carobpulley.PhaseUnknown, Refusal: refusal}
 	}
-	return a
+	e.logger.Warn().Err(err).Str("endpoint", d.Endpoint).Msg("query got no answer")
+	return nil
 }
 
 // cancelTask asks the agent to withdraw or stop a task. The outcome comes with
