--- a/agent/call.go
+++ b/agent/call.go
@@ -52,7 +52,10 @@
 // run calls the endpoint for a started task and records the end.
 func (a *Agent) run(t *task, d carobpulley.Dispatch) inner.DispatchAnswer {
 	began := time.Now()
-	end := a.call(t.ctx, d)
+	end := carobpulley.StartedTask{ID: d.ID, Endpoint: d.Endpoint, Phase: carobpulley.PhaseNotRun, Err: "cancelled"}
+	if !a.isCancelled(t) {
+		end = a.call(t.ctx, d)
+	}
 	ran := time.Since(began)
 	a.mu.Lock()
 	if end.Phase == carobpulley.PhaseFailed && end.Status == 0 && t.cancelled {
@@ -66,6 +69,14 @@
 	return v
 }
 
+// isCancelled reports whether a task was cancelled between its start record and
+// the call to the endpoint.
+func (a *Agent) isCancelled(t *task) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return t.cancelled
+}
+
 // call sends a task to the endpoint. The phase is PhaseNotRun if no connection
 // could be opened, PhaseDone for a status 2xx, else PhaseFailed.
 func (a *Agent) call(ctx context.Context, d carobpulley.Dispatch) carobpulley.StartedTask {
