--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -282,6 +282,19 @@
 	return s
 }
 
+// ready waits until every entry serves callers.
+func (c *cluster) ready() {
+	c.t.Helper()
+	for name, n := range c.entries {
+		for n.Ready() != nil {
+			if c.ctx.Err() != nil {
+				c.t.Fatalf("%s is not ready: %v", name, n.Ready())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
 // ownerOf waits until a key's shard has an owner and returns its name.
 func (c *cluster) ownerOf(key string) string {
 	c.t.Helper()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -211,6 +211,7 @@
 	t.Parallel()
 	c := newCluster(t, 10*time.Millisecond)
 	c.ownerOf("any")
+	c.ready()
 	for i := range 20 {
 		n := c.entries[fmt.Sprintf("entry-%d", i%3+1)]
 		k, err := n.Call(c.ctx, api.Request{
