Count departures only against jobs taken before them

After any departure of the last ten minutes a new owner gave up on "not started" for every job.

A departure does not count for a job if all copies of its claim name it and all claims are known. One copy is not enough: a resubmission makes a later one than the first start. Only announced departures are named, since the process of a silent or replaced agent may live on; those count for ten minutes as before. The agent closes its gate before it announces that it leaves.

TestOwnerIsKilledAfterDeparture: before, jobs fail as unknown; after, all complete.

Left: an agent that only the old owner could reach for more than ten minutes is not known to the new one; this is as before.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -47,8 +47,12 @@
 	wg.Wait()
 }
 
-// Leave tells all entries that the endpoint is gone.
+// Leave tells all entries that the endpoint is gone. Entries count on it that
+// nothing starts here from then on.
 func (a *Agent) Leave(ctx context.Context) {
+	a.mu.Lock()
+	a.gate.Drain()
+	a.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, addr := range a.cfg.Entries {
 		wg.Go(func() {
--- a/cmd/bench/slopesjobs.go
+++ b/cmd/bench/slopesjobs.go
@@ -6,7 +6,10 @@
 	"runtime"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"carobpulley"
+	"carobpulley/inner"
 	"carobpulley/owner"
 )
 
@@ -217,6 +220,15 @@
 		byTasks("receiver's copy, 2 min after the answer", unitBytes, "entry.Entry.keep, owner.Witness.Expire",
 			func(n int) float64 { return hold(origin.Add(owner.AnswerRetention), true, n) }),
 		heldSlope(),
+		series(slope{
+			Quantity: "claim on the wire", Unit: unitBytes, Per: "departure named", Code: "inner.ClaimToWire", Fixed: "20 tasks of 256 bytes",
+		}, []int{0, 7, carobpulley.MaxGone}, func(n int) float64 {
+			c := claimAt(1, 20)
+			for i := range n {
+				c.Gone = append(c.Gone, owner.AgentKey(worker, uint64(i)))
+			}
+			return float64(proto.Size(inner.ClaimToWire(c)))
+		}),
 		byTasks("holding a claim", unitNanos, code, func(tasks int) float64 {
 			claims := make([]carobpulley.Claim, jobsOf(tasks))
 			for i := range claims {
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -94,6 +94,7 @@
 	client   *inner.Client
 	starts   *starts
 	entries  map[string]*node
+	agents   []*agent.Agent
 	addrs    map[string]netip.AddrPort
 }
 
@@ -246,6 +247,7 @@
 		cfg.Entries = append(cfg.Entries, a)
 	}
 	a := agent.New(cfg, agent.ClientEntries(c.client), agent.NewTransport(8), zerolog.Nop())
+	c.agents = append(c.agents, a)
 	ctx, cancel := context.WithCancel(c.ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = a.Run(ctx, addr, inner.TLS{}) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,8 +100,8 @@
 	// owners are the ownership claims read so far, in log order.
 	owners owners
 	agents map[string]*agentState
-	// departedAt is when an agent last left or was replaced.
-	departedAt time.Time
+	// departures are the agents that are gone.
+	departures owner.Departures
 	startedAt  time.Time
 	// share is the part of the shards that this entry owns.
 	share float64
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -72,6 +72,23 @@
 func TestOwnerIsKilled(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 300*time.Millisecond)
+	killOwner(t, c)
+}
+
+// Guards against jobs that fail as unknown after a takeover because an agent
+// had left in order before they were submitted.
+func TestOwnerIsKilledAfterDeparture(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 300*time.Millisecond)
+	c.ownerOf("kill-0")
+	c.agents[5].Drain(c.ctx)
+	c.agents[5].Leave(c.ctx)
+	killOwner(t, c)
+}
+
+// killOwner kills the owner of jobs under way and checks that they complete.
+func killOwner(t *testing.T, c *cluster) {
+	t.Helper()
 	victim := c.ownerOf("kill-0")
 	var keys []string
 	for i := 0; len(keys) < 4; i++ {
--- a/entry/members.go
+++ b/entry/members.go
@@ -5,6 +5,7 @@
 
 	"carobpulley"
 	"carobpulley/inner"
+	"carobpulley/owner"
 )
 
 // announced takes an agent's announcement.
@@ -61,7 +62,11 @@
 
 func (e *Entry) endpointRemoved(now time.Time, a carobpulley.EndpointRemoved) {
 	e.logger.Info().Str("endpoint", a.ID).Str("reason", string(a.Reason)).Msg("endpoint removed")
-	e.departedAt = now
+	if a.Reason == carobpulley.RemovedLeft {
+		e.departures.Left(now, a.ID, a.Incarnation)
+	} else {
+		e.departures.Lost(now)
+	}
 	s := e.agents[a.ID]
 	if s == nil || s.endpoint.Incarnation != a.Incarnation {
 		return
@@ -70,15 +75,14 @@
 	e.placer.Remove(now, a.ID)
 }
 
-// agentsLost reports whether starts of the last ten minutes may be unknown to
-// the agents that are here: one has departed, or this entry came later than
-// the first owner and has not been here long enough to know.
-func (e *Entry) agentsLost(now time.Time) bool {
-	since := now.Add(-departedFor)
-	if e.departedAt.After(since) {
-		return true
-	}
-	return e.startedAt.After(since) && !e.owners.fromStart
+// departed returns the agents that left while open jobs may have started tasks
+// there. Lost is set if starts may be unknown beyond them: an agent went without
+// announcing it, or this entry came later than the first owner and has not been
+// here long enough to know.
+func (e *Entry) departed(now time.Time) (left []uint64, lost bool) {
+	left, lost = e.departures.Since(now)
+	young := now.Sub(e.startedAt) < owner.DepartedFor && !e.owners.fromStart
+	return left, lost || young
 }
 
 // sharer is an Admitter that enforces a part of the quotas: that of the shards
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -184,7 +184,7 @@
 
 // submitThere forwards a submission, with this entry as second holder of its claim.
 func (e *Entry) submitThere(ctx context.Context, own carobpulley.Ownership, spec carobpulley.JobSpec, wait bool) (carobpulley.Answer, error) {
-	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true}
+	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true, Gone: e.gone()}
 	receiver := ""
 	if e.holdFor(claim) {
 		receiver = e.cfg.Name
@@ -204,6 +204,13 @@
 	return a, err
 }
 
+// gone names the agents known to have left.
+func (e *Entry) gone() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.departures.Known(time.Now())
+}
+
 // holdFor holds a claim for another entry, unless that entry has lost the shard
 // or the copies take up all their memory. The owner then waits for another
 // holder or the journal.
@@ -300,6 +307,7 @@
 		Spec:     s.Spec,
 		Receiver: s.Receiver,
 		Epoch:    s.Epoch,
+		Gone:     e.departures.Known(now),
 		Admit:    func(spec carobpulley.JobSpec) error { return e.admit(now, spec) },
 	})
 	e.pump(now)
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -20,9 +20,6 @@
 	fenceTimeout = 2 * time.Second
 	// journalTimeout bounds the reading of all journals at a takeover.
 	journalTimeout = 10 * time.Second
-	// departedFor is how long the departure of an agent makes its starts
-	// missing at a takeover: the longest deadline of a job.
-	departedFor = 10 * time.Minute
 )
 
 // takeover collects what is found of one shard that this entry claimed.
@@ -30,8 +27,10 @@
 	epoch   uint64
 	claims  []carobpulley.Claim
 	started []carobpulley.StartedTask
-	// allAgents is set once every known agent answered the fence completely.
+	// allAgents is set once every known agent answered the fence completely;
+	// departed names those that left before.
 	allAgents bool
+	departed  []uint64
 	fenced    chan struct{}
 	// journal is closed when the journals have been read; journalOK tells
 	// whether all of them could be read.
@@ -174,7 +173,11 @@
 	for _, a := range e.agents {
 		agents = append(agents, a.endpoint)
 	}
-	whole := !e.agentsLost(now)
+	left, lost := e.departed(now)
+	for _, t := range takes {
+		t.departed = left
+	}
+	whole := !lost
 	e.goDo(func() { e.fenceAll(shards, takes, agents, whole) })
 }
 
@@ -357,12 +360,13 @@
 		Claims:       t.claims,
 		Started:      t.started,
 		AllAgents:    t.allAgents || s.Epoch == 1,
+		Departed:     t.departed,
 		AllClaims:    handed || t.journalOK && (!missing || t.ended) || s.Epoch == 1,
 		UnknownUntil: t.unknownUntil,
 	})
 	delete(e.opening, s.Shard)
 	e.logger.Info().Int("shard", s.Shard).Uint64("epoch", s.Epoch).Int("claims", len(t.claims)).
-		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Bool("missing", missing).Bool("handed_over", handed).Msg("shard opened")
+		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Int("departed", len(t.departed)).Bool("missing", missing).Bool("handed_over", handed).Msg("shard opened")
 	e.pump(now)
 }
 
--- a/inner/job.go
+++ b/inner/job.go
@@ -294,6 +294,7 @@
 		Digest: v.Digest,
 
 		Pending: v.Pending,
+		Gone:    v.Gone,
 	}
 	if v.Answer != nil {
 		out.Answer = stateToWire(JobReply{Answer: *v.Answer})
@@ -309,7 +310,10 @@
 }
 
 func (c *check) claim(v *wire.Claim) carobpulley.Claim {
-	out := carobpulley.Claim{Digest: v.GetDigest(), Pending: v.GetPending()}
+	out := carobpulley.Claim{Digest: v.GetDigest(), Pending: v.GetPending(), Gone: v.GetGone()}
+	if len(out.Gone) > carobpulley.MaxGone {
+		c.failf("%d departures, the limit is %d", len(out.Gone), carobpulley.MaxGone)
+	}
 	out.Shard, out.Epoch = c.shard(v.GetShard(), v.GetEpoch(), false)
 	if v.GetAnswer() == nil {
 		out.Spec = c.spec(v.GetSpec())
--- a/job.go
+++ b/job.go
@@ -112,6 +112,10 @@
 	Err *Error
 }
 
+// MaxGone is the number of departures that a claim names, the newest ones. A job
+// counts as older than the others.
+const MaxGone = 64
+
 // Claim records that a key was taken, with all that a new owner needs to go on.
 type Claim struct {
 	Spec  JobSpec
@@ -122,6 +126,9 @@
 	Digest uint64
 	// Pending is set in a receiver's copy until the owner has taken the job.
 	Pending bool
+	// Gone names agents that had left for good when the claim was made, so that
+	// they started nothing of the job.
+	Gone []uint64
 	// Answer is set once the job has ended. An owner that hands its shard over
 	// sets it to the running state, with all results.
 	Answer *Answer
--- a/owner.go
+++ b/owner.go
@@ -63,6 +63,8 @@
 		// arrived; zero is not checked. Under another epoch it is refused as unavailable,
 		// since an earlier owner may have answered the key as not run.
 		Epoch uint64
+		// Gone names the agents known to have left.
+		Gone []uint64
 		// Admit decides on a new key; it is not called for a known one.
 		Admit func(JobSpec) error
 	}
@@ -113,8 +115,12 @@
 		Epoch   uint64
 		Claims  []Claim
 		Started []StartedTask
-		// AllAgents is set if every agent that may have started tasks answered.
+		// AllAgents is set if every agent that may have started tasks answered,
+		// those in Departed aside.
 		AllAgents bool
+		// Departed names the agents that left while jobs of the shard may have been
+		// open. A job has no starts there if its claims name them as gone.
+		Departed []uint64
 		// AllClaims is set if every claim of earlier epochs is known.
 		AllClaims bool
 		// UnknownUntil is that of earlier owners; zero if there was none.
--- a/owner/held.go
+++ b/owner/held.go
@@ -108,7 +108,7 @@
 
 // heldSize returns the approximate heap bytes of a copy.
 func heldSize(c carobpulley.Claim) int {
-	n := heldBytes + len(c.Spec.ID.Member) + len(c.Spec.ID.Key) + len(c.Spec.Service)
+	n := heldBytes + 8*len(c.Gone) + len(c.Spec.ID.Member) + len(c.Spec.ID.Key) + len(c.Spec.Service)
 	for _, p := range c.Spec.Payloads {
 		n += payloadBytes + len(p)
 	}
--- a/owner/job.go
+++ b/owner/job.go
@@ -37,7 +37,9 @@
 	handed bool
 	// dropped is set once the answer is no longer stored.
 	dropped bool
-	bytes   int
+	// gone names agents that had left before the job was taken.
+	gone  []uint64
+	bytes int
 	// index is the place in the heap of running jobs.
 	index      int
 	endedAt    time.Time
@@ -132,7 +134,7 @@
 
 // claim returns the record of the job that a new owner needs.
 func (j *job) claim() carobpulley.Claim {
-	return carobpulley.Claim{Spec: j.spec, Shard: j.shard.index, Epoch: j.shard.epoch, Digest: j.digest}
+	return carobpulley.Claim{Spec: j.spec, Shard: j.shard.index, Epoch: j.shard.epoch, Digest: j.digest, Gone: j.gone}
 }
 
 // dispatch returns the newest attempt of a task.
--- a/owner/matrix_test.go
+++ b/owner/matrix_test.go
@@ -31,7 +31,7 @@
 
 var simFaults = []string{
 	"entry crash", "owner paused", "message lost", "answer lost", "connection silent", "log down", "log answer lost",
-	"domain out", "domain lost", "agent gone", "other entry", "cancellation", "conflicting claims",
+	"domain out", "domain lost", "agent gone", "agent leaves", "other entry", "cancellation", "conflicting claims",
 }
 
 // schedule is one run: faults at a step of the first job's life.
@@ -50,6 +50,7 @@
 	{without: "echo", faults: []string{"connection silent", "domain out"}, slow: true},
 	{without: "query", faults: []string{"connection silent", "cancellation"}},
 	{without: "incarnation", faults: []string{"agent gone"}},
+	{without: "departure", faults: []string{"agent leaves", "entry crash"}, slow: true},
 	{without: "authority epoch", faults: []string{"owner cut off"}, slow: true},
 	{without: "authority config", faults: []string{"owner cut off", "domain out"}, slow: true},
 }
--- a/owner/merge.go
+++ b/owner/merge.go
@@ -15,7 +15,7 @@
 	sh := &shard{index: ev.Shard, epoch: ev.Epoch, jobs: map[carobpulley.JobID]*job{}}
 	t.shards[ev.Shard] = sh
 	t.unknownUntil[ev.Shard] = later(t.unknownUntil[ev.Shard], ev.UnknownUntil)
-	if !ev.AllAgents && !ev.AllClaims {
+	if (!ev.AllAgents || len(ev.Departed) > 0) && !ev.AllClaims {
 		t.unknownUntil[ev.Shard] = now.Add(MaxDeadline + KeyRetention)
 	}
 	for _, c := range ev.Claims {
@@ -102,9 +102,12 @@
 	j := sh.jobs[c.Spec.ID]
 	if j == nil {
 		j = newJob(sh, c.Spec, c.Digest)
-		j.pending = c.Pending
+		j.pending, j.gone = c.Pending, c.Gone
 		t.store(j)
 	}
+	// The first holder's copy is older than the first start. It is not known
+	// which one that is, so that only what all copies name counts.
+	j.gone = common(j.gone, c.Gone)
 	j.spec.Deadline = earlier(j.spec.Deadline, c.Spec.Deadline)
 	heap.Fix(&t.running, j.index)
 	switch {
@@ -201,7 +204,8 @@
 // further start, since this entry may have been the only one left. Tasks that
 // no agent reports as started are queued if every agent and every claim is
 // known: without all agents they may have started, without all claims the job
-// may have been answered as not run or have another body.
+// may have been answered as not run or have another body. An agent that left
+// before the job was taken does not matter.
 func (t *Table) resume(now time.Time, j *job, ev carobpulley.ShardOpened, out *[]carobpulley.Action) {
 	if j.merged != nil {
 		t.restore(now, j, out)
@@ -210,7 +214,7 @@
 	if j.pending && !ev.AllClaims {
 		j.digest = disputed
 	}
-	j.endUnknown(j.handed || ev.AllAgents && ev.AllClaims)
+	j.endUnknown(j.handed || ev.AllAgents && ev.AllClaims && containsAll(j.gone, ev.Departed))
 	for i := range j.tasks {
 		if k := &j.tasks[i]; k.phase == carobpulley.PhaseRunning || k.phase == carobpulley.PhaseDispatched {
 			k.attempt = int(j.shard.epoch) << attemptBits
--- a/owner/scenario_test.go
+++ b/owner/scenario_test.go
@@ -98,6 +98,8 @@
 		}
 	case "agent gone":
 		w.crash(&a.proc, a.boot)
+	case "agent leaves":
+		a.leave()
 	case "other entry":
 		c.submit()
 	case "cancellation":
--- a/owner/simagent_test.go
+++ b/owner/simagent_test.go
@@ -20,6 +20,8 @@
 	out     bool
 	running int
 	offset  int64
+	// draining is set once the agent is leaving.
+	draining bool
 }
 
 var _ carobpulley.Gate = (*simGate)(nil)
@@ -52,6 +54,8 @@
 		return carobpulley.KindStaleEcho
 	case !now.Before(d.Deadline):
 		return carobpulley.KindDeadline
+	case g.draining:
+		return carobpulley.KindDraining
 	case g.out:
 		return carobpulley.KindOutOfService
 	case g.running >= 3 || g.w.slow && g.running >= 1:
@@ -99,7 +103,7 @@
 	}
 }
 
-func (g *simGate) Drain() {}
+func (g *simGate) Drain() { g.draining = true }
 
 func (g *simGate) Clock(now time.Time) int64 { return now.Sub(start).Nanoseconds() + g.offset }
 
@@ -169,6 +173,24 @@
 	a.gate.End(a.w.now, t)
 }
 
+// leave refuses new tasks, finishes the running ones, announces the departure
+// and ends the process. A new one may follow.
+func (a *simAgent) leave() {
+	if a.dead {
+		return
+	}
+	a.gate.Drain()
+	if a.gate.running > 0 {
+		a.w.on(&a.proc, 50*time.Millisecond, a.leave)
+		return
+	}
+	gen := a.gen
+	for _, e := range a.w.entries {
+		a.w.send(&a.proc, &e.proc, func() { e.leftBy(a, gen) })
+	}
+	a.w.crash(&a.proc, a.boot)
+}
+
 // query returns the state of a task; stop also stops one that runs.
 func (a *simAgent) query(d carobpulley.Dispatch, stop bool, reply func(dispatched)) {
 	state, _ := a.gate.Query(a.w.now, d.ID, d.Shard, d.Epoch, d.Attempt)
--- a/owner/simdispatch_test.go
+++ b/owner/simdispatch_test.go
@@ -14,6 +14,23 @@
 	e.w.send(&e.proc, &a.proc, func() { a.gate.Configure(uint64(version), in) })
 }
 
+// leftBy notes an agent that announced its departure.
+func (e *simEntry) leftBy(a *simAgent, gen uint64) {
+	e.departed.Left(e.w.now, a.name, gen)
+	e.left[AgentKey(a.name, gen)] = true
+}
+
+// known reports whether all processes of an agent before an incarnation left in
+// order. Incarnations of processes are odd, since the end of one counts too.
+func (e *simEntry) known(a *simAgent, before uint64) bool {
+	for gen := uint64(1); gen < before; gen += 2 {
+		if !e.left[AgentKey(a.name, gen)] {
+			return false
+		}
+	}
+	return true
+}
+
 // inService folds the configuration that this entry knows.
 func (e *simEntry) inService(domain string) bool {
 	in := true
--- a/owner/simentry_test.go
+++ b/owner/simentry_test.go
@@ -46,6 +46,9 @@
 	queue   []carobpulley.Waiting
 	heard   map[string]reading
 	opening map[carobpulley.Ownership]*opening
+	// departed and left are the agents that announced their departure.
+	departed Departures
+	left     map[uint64]bool
 }
 
 // verdict is an entry's answer to a caller or a receiver.
@@ -70,6 +73,7 @@
 	}
 	e.read, e.version, e.queue = 0, 0, nil
 	e.heard, e.opening = map[string]reading{}, map[carobpulley.Ownership]*opening{}
+	e.departed, e.left = Departures{}, map[uint64]bool{}
 	e.w.every(&e.proc, carobpulley.ContactInterval, e.contact)
 	e.w.every(&e.proc, 200*time.Millisecond, e.readLog)
 	e.w.every(&e.proc, 100*time.Millisecond, func() {
@@ -235,7 +239,7 @@
 				}
 			}
 			// A replaced agent has forgotten its starts.
-			if t.fenced[g.name] = r.gen == 1; e.allFenced(t) {
+			if t.fenced[g.name] = e.known(g, r.gen); e.allFenced(t) {
 				e.auth.Step(e.w.now, carobpulley.AgentsFenced{Shards: []carobpulley.Ownership{o}})
 			}
 		}
@@ -244,7 +248,8 @@
 
 func (e *simEntry) allFenced(t *opening) bool {
 	for _, g := range e.w.agents {
-		if !t.fenced[g.name] {
+		gone := g.dead && e.known(g, g.gen)
+		if !t.fenced[g.name] && !gone {
 			return false
 		}
 	}
@@ -259,6 +264,9 @@
 		AllAgents: o.Epoch == 1 || e.allFenced(t),
 		AllClaims: !missing, UnknownUntil: t.unknownUntil,
 	}
+	if !e.w.lacks("departure") {
+		ev.Departed, _ = e.departed.Since(e.w.now)
+	}
 	for _, c := range e.w.journal {
 		if c.Shard == o.Shard && !handed && !e.w.now.Before(e.w.logDownUntil) {
 			ev.Claims = append(ev.Claims, c)
@@ -348,7 +356,7 @@
 		reply(e.take(spec, e.name, own.Epoch, op))
 		return
 	}
-	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true}
+	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true, Gone: e.departed.Known(e.w.now)}
 	receiver := ""
 	if e.witness.Hold(e.w.now, claim) {
 		receiver = e.name
@@ -380,7 +388,7 @@
 		return verdict{err: newError("submit", carobpulley.KindUnavailable, "not the owner")}
 	}
 	_, before := e.table.Answer(e.w.now, spec.ID)
-	actions := e.step(carobpulley.Submitted{Spec: spec, Receiver: receiver, Epoch: epoch, Admit: func(carobpulley.JobSpec) error {
+	actions := e.step(carobpulley.Submitted{Spec: spec, Receiver: receiver, Epoch: epoch, Gone: e.departed.Known(e.w.now), Admit: func(carobpulley.JobSpec) error {
 		if e.w.chance(0.05) {
 			return newError("admit", carobpulley.KindOverload, "the queue is full")
 		}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -25,6 +25,7 @@
 		return
 	}
 	j := newJob(sh, ev.Spec, digest)
+	j.gone = ev.Gone
 	j.held = t.other(ev.Receiver)
 	t.store(j)
 	*out = append(*out, carobpulley.WriteJournal{Claim: j.claim()})
--- a/owner/task.go
+++ b/owner/task.go
@@ -163,7 +163,7 @@
 	a := j.answer()
 	j.outcome = running
 	c := j.claim()
-	c.Spec.Payloads = nil
+	c.Spec.Payloads, c.Gone = nil, nil
 	c.Answer = &a
 	return c
 }
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -100,6 +100,7 @@
 		return true
 	}
 	c.Spec.Deadline = earlier(c.Spec.Deadline, h.claim.Spec.Deadline)
+	c.Gone = common(h.claim.Gone, c.Gone)
 	return w.replace(now, h, c, limit)
 }
 
