Page the agents' answers to a fence

An agent answered a fence with all that it started in the shards and all results in one message: up to 262,144 records and 64 MB of results, more than one call of 2 s moves from 2,600 agents at once.

Weighed: leaving results out and fetching them by Query (fewer bytes in all, but results are lost with an agent that dies in between, and the job table would have to query tasks of all jobs whose answer it does not know); a page per shard (shards differ in size); pages by bytes. Done: pages of 8 MB at most.

Records have a sequence number in the order of the gate's list, and a page starts after the last one of the page before. A record that moves in the list gets a new number, so that it may come twice and is never missed.

TestFencePages loses the task whose record moves if the number is not renewed.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -138,6 +138,9 @@
 	return state, err
 }
 
+// fenceHead is room for the parts of a fence answer beside the started tasks.
+const fenceHead = 1 << 10
+
 // Fence implements wire.AgentServiceHandler. Fenced is false if a newer epoch
 // of one of the shards is known.
 func (a *Agent) Fence(_ context.Context, r *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceReply], error) {
@@ -159,7 +162,7 @@
 		AgentTime:   a.gate.Clock(now),
 		Incarnation: a.cfg.Endpoint.Incarnation,
 	}
-	out.Started, out.Complete = a.gate.Fence(now, f.Shards)
+	out.Started, out.Next, out.Complete = a.gate.Fence(now, f.Shards, f.After, inner.MaxFenceBytes-fenceHead)
 	for _, s := range f.Shards {
 		if a.gate.Epoch(s.Shard) > s.Epoch {
 			out.Fenced = false
--- a/cmd/bench/slopesgate.go
+++ b/cmd/bench/slopesgate.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"carobpulley"
 	"carobpulley/fence"
+	"carobpulley/inner"
 )
 
 // gateRecords are numbers of start records up to three times those of an agent
@@ -50,6 +54,22 @@
 	return g
 }
 
+// largestFence returns the size of the largest page that a gate reports.
+func largestFence(g *fence.Gate) float64 {
+	shards := make([]carobpulley.Ownership, designShards)
+	for i := range shards {
+		shards[i] = carobpulley.Ownership{Shard: i, Epoch: 1}
+	}
+	largest := 0
+	for after, more := uint64(0), true; more; more = after > 0 {
+		var a inner.FenceAnswer
+		a.Started, a.Next, a.Complete = g.Fence(origin, shards, after, inner.MaxFenceBytes-1024)
+		largest = max(largest, proto.Size(inner.FenceAnswerToWire(a, designShards)))
+		after = a.Next
+	}
+	return float64(largest)
+}
+
 func gateSlopes(context.Context) ([]slope, error) {
 	byRecords := func(q, unit, code, fixed string, measure func(n int) float64) slope {
 		s := slope{Quantity: q, Unit: unit, Per: "start record", Code: code, Fixed: fixed}
@@ -78,7 +98,10 @@
 		byRecords("fence of a ninth of the shards", unitNanos, "fence.Gate.Fence", "records present before", func(n int) float64 {
 			g := filledGate(n, 0)
 			shards := ninthOfShards()
-			return cpu(1, func() { g.Fence(origin, shards) })
+			return cpu(1, func() { g.Fence(origin, shards, 0, math.MaxInt) })
+		}),
+		byRecords("largest answer to a fence", unitBytes, "agent.Agent.Fence, fence.Gate.Fence", "results of 256 bytes, all shards", func(n int) float64 {
+			return largestFence(filledGate(n, payloadBytes))
 		}),
 	}, nil
 }
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,8 +15,6 @@
 const (
 	// yieldTimeout bounds one Yield call; its answer may carry many claims.
 	yieldTimeout = 2 * time.Second
-	// fenceTimeout bounds one Fence call.
-	fenceTimeout = 2 * time.Second
 	// journalTimeout bounds the reading of all journals at a takeover.
 	journalTimeout = 10 * time.Second
 )
@@ -163,24 +160,6 @@
 	return out
 }
 
-// sendFence raises the epochs at all agents and collects what they started.
-func (e *Entry) sendFence(now time.Time, shards []carobpulley.Ownership) {
-	takes := make([]*takeover, 0, len(shards))
-	for _, s := range shards {
-		takes = append(takes, e.collect(s))
-	}
-	agents := make([]carobpulley.Endpoint, 0, len(e.agents))
-	for _, a := range e.agents {
-		agents = append(agents, a.endpoint)
-	}
-	left, lost := e.departed(now)
-	for _, t := range takes {
-		t.departed = left
-	}
-	whole := !lost
-	e.goDo(func() { e.fenceAll(shards, takes, agents, whole) })
-}
-
 // sendRead collects claims from the journals.
 func (e *Entry) sendRead(shards []carobpulley.Ownership) {
 	takes := make([]*takeover, 0, len(shards))
@@ -190,61 +169,6 @@
 	e.goDo(func() { e.readJournals(shards, takes) })
 }
 
-func (e *Entry) fenceAll(shards []carobpulley.Ownership, takes []*takeover, agents []carobpulley.Endpoint, whole bool) {
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for _, ep := range agents {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			ok := e.fenceOne(shards, ep)
-			mu.Lock()
-			defer mu.Unlock()
-			whole = whole && ok
-		}()
-	}
-	wg.Wait()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, t := range takes {
-		t.allAgents = whole
-		close(t.fenced)
-	}
-	if whole {
-		e.stepAuthority(time.Now(), carobpulley.AgentsFenced{Shards: shards})
-	}
-}
-
-// fenceOne fences one agent and reports whether it told all that it started.
-func (e *Entry) fenceOne(shards []carobpulley.Ownership, ep carobpulley.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(e.ctx, fenceTimeout)
-	defer cancel()
-	r, err := e.client.Agent(ep.Addr).Fence(ctx, connect.NewRequest(inner.FencingToWire(inner.Fencing{
-		Owner:  e.cfg.Name,
-		Shards: shards,
-	})))
-	if err != nil {
-		e.logger.Warn().Err(err).Str("endpoint", ep.ID).Msg("fence got no answer")
-		return false
-	}
-	a, err := inner.FenceAnswerFromWire(ep.ID, r.Msg)
-	if err != nil || !a.Fenced {
-		return false
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.heard(ep.ID, a.Incarnation, a.AgentTime)
-	for _, s := range a.Started {
-		t := e.opening[carobpulley.ShardOf(s.ID.Job, e.cfg.Shards)]
-		if t == nil {
-			continue
-		}
-		s.Incarnation = a.Incarnation
-		t.started = append(t.started, s)
-	}
-	return a.Complete && a.Incarnation == ep.Incarnation
-}
-
 // readJournals collects the claims of the shards from the journals of all entries.
 func (e *Entry) readJournals(shards []carobpulley.Ownership, takes []*takeover) {
 	ctx, cancel := context.WithTimeout(e.ctx, journalTimeout)
--- a/fence/gate.go
+++ b/fence/gate.go
@@ -247,20 +247,28 @@
 
 // Fence implements carobpulley.Gate. Epochs older than the newest seen are
 // ignored; use Epoch to find out.
-func (g *Gate) Fence(now time.Time, shards []carobpulley.Ownership) ([]carobpulley.StartedTask, bool) {
+func (g *Gate) Fence(
+	now time.Time, shards []carobpulley.Ownership, after uint64, maxBytes int,
+) (started []carobpulley.StartedTask, next uint64, complete bool) {
 	g.expire(now)
 	asked := make(map[int]bool, len(shards))
 	for _, s := range shards {
 		g.raise(s.Shard, s.Epoch)
 		asked[s.Shard] = true
 	}
-	var started []carobpulley.StartedTask
+	size := 0
 	for r := g.records.oldest; r != nil; r = r.next {
-		if asked[r.shard] && !r.id.IsRequest() {
-			started = append(started, g.report(r))
+		if r.seq <= after || !asked[r.shard] || r.id.IsRequest() {
+			continue
 		}
+		size += r.size()
+		if len(started) > 0 && size > maxBytes {
+			return started, next, g.complete(now)
+		}
+		started = append(started, g.report(r))
+		next = r.seq
 	}
-	return started, g.complete(now)
+	return started, 0, g.complete(now)
 }
 
 // Epoch returns the newest epoch seen of a shard; 0 if none.
--- a/fence/gate_test.go
+++ b/fence/gate_test.go
@@ -10,10 +10,12 @@
 	"github.com/go-faster/errors"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"carobpulley"
 	"carobpulley/fence"
+	"carobpulley/inner"
 )
 
 var started = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -250,7 +252,7 @@
 			},
 			"fence": func(*rapid.T) {
 				o := carobpulley.Ownership{Shard: number(0, 1, "shard"), Epoch: uint64(number(1, 3, "epoch"))}
-				got, complete := g.Fence(now, []carobpulley.Ownership{o})
+				got, complete := fenceAll(g, now, []carobpulley.Ownership{o}, number(1, 600, "page"))
 				m.raise(o.Shard, o.Epoch)
 				n := 0
 				for id := range m.startedAt {
@@ -273,6 +275,70 @@
 	})
 }
 
+// fenceAll collects all pages of a fence, each task once.
+func fenceAll(g *fence.Gate, now time.Time, shards []carobpulley.Ownership, page int) (map[carobpulley.TaskID]int, bool) {
+	out := map[carobpulley.TaskID]int{}
+	whole := true
+	for after := uint64(0); ; {
+		got, next, complete := g.Fence(now, shards, after, page)
+		for _, s := range got {
+			out[s.ID]++
+		}
+		whole = whole && complete
+		if next <= after {
+			return out, whole
+		}
+		after = next
+	}
+}
+
+// Guards against an answer to a fence over the bound of its message, and against
+// a task that no page reports, be it that its record moves between two pages.
+func TestFencePages(t *testing.T) {
+	const tasks = 5000
+	cfg := config()
+	cfg.Slots = 2
+	g := fence.New(cfg)
+	now := started
+	shards := []carobpulley.Ownership{{Shard: 1, Epoch: 1}}
+	enter := func(key string) carobpulley.TaskID {
+		in := valid(g, now, key, 1)
+		if err := g.Enter(now, in); err != nil {
+			t.Fatal(err)
+		}
+		return in.Dispatch.ID
+	}
+	g.End(now, carobpulley.StartedTask{ID: enter("first"), Phase: carobpulley.PhaseDone, Status: 200})
+	running := enter("running")
+	now = now.Add(time.Second)
+	for i := range tasks {
+		id := enter(fmt.Sprint(i))
+		g.End(now, carobpulley.StartedTask{ID: id, Phase: carobpulley.PhaseDone, Status: 200, Result: make([]byte, 4<<10)})
+	}
+	seen := map[carobpulley.TaskID]bool{}
+	pages := 0
+	for after := uint64(0); pages == 0 || after > 0; pages++ {
+		limit := inner.MaxFenceBytes - 1024
+		if pages == 0 {
+			limit = 1
+		}
+		got, next, complete := g.Fence(now, shards, after, limit)
+		a := inner.FenceAnswer{Fenced: true, Started: got, AgentTime: 1, Incarnation: 1, Complete: complete, Next: next}
+		if n := proto.Size(inner.FenceAnswerToWire(a, carobpulley.Shards)); n > inner.MaxFenceBytes || !complete {
+			t.Errorf("page of %d bytes, complete %v", n, complete)
+		}
+		for _, s := range got {
+			seen[s.ID] = true
+		}
+		after = next
+		// The record of the running task moves before its page.
+		now = started.Add(fence.RecordRetention)
+	}
+	if len(seen) != tasks+2 || !seen[running] || pages < 3 {
+		t.Errorf("%d of %d tasks reported in %d pages, the running one: %v", len(seen), tasks+2, pages, seen[running])
+	}
+}
+
 // Guards against unbounded memory, against a dropped start record that a fence
 // does not report, and against a task reported as done without its result.
 func TestBoundedMemory(t *testing.T) {
@@ -292,7 +358,7 @@
 	for _, key := range []string{"a", "b", "c", "d"} {
 		run(key)
 	}
-	got, complete := g.Fence(now, shards)
+	got, _, complete := g.Fence(now, shards, 0, 1<<30)
 	want := []carobpulley.StartedTask{
 		{Phase: carobpulley.PhaseFailed, Status: 200, Err: fence.ResultLost},
 		{Phase: carobpulley.PhaseFailed, Status: 200, Err: fence.ResultLost},
@@ -303,7 +369,7 @@
 		t.Error(complete, diff)
 	}
 	run("e")
-	if got, complete := g.Fence(now, shards); len(got) != 4 || complete {
+	if got, _, complete := g.Fence(now, shards, 0, 1<<30); len(got) != 4 || complete {
 		t.Errorf("after an early drop: %d records, complete %v", len(got), complete)
 	}
 	dropped := valid(g, now, "a", 1).Dispatch
@@ -311,11 +377,11 @@
 		t.Errorf("query of a dropped record: %v", err)
 	}
 	now = started.Add(fence.RecordRetention)
-	if _, complete := g.Fence(now, shards); !complete {
+	if _, _, complete := g.Fence(now, shards, 0, 1<<30); !complete {
 		t.Error("not complete after the dropped record would have expired")
 	}
 	now = now.Add(time.Minute)
-	g.Fence(now, shards)
+	g.Fence(now, shards, 0, 1<<30)
 	if n, size := g.Records(); n != 0 || size != 0 {
 		t.Errorf("%d records, %d bytes after the retention", n, size)
 	}
--- a/fence/naive.go
+++ b/fence/naive.go
@@ -57,8 +57,8 @@
 }
 
 // Fence implements carobpulley.Gate.
-func (g *Naive) Fence(time.Time, []carobpulley.Ownership) ([]carobpulley.StartedTask, bool) {
-	return nil, false
+func (g *Naive) Fence(time.Time, []carobpulley.Ownership, uint64, int) ([]carobpulley.StartedTask, uint64, bool) {
+	return nil, 0, false
 }
 
 // Configure implements carobpulley.Gate.
--- a/fence/records.go
+++ b/fence/records.go
@@ -23,15 +23,29 @@
 	result  []byte
 	err     string
 	// lost is set if the result was dropped.
-	lost       bool
+	lost bool
+	// seq orders the records. It is never used twice, so that a page after it
+	// misses none that was there before.
+	seq        uint64
 	prev, next *record
 }
 
+// reportBytes is the size of a reported task on the wire without its texts and
+// result, rounded up.
+const reportBytes = 96
+
+// size returns the most bytes that the record takes in an answer.
+func (r *record) size() int {
+	return reportBytes + len(r.id.Job.Member) + len(r.id.Job.Key) + len(r.result) + max(len(r.err), len(ResultLost))
+}
+
 // records holds the started tasks, oldest first.
 type records struct {
 	byID           map[carobpulley.TaskID]*record
 	oldest, newest *record
-	maxRecords     int
+	// seq is that of the newest record.
+	seq        uint64
+	maxRecords int
 	// results lists the records with a result by the time of their end.
 	results        []*record
 	resultBytes    int
@@ -141,6 +155,8 @@
 }
 
 func (s *records) push(r *record) {
+	s.seq++
+	r.seq = s.seq
 	r.prev = s.newest
 	if s.newest == nil {
 		s.oldest = r
--- a/gate.go
+++ b/gate.go
@@ -16,9 +16,11 @@
 	// Query returns the state of a task. One that has not started is refused
 	// for good, in this attempt and all earlier ones, and reported as PhaseNotRun.
 	Query(now time.Time, id TaskID, shard int, epoch uint64, attempt int) (StartedTask, error)
-	// Fence raises the epochs and returns the started tasks of the shards.
-	// complete is false if starts have been dropped from memory.
-	Fence(now time.Time, shards []Ownership) (started []StartedTask, complete bool)
+	// Fence raises the epochs and returns a page of the started tasks of the
+	// shards, of about maxBytes at most and one task at least. after is zero or
+	// the next of the page before; next is zero on the last page. complete is false
+	// if starts have been dropped from memory.
+	Fence(now time.Time, shards []Ownership, after uint64, maxBytes int) (started []StartedTask, next uint64, complete bool)
 	// Configure takes the agent's own service state at a configuration version;
 	// older versions are ignored.
 	Configure(version uint64, inService bool)
--- a/inner/agent.go
+++ b/inner/agent.go
@@ -50,10 +50,15 @@
 	Incarnation uint64
 }
 
+// MaxFenceBytes bounds an answer to a Fencing.
+const MaxFenceBytes = 8 << 20
+
 // Fencing raises the epochs of shards at an agent.
 type Fencing struct {
 	Owner  string
 	Shards []carobpulley.Ownership
+	// After is the Next of the page before; zero asks for the first page.
+	After uint64
 }
 
 // FenceAnswer is the answer to a Fencing.
@@ -65,6 +70,8 @@
 	Incarnation uint64
 	// Complete is false if the agent has dropped starts from its memory.
 	Complete bool
+	// Next asks for the page after this one; zero on the last page.
+	Next uint64
 }
 
 // DispatchToWire converts a dispatch.
@@ -226,7 +233,7 @@
 
 // FencingToWire converts a fence request.
 func FencingToWire(v Fencing) *wire.FenceRequest {
-	return &wire.FenceRequest{Owner: v.Owner, Shards: shardsToWire(v.Shards)}
+	return &wire.FenceRequest{Owner: v.Owner, Shards: shardsToWire(v.Shards), After: v.After}
 }
 
 // FencingFromWire converts a fence request. The owner owns the shards.
@@ -235,6 +242,7 @@
 	out := Fencing{
 		Owner:  c.name("owner", r.GetOwner()),
 		Shards: c.shards(r.GetOwner(), r.GetShards()),
+		After:  r.GetAfter(),
 	}
 	return out, c.result()
 }
@@ -248,6 +256,7 @@
 		AgentTime:   v.AgentTime,
 		Incarnation: v.Incarnation,
 		Complete:    v.Complete,
+		Next:        v.Next,
 	}
 	for _, t := range v.Started {
 		out.Started = append(out.Started, &wire.StartedTask{
@@ -274,6 +283,7 @@
 		AgentTime:   c.clock(r.GetAgentTime()),
 		Incarnation: c.positive("incarnation", r.GetIncarnation()),
 		Complete:    r.GetComplete(),
+		Next:        r.GetNext(),
 	}
 	for _, t := range r.GetStarted() {
 		out.Started = append(out.Started, c.started(endpoint, t))
--- a/inner/client.go
+++ b/inner/client.go
@@ -30,8 +30,8 @@
 	MaxMessageBytes = 16 << 20
 	// MaxAgentMessageBytes bounds a request to an agent: one payload and names.
 	MaxAgentMessageBytes = carobpulley.MaxPayloadBytes + 16<<10
-	// MaxReplyBytes bounds a reply. The largest one is a fence reply with all
-	// that an agent keeps: 64 MB of results and 262144 records of up to 360 bytes.
+	// MaxReplyBytes bounds a reply. The largest one is a yield reply with the
+	// claims held of the shards (owner.MaxHeldBytes, more after a handover).
 	MaxReplyBytes = 160 << 20
 )
 
--- a/inner/convert_test.go
+++ b/inner/convert_test.go
@@ -110,7 +110,7 @@
 	add(msg(func(v inner.FenceAnswer) *wire.FenceReply { return inner.FenceAnswerToWire(v, carobpulley.Shards) },
 		func(r *wire.FenceReply) (inner.FenceAnswer, error) { return inner.FenceAnswerFromWire("e1", r) },
 		inner.FenceAnswer{
-			Fenced: true, AgentTime: 3, Incarnation: 6, Complete: true,
+			Fenced: true, AgentTime: 3, Incarnation: 6, Complete: true, Next: 9,
 			Started: []carobpulley.StartedTask{{ID: entering.Dispatch.ID, Endpoint: "e1", Phase: carobpulley.PhaseFailed, Status: 500, Err: "x"}},
 		}))
 	add(msg(func(e *carobpulley.Error) *wire.Refusal { return inner.RefusalToWire(e) }, inner.RefusalFromWire, refusal))
--- a/owner/simagent_test.go
+++ b/owner/simagent_test.go
@@ -81,7 +81,9 @@
 	return carobpulley.StartedTask{ID: id, Phase: carobpulley.PhaseNotRun}, nil
 }
 
-func (g *simGate) Fence(_ time.Time, shards []carobpulley.Ownership) (out []carobpulley.StartedTask, complete bool) {
+func (g *simGate) Fence(
+	_ time.Time, shards []carobpulley.Ownership, _ uint64, _ int,
+) (out []carobpulley.StartedTask, next uint64, complete bool) {
 	for _, o := range shards {
 		g.epochs[o.Shard] = max(g.epochs[o.Shard], o.Epoch)
 	}
@@ -94,7 +96,7 @@
 	slices.SortFunc(out, func(a, b carobpulley.StartedTask) int {
 		return strings.Compare(fmt.Sprint(a.ID), fmt.Sprint(b.ID))
 	})
-	return out, true
+	return out, 0, true
 }
 
 func (g *simGate) Configure(version uint64, inService bool) {
--- a/owner/simentry_test.go
+++ b/owner/simentry_test.go
@@ -219,7 +219,7 @@
 		gen     uint64
 	}
 	call(e.w, &e.proc, &g.proc, 400*time.Millisecond, func(answer func(reply)) {
-		started, _ := g.gate.Fence(e.w.now, shards)
+		started, _, _ := g.gate.Fence(e.w.now, shards, 0, 0)
 		answer(reply{started, g.gen})
 	}, func(r reply, ok bool) {
 		if !ok {
