--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,13 +15,8 @@
 const (
 	// yieldTimeout bounds one Yield call; its answer may carry many claims.
 	yieldTimeout = 2 * time.Second
-	// fenceTimeout bounds one Fence call.
-	fenceTimeout = 2 * time.Second
 	// journalTimeout bounds the reading of all journals at a takeover.
 	journalTimeout = 10 * time.Second
-	// departedFor is how long the departure of an agent makes its starts
-	// missing at a takeover: the longest deadline of a job.
-	departedFor = 10 * time.Minute
 )
 
 // takeover collects what is found of one shard that this entry claimed.
@@ -30,8 +24,10 @@
 	epoch   uint64
 	claims  []carobpulley.Claim
 	started []carobpulley.StartedTask
-	// allAgents is set once every known agent answered the fence completely.
+	// allAgents is set once every known agent answered the fence completely;
+	// departed names those that left before.
 	allAgents bool
+	departed  []uint64
 	fenced    chan struct{}
 	// journal is closed when the journals have been read; journalOK tells
 	// whether all of them could be read.
@@ -164,20 +160,6 @@
 	return out
 }
 
-// sendFence raises the epochs at all agents and collects what they started.
-func (e *Entry) sendFence(now time.Time, shards []carobpulley.Ownership) {
-	takes := make([]*takeover, 0, len(shards))
-	for _, s := range shards {
-		takes = append(takes, e.collect(s))
-	}
-	agents := make([]carobpulley.Endpoint, 0, len(e.agents))
-	for _, a := range e.agents {
-		agents = append(agents, a.endpoint)
-	}
-	whole := !e.agentsLost(now)
-	e.goDo(func() { e.fenceAll(shards, takes, agents, whole) })
-}
-
 // sendRead collects claims from the journals.
 func (e *Entry) sendRead(shards []carobpulley.Ownership) {
 	takes := make([]*takeover, 0, len(shards))
@@ -187,61 +169,6 @@
 	e.goDo(func() { e.readJournals(shards, takes) })
 }
 
-func (e *Entry) fenceAll(shards []carobpulley.Ownership, takes []*takeover, agents []carobpulley.Endpoint, whole bool) {
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for _, ep := range agents {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			ok := e.fenceOne(shards, ep)
-			mu.Lock()
-			defer mu.Unlock()
-			whole = whole && ok
-		}()
-	}
-	wg.Wait()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, t := range takes {
-		t.allAgents = whole
-		close(t.fenced)
-	}
-	if whole {
-		e.stepAuthority(time.Now(), carobpulley.AgentsFenced{Shards: shards})
-	}
-}
-
-// fenceOne fences one agent and reports whether it told all that it started.
-func (e *Entry) fenceOne(shards []carobpulley.Ownership, ep carobpulley.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(e.ctx, fenceTimeout)
-	defer cancel()
-	r, err := e.client.Agent(ep.Addr).Fence(ctx, connect.NewRequest(inner.FencingToWire(inner.Fencing{
-		Owner:  e.cfg.Name,
-		Shards: shards,
-	})))
-	if err != nil {
-		e.logger.Warn().Err(err).Str("endpoint", ep.ID).Msg("fence got no answer")
-		return false
-	}
-	a, err := inner.FenceAnswerFromWire(ep.ID, r.Msg)
-	if err != nil || !a.Fenced {
-		return false
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.heard(ep.ID, a.Incarnation, a.AgentTime)
-	for _, s := range a.Started {
-		t := e.opening[carobpulley.ShardOf(s.ID.Job, e.cfg.Shards)]
-		if t == nil {
-			continue
-		}
-		s.Incarnation = a.Incarnation
-		t.started = append(t.started, s)
-	}
-	return a.Complete && a.Incarnation == ep.Incarnation
-}
-
 // readJournals collects the claims of the shards from the journals of all entries.
 func (e *Entry) readJournals(shards []carobpulley.Ownership, takes []*takeover) {
 	ctx, cancel := context.WithTimeout(e.ctx, journalTimeout)
@@ -357,12 +284,13 @@
 		Claims:       t.claims,
 		Started:      t.started,
 		AllAgents:    t.allAgents || s.Epoch == 1,
+		Departed:     t.departed,
 		AllClaims:    handed || t.journalOK && (!missing || t.ended) || s.Epoch == 1,
 		UnknownUntil: t.unknownUntil,
 	})
 	delete(e.opening, s.Shard)
 	e.logger.Info().Int("shard", s.Shard).Uint64("epoch", s.Epoch).Int("claims", len(t.claims)).
-		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Bool("missing", missing).Bool("handed_over", handed).Msg("shard opened")
+		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Int("departed", len(t.departed)).Bool("missing", missing).Bool("handed_over", handed).Msg("shard opened")
 	e.pump(now)
 }
 
--- a/fence/gate_test.go
+++ b/fence/gate_test.go
@@ -250,7 +250,7 @@
 			},
 			"fence": func(*rapid.T) {
 				o := carobpulley.Ownership{Shard: number(0, 1, "shard"), Epoch: uint64(number(1, 3, "epoch"))}
-				got, complete := g.Fence(now, []carobpulley.Ownership{o})
+				got, complete := fenceAll(g, now, []carobpulley.Ownership{o}, number(1, 600, "page"))
 				m.raise(o.Shard, o.Epoch)
 				n := 0
 				for id := range m.startedAt {
@@ -292,7 +292,7 @@
 	for _, key := range []string{"a", "b", "c", "d"} {
 		run(key)
 	}
-	got, complete := g.Fence(now, shards)
+	got, _, complete := g.Fence(now, shards, 0, 1<<30)
 	want := []carobpulley.StartedTask{
 		{Phase: carobpulley.PhaseFailed, Status: 200, Err: fence.ResultLost},
 		{Phase: carobpulley.PhaseFailed, Status: 200, Err: fence.ResultLost},
@@ -303,7 +303,7 @@
 		t.Error(complete, diff)
 	}
 	run("e")
-	if got, complete := g.Fence(now, shards); len(got) != 4 || complete {
+	if got, _, complete := g.Fence(now, shards, 0, 1<<30); len(got) != 4 || complete {
 		t.Errorf("after an early drop: %d records, complete %v", len(got), complete)
 	}
 	dropped := valid(g, now, "a", 1).Dispatch
@@ -311,11 +311,11 @@
 		t.Errorf("query of a dropped record: %v", err)
 	}
 	now = started.Add(fence.RecordRetention)
-	if _, complete := g.Fence(now, shards); !complete {
+	if _, _, complete := g.Fence(now, shards, 0, 1<<30); !complete {
 		t.Error("not complete after the dropped record would have expired")
 	}
 	now = now.Add(time.Minute)
-	g.Fence(now, shards)
+	g.Fence(now, shards, 0, 1<<30)
 	if n, size := g.Records(); n != 0 || size != 0 {
 		t.Errorf("%d records, %d bytes after the retention", n, size)
 	}
--- a/inner/convert_test.go
+++ b/inner/convert_test.go
@@ -29,7 +29,7 @@
 		ID: jobID, Service: "confirm", Outcome: carobpulley.OutcomeComplete,
 		Tasks: []carobpulley.Task{{Phase: carobpulley.PhaseDone, Endpoint: "e1", Status: 200, Result: []byte("r")}},
 	}
-	claim    = carobpulley.Claim{Spec: spec, Shard: 3, Epoch: 4, Answer: &answer}
+	claim    = carobpulley.Claim{Spec: spec, Shard: 3, Epoch: 4, Gone: []uint64{5}, Answer: &answer}
 	shards   = []carobpulley.Ownership{{Shard: 3, Owner: "a", Epoch: 4}}
 	contact  = inner.Contact{Entry: "a", Incarnation: 1, ConfigVersion: 2, OwnersOffset: 3, Draining: true}
 	config   = inner.ConfigRecord{Version: 1, ChangeID: "c", Document: []byte("d"), Offset: 9}
@@ -110,7 +110,7 @@
 	add(msg(func(v inner.FenceAnswer) *wire.FenceReply { return inner.FenceAnswerToWire(v, carobpulley.Shards) },
 		func(r *wire.FenceReply) (inner.FenceAnswer, error) { return inner.FenceAnswerFromWire("e1", r) },
 		inner.FenceAnswer{
-			Fenced: true, AgentTime: 3, Incarnation: 6, Complete: true,
+			Fenced: true, AgentTime: 3, Incarnation: 6, Complete: true, Next: 9,
 			Started: []carobpulley.StartedTask{{ID: entering.Dispatch.ID, Endpoint: "e1", Phase: carobpulley.PhaseFailed, Status: 500, Err: "x"}},
 		}))
 	add(msg(func(e *carobpulley.Error) *wire.Refusal { return inner.RefusalToWire(e) }, inner.RefusalFromWire, refusal))
