--- a/inner/job.go
+++ b/inner/job.go
@@ -297,6 +297,7 @@
 
 		Pending: v.Pending,
 		Gone:    v.Gone,
+		Resumed: v.Resumed,
 	}
 	if v.Answer != nil {
 		out.Answer = stateToWire(JobReply{Answer: *v.Answer})
@@ -312,7 +313,12 @@
 }
 
 func (c *check) claim(v *wire.Claim) carobpulley.Claim {
-	out := carobpulley.Claim{Digest: v.GetDigest(), Pending: v.GetPending(), Gone: v.GetGone()}
+	out := carobpulley.Claim{
+		Digest:  v.GetDigest(),
+		Pending: v.GetPending(),
+		Gone:    v.GetGone(),
+		Resumed: v.GetResumed(),
+	}
 	if len(out.Gone) > carobpulley.MaxGone {
 		c.failf("%d departures, the limit is %d", len(out.Gone), carobpulley.MaxGone)
 	}
--- a/owner/job.go
+++ b/owner/job.go
@@ -20,7 +20,8 @@
 	// outcome is OutcomeRunning until the answer may be told.
 	outcome carobpulley.Outcome
 	err     *carobpulley.Error
-	// held is set once a second holder has the claim.
+	// held is set once a second holder has the claim, or once one was asked for
+	// if the job is refused.
 	held bool
 	// final is the outcome once all tasks have ended; empty before. An answer
 	// that is not complete is told only after a second holder has it.
@@ -30,6 +31,8 @@
 	refused bool
 	// merged is an earlier owner's answer while the shard is being opened.
 	merged *carobpulley.Claim
+	// resumed is the newest epoch whose owner is known to have gone on with the job.
+	resumed uint64
 	// pending is set while all merged claims are receivers' copies that no
 	// owner is known to have taken.
 	pending bool
--- a/owner/matrix_test.go
+++ b/owner/matrix_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -31,7 +32,7 @@
 
 var simFaults = []string{
 	"entry crash", "owner paused", "message lost", "answer lost", "connection silent", "log down", "log answer lost",
-	"domain out", "domain lost", "agent gone", "agent leaves", "other entry", "cancellation", "conflicting claims",
+	"domain out", "domain lost", "agent gone", "agent leaves", "other entry", "cancellation", "conflicting claims", "owner drains",
 }
 
 // schedule is one run: faults at a step of the first job's life.
@@ -41,18 +42,20 @@
 	seed    uint64
 	without string
 	slow    bool
+	// find is a part of the breach that the lack of a protection must show.
+	find string
 }
 
 // probes are protections to leave out, with faults under which their lack shows.
 var probes = []schedule{
-	{without: "table", faults: []string{"message lost"}},
+	{without: "table", faults: []string{"message lost"}, find: "started twice"},
 	{without: "holder", faults: []string{"entry crash", "cancellation"}},
-	{without: "echo", faults: []string{"connection silent", "domain out"}, slow: true},
+	{without: "echo", faults: []string{"connection silent", "domain out"}, slow: true, find: "after its removal"},
 	{without: "query", faults: []string{"connection silent", "cancellation"}},
-	{without: "incarnation", faults: []string{"agent gone"}},
+	{without: "incarnation", faults: []string{"agent gone"}, find: "started twice"},
 	{without: "departure", faults: []string{"agent leaves", "entry crash"}, slow: true},
-	{without: "authority epoch", faults: []string{"owner cut off"}, slow: true},
-	{without: "authority config", faults: []string{"owner cut off", "domain out"}, slow: true},
+	{without: "authority epoch", faults: []string{"owner cut off"}, slow: true, find: "started twice"},
+	{without: "authority epoch config", faults: []string{"owner cut off", "domain out"}, slow: true, find: "after its removal"},
 }
 
 // schedules lists the fixed schedules: each fault and each pair at each step.
@@ -117,9 +120,9 @@
 }
 
 // Guards against checks that find nothing: without a protection some schedule
-// must break a guarantee that it keeps with all of them. Authority and epoch,
-// like authority and the agent's own configuration, back each other up, so that
-// only the lack of both shows.
+// must break a guarantee that it keeps with all of them. Authority, the epoch
+// and the agent's own configuration back each other up, so that only the lack
+// of several shows.
 func TestFaultMatrixFindsFaults(t *testing.T) {
 	for i, p := range probes {
 		t.Run(p.without, func(t *testing.T) {
@@ -130,10 +133,11 @@
 					all = append(all, p)
 				}
 				for j, w := range play(all) {
-					if len(w.violations) == 0 {
+					k := slices.IndexFunc(w.violations, func(v string) bool { return strings.Contains(v, p.find) })
+					if k < 0 {
 						continue
 					}
-					t.Logf("%+v: %s", all[j], w.violations[0])
+					t.Logf("%+v: %s", all[j], w.violations[k])
 					all[j].without = ""
 					if v := runSchedule(all[j]).violations; len(v) > 0 {
 						t.Errorf("with all protections: %v", v)
@@ -179,7 +183,8 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "# Fault matrix\n\nWritten by `go test ./owner`: %d schedules with fixed seeds. A cell gives the number of\n", len(all))
 	b.WriteString("schedules in which the fault was injected when the first job reached the step, and `broken` with the\n")
-	b.WriteString("number of schedules that broke a guarantee. The checks are listed in `owner/sim_test.go`.\n\n## One fault\n")
+	b.WriteString("number of schedules that broke a guarantee. The checks are listed in `owner/sim_test.go`.\n")
+	b.WriteString("Not tested here: single requests, agents that drain, connections cut at a planned stop.\n\n## One fault\n")
 	table(&b, simSteps, "/", cells, bad)
 	b.WriteString("\n## Two faults, over all steps\n\nThe second fault follows up to 3 s after the first.\n")
 	table(&b, simFaults, "+", cells, bad)
--- a/owner/simentry_test.go
+++ b/owner/simentry_test.go
@@ -33,10 +33,12 @@
 	auth    *Authority
 	witness *Witness
 	read    int
-	version int
-	queue   []carobpulley.Waiting
-	heard   map[string]reading
-	opening map[carobpulley.Ownership]*opening
+	// draining is set while the entry hands its shards over.
+	draining bool
+	version  int
+	queue    []carobpulley.Waiting
+	heard    map[string]reading
+	opening  map[carobpulley.Ownership]*opening
 	// departed and left are the agents that announced their departure.
 	departed Departures
 	left     map[uint64]bool
@@ -62,7 +64,7 @@
 	if e.w.fewHeld {
 		e.witness.limit = simHeldBytes
 	}
-	e.read, e.version, e.queue = 0, 0, nil
+	e.read, e.version, e.queue, e.draining = 0, 0, nil, false
 	e.heard, e.opening = map[string]reading{}, map[carobpulley.Ownership]*opening{}
 	e.departed, e.left = Departures{}, map[uint64]bool{}
 	e.w.every(&e.proc, carobpulley.ContactInterval, e.contact)
@@ -96,7 +98,7 @@
 
 func (e *simEntry) contact() {
 	type reply struct {
-		vouch        bool
+		vouch, drain bool
 		claims, conf int
 		gen          uint64
 	}
@@ -106,12 +108,14 @@
 		}
 		sent, gen := e.w.now, e.gen
 		call(e.w, &e.proc, &p.proc, 700*time.Millisecond, func(answer func(reply)) {
-			v := p.auth.Step(e.w.now, carobpulley.ContactAsked{Peer: e.name, Incarnation: gen})[0].(carobpulley.VouchFor)
-			answer(reply{v.Vouch, p.read, p.version, p.gen})
+			v := p.auth.Step(e.w.now, carobpulley.ContactAsked{Peer: e.name, Incarnation: gen, Draining: e.draining})[0].(carobpulley.VouchFor)
+			answer(reply{v.Vouch, p.draining, p.read, p.version, p.gen})
 		}, func(r reply, ok bool) {
 			if ok {
 				e.follow(r.claims, r.conf)
-				e.auth.Step(e.w.now, carobpulley.ContactAnswered{Peer: p.name, Incarnation: r.gen, SentAt: sent, Vouch: r.vouch})
+				e.auth.Step(e.w.now, carobpulley.ContactAnswered{
+					Peer: p.name, Incarnation: r.gen, SentAt: sent, Vouch: r.vouch, Draining: r.drain,
+				})
 			}
 		})
 	}
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -90,13 +90,7 @@
 		w.set(now, h, c)
 		return true
 	}
-	if c.Pending && !h.claim.Pending {
-		return true
-	}
-	if c.Answer == nil && h.claim.Answer != nil && c.Epoch <= h.claim.Epoch {
-		return true
-	}
-	if c.Epoch < h.claim.Epoch {
+	if !replaces(c, h.claim) {
 		return true
 	}
 	c.Spec.Deadline = earlier(c.Spec.Deadline, h.claim.Spec.Deadline)
@@ -161,6 +155,23 @@
 	delete(w.shards[h.claim.Shard], heldKey{id: h.claim.Spec.ID, digest: h.claim.Digest})
 }
 
+// replaces reports whether a newer copy says more than the stored one. A plain
+// copy says less than an answer, unless the owner went on without that answer,
+// and less than the mark that it did.
+func replaces(c, stored carobpulley.Claim) bool {
+	wentOn := c.Resumed || c.Answer != nil && !c.Ended()
+	switch {
+	case c.Epoch < stored.Epoch, c.Pending && !stored.Pending:
+		return false
+	case stored.Ended() && !c.Ended():
+		return wentOn && c.Epoch > stored.Epoch
+	case stored.Resumed:
+		return c.Ended() || wentOn
+	default:
+		return true
+	}
+}
+
 // Drop removes the copy of a submission that the owner did not take.
 func (w *Witness) Drop(c carobpulley.Claim) {
 	if c.Digest == 0 {
