--- a/inner/convert_test.go
+++ b/inner/convert_test.go
@@ -29,7 +29,7 @@
 		ID: jobID, Service: "confirm", Outcome: carobpulley.OutcomeComplete,
 		Tasks: []carobpulley.Task{{Phase: carobpulley.PhaseDone, Endpoint: "e1", Status: 200, Result: []byte("r")}},
 	}
-	claim    = carobpulley.Claim{Spec: spec, Shard: 3, Epoch: 4, Gone: []uint64{5}, Answer: &answer}
+	claim    = carobpulley.Claim{Spec: spec, Shard: 3, Epoch: 4, Digest: 6, Pending: true, Resumed: true, Gone: []uint64{5}, Answer: &answer}
 	shards   = []carobpulley.Ownership{{Shard: 3, Owner: "a", Epoch: 4}}
 	contact  = inner.Contact{Entry: "a", Incarnation: 1, ConfigVersion: 2, OwnersOffset: 3, Draining: true}
 	config   = inner.ConfigRecord{Version: 1, ChangeID: "c", Document: []byte("d"), Offset: 9}
