--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -72,6 +72,23 @@
 func TestOwnerIsKilled(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 300*time.Millisecond)
+	killOwner(t, c)
+}
+
+// Guards against jobs that fail as unknown after a takeover because an agent
+// had left in order before they were submitted.
+func TestOwnerIsKilledAfterDeparture(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 300*time.Millisecond)
+	c.ownerOf("kill-0")
+	c.hosts[5].agent.Drain(c.ctx)
+	c.hosts[5].agent.Leave(c.ctx)
+	killOwner(t, c)
+}
+
+// killOwner kills the owner of jobs under way and checks that they complete.
+func killOwner(t *testing.T, c *cluster) {
+	t.Helper()
 	victim := c.ownerOf("kill-0")
 	var keys []string
 	for i := 0; len(keys) < 4; i++ {
@@ -112,7 +129,7 @@
 }
 
 // checkTrue compares an answer with the endpoints' record.
-func checkTrue(t *testing.T, c *cluster, key string, a carobpulley.Answer) {
+func checkTrue(t testing.TB, c *cluster, key string, a carobpulley.Answer) {
 	t.Helper()
 	for _, k := range a.Tasks {
 		n := c.starts.of(key, k.Index)
@@ -126,11 +143,12 @@
 }
 
 // Guards against a planned stop that loses the answer of a job under way or
-// starts one of its tasks again.
+// starts one of its tasks again, and against one that waits for journals.
 func TestOwnerDrains(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 200*time.Millisecond)
 	victim := c.ownerOf("drain")
+	c.journals.blocked.Store(true)
 	var answer carobpulley.Answer
 	var err error
 	var wg sync.WaitGroup
@@ -145,6 +163,10 @@
 		t.Error("the drain did not end")
 	}
 	wg.Wait()
+	c.ownerOf("drain")
+	if n := c.journals.ended.Load(); n > 0 {
+		t.Errorf("the new owner waited for %d reads of journals", n)
+	}
 	if err != nil || answer.Outcome != carobpulley.OutcomeComplete {
 		t.Errorf("outcome %s, %v, %v", answer.Outcome, answer.Err, err)
 	}
@@ -206,6 +228,7 @@
 	t.Parallel()
 	c := newCluster(t, 10*time.Millisecond)
 	c.ownerOf("any")
+	c.ready()
 	for i := range 20 {
 		n := c.entries[fmt.Sprintf("entry-%d", i%3+1)]
 		k, err := n.Call(c.ctx, api.Request{
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -10,7 +10,6 @@
 
 	"carobpulley"
 	"carobpulley/inner"
-	"carobpulley/owner"
 	"carobpulley/wire"
 )
 
@@ -184,7 +183,7 @@
 
 // submitThere forwards a submission, with this entry as second holder of its claim.
 func (e *Entry) submitThere(ctx context.Context, own carobpulley.Ownership, spec carobpulley.JobSpec, wait bool) (carobpulley.Answer, error) {
-	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true}
+	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true, Gone: e.gone()}
 	receiver := ""
 	if e.holdFor(claim) {
 		receiver = e.cfg.Name
@@ -197,64 +196,16 @@
 	})))
 	if err != nil {
 		// The owner may have taken the claim: it stays held.
-		return carobpulley.Answer{}, err
+		return carobpulley.Answer{}, unanswered(err)
 	}
 	a, err := answerFrom(spec.ID, r, nil)
 	e.keep(claim, a, err)
 	return a, err
 }
 
-func (e *Entry) holdFor(c carobpulley.Claim) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.witness.Hold(time.Now(), c)
-}
-
-// keep stores what the owner answered beside the claim: that it took the job, a
-// final answer, or a refusal as not run, which a new owner must not contradict.
-// The claim of a body that is in conflict is dropped, so that it does not stand
-// against the one that the owner took. After any other error the claim stays
-// pending.
-func (e *Entry) keep(c carobpulley.Claim, a carobpulley.Answer, err error) {
-	c.Digest = owner.Digest(c.Spec)
-	if err != nil {
-		e.keepRefusal(c, inner.AsError(err))
-		return
-	}
-	c.Pending = false
-	if a.Outcome != carobpulley.OutcomeRunning {
-		c.Answer = &a
-		c.Spec.Payloads = nil
-	}
-	e.holdFor(c)
-}
-
-func (e *Entry) keepRefusal(c carobpulley.Claim, err *carobpulley.Error) {
-	switch {
-	case err.NotRun:
-		c.Pending = false
-		c.Spec.Payloads = nil
-		c.Answer = &carobpulley.Answer{
-			ID:      c.Spec.ID,
-			Service: c.Spec.Service,
-			Outcome: carobpulley.OutcomeNotRun,
-			Err:     err,
-		}
-		e.holdFor(c)
-	case err.Kind == carobpulley.KindConflict:
-		e.dropFor(c)
-	}
-}
-
-func (e *Entry) dropFor(c carobpulley.Claim) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.witness.Drop(c)
-}
-
 func answerFrom(id carobpulley.JobID, r *connect.Response[wire.JobReply], err error) (carobpulley.Answer, error) {
 	if err != nil {
-		return carobpulley.Answer{}, err
+		return carobpulley.Answer{}, unanswered(err)
 	}
 	out, err := inner.JobReplyFromWire(id, r.Msg)
 	if err != nil {
@@ -263,6 +214,15 @@
 	return out.Answer, nil
 }
 
+// unanswered is the error of a forwarded call that the owner did not answer. It
+// does not say "not run", even if the call was never sent: the owner may have
+// started the key in an earlier call.
+func unanswered(err error) error {
+	out := *inner.AsError(err)
+	out.NotRun = false
+	return &out
+}
+
 func (e *Entry) peer(name string) wire.EntryServiceClient {
 	return e.client.Entry(e.cfg.Peers[name])
 }
@@ -293,6 +253,7 @@
 		Spec:     s.Spec,
 		Receiver: s.Receiver,
 		Epoch:    s.Epoch,
+		Gone:     e.departures.Known(now),
 		Admit:    func(spec carobpulley.JobSpec) error { return e.admit(now, spec) },
 	})
 	e.pump(now)
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,13 +15,8 @@
 const (
 	// yieldTimeout bounds one Yield call; its answer may carry many claims.
 	yieldTimeout = 2 * time.Second
-	// fenceTimeout bounds one Fence call.
-	fenceTimeout = 2 * time.Second
 	// journalTimeout bounds the reading of all journals at a takeover.
 	journalTimeout = 10 * time.Second
-	// departedFor is how long the departure of an agent makes its starts
-	// missing at a takeover: the longest deadline of a job.
-	departedFor = 10 * time.Minute
 )
 
 // takeover collects what is found of one shard that this entry claimed.
@@ -30,13 +24,17 @@
 	epoch   uint64
 	claims  []carobpulley.Claim
 	started []carobpulley.StartedTask
-	// allAgents is set once every known agent answered the fence completely.
+	// allAgents is set once every known agent answered the fence completely;
+	// departed names those that left before.
 	allAgents bool
+	departed  []uint64
 	fenced    chan struct{}
 	// journal is closed when the journals have been read; journalOK tells
 	// whether all of them could be read.
 	journal   chan struct{}
 	journalOK bool
+	// unknownUntil is the end of an earlier owner's time of unknown keys.
+	unknownUntil time.Time
 	// ended is set if the journal says that it holds all claims of the shard.
 	ended bool
 }
@@ -59,6 +57,8 @@
 		e.sendYield(a)
 	case carobpulley.SendFence:
 		e.sendFence(now, a.Shards)
+	case carobpulley.ReadJournals:
+		e.sendRead(a.Shards)
 	case carobpulley.OpenShards:
 		e.openShards(a)
 	case carobpulley.CloseShards:
@@ -112,11 +112,18 @@
 			t.claims = append(t.claims, c)
 		}
 	}
-	e.stepAuthority(time.Now(), carobpulley.YieldAnswered{
+	now := time.Now()
+	for _, u := range ans.Unknown {
+		if t := e.opening[u.Shard]; t != nil && t.unknownUntil.Before(now.Add(u.Remaining)) {
+			t.unknownUntil = now.Add(u.Remaining)
+		}
+	}
+	e.stepAuthority(now, carobpulley.YieldAnswered{
 		Peer:        a.Peer,
 		Incarnation: ans.Incarnation,
 		Shards:      a.Shards,
 		Missing:     ans.Missing,
+		Opened:      ans.Opened,
 	})
 }
 
@@ -127,87 +134,39 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := inner.YieldAnswer{Incarnation: e.cfg.Incarnation}
-	for _, a := range e.stepAuthority(time.Now(), carobpulley.YieldAsked{Entry: y.Entry, Shards: y.Shards}) {
+	now := time.Now()
+	for _, a := range e.stepAuthority(now, carobpulley.YieldAsked{Entry: y.Entry, Shards: y.Shards}) {
 		v, ok := a.(carobpulley.YieldFor)
 		if !ok || len(v.Shards) == 0 {
 			continue
 		}
 		out.Yielded = true
 		out.Missing = v.Missing
+		out.Opened = v.Opened
+		out.Unknown = e.unknownShards(now, v.Shards)
 		out.Claims = e.witness.Yield(v.Shards)
 	}
 	return out
 }
 
-// sendFence raises the epochs at all agents, collects what they started, and
-// reads the journals.
-func (e *Entry) sendFence(now time.Time, shards []carobpulley.Ownership) {
-	takes := make([]*takeover, 0, len(shards))
+// unknownShards lists the shards that this entry owned with claims lost.
+func (e *Entry) unknownShards(now time.Time, shards []carobpulley.Ownership) []inner.UnknownShard {
+	var out []inner.UnknownShard
 	for _, s := range shards {
-		takes = append(takes, e.collect(s))
-	}
-	agents := make([]carobpulley.Endpoint, 0, len(e.agents))
-	for _, a := range e.agents {
-		agents = append(agents, a.endpoint)
-	}
-	whole := !e.agentsLost(now)
-	e.goDo(func() { e.fenceAll(shards, takes, agents, whole) })
-	e.goDo(func() { e.readJournals(shards, takes) })
-}
-
-func (e *Entry) fenceAll(shards []carobpulley.Ownership, takes []*takeover, agents []carobpulley.Endpoint, whole bool) {
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for _, ep := range agents {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			ok := e.fenceOne(shards, ep)
-			mu.Lock()
-			defer mu.Unlock()
-			whole = whole && ok
-		}()
-	}
-	wg.Wait()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, t := range takes {
-		t.allAgents = whole
-		close(t.fenced)
-	}
-	if whole {
-		e.stepAuthority(time.Now(), carobpulley.AgentsFenced{Shards: shards})
+		if until := e.table.UnknownUntil(s.Shard); now.Before(until) {
+			out = append(out, inner.UnknownShard{Shard: s.Shard, Remaining: until.Sub(now)})
+		}
 	}
+	return out
 }
 
-// fenceOne fences one agent and reports whether it told all that it started.
-func (e *Entry) fenceOne(shards []carobpulley.Ownership, ep carobpulley.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(e.ctx, fenceTimeout)
-	defer cancel()
-	r, err := e.client.Agent(ep.Addr).Fence(ctx, connect.NewRequest(inner.FencingToWire(inner.Fencing{
-		Owner:  e.cfg.Name,
-		Shards: shards,
-	})))
-	if err != nil {
-		e.logger.Warn().Err(err).Str("endpoint", ep.ID).Msg("fence got no answer")
-		return false
-	}
-	a, err := inner.FenceAnswerFromWire(ep.ID, r.Msg)
-	if err != nil || !a.Fenced {
-		return false
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.heard(ep.ID, a.Incarnation, a.AgentTime)
-	for _, s := range a.Started {
-		t := e.opening[carobpulley.ShardOf(s.ID.Job, e.cfg.Shards)]
-		if t == nil {
-			continue
-		}
-		s.Incarnation = a.Incarnation
-		t.started = append(t.started, s)
+// sendRead collects claims from the journals.
+func (e *Entry) sendRead(shards []carobpulley.Ownership) {
+	takes := make([]*takeover, 0, len(shards))
+	for _, s := range shards {
+		takes = append(takes, e.collect(s))
 	}
-	return a.Complete && a.Incarnation == ep.Incarnation
+	e.goDo(func() { e.readJournals(shards, takes) })
 }
 
 // readJournals collects the claims of the shards from the journals of all entries.
@@ -280,20 +239,29 @@
 	return nil
 }
 
-// openShards opens shards once all that was asked for has come in.
+// openShards opens shards once all that was asked for has come in. A table that
+// was handed over is complete without the journals.
 func (e *Entry) openShards(a carobpulley.OpenShards) {
 	missing := make(map[int]bool, len(a.Missing))
 	for _, s := range a.Missing {
 		missing[s] = true
 	}
+	handed := make(map[int]bool, len(a.HandedOver))
+	for _, s := range a.HandedOver {
+		handed[s] = true
+	}
 	for _, s := range a.Shards {
 		t := e.collect(s)
-		e.goDo(func() { e.openShard(s, t, missing[s.Shard]) })
+		e.goDo(func() { e.openShard(s, t, missing[s.Shard], handed[s.Shard]) })
 	}
 }
 
-func (e *Entry) openShard(s carobpulley.Ownership, t *takeover, missing bool) {
-	for _, c := range []chan struct{}{t.fenced, t.journal} {
+func (e *Entry) openShard(s carobpulley.Ownership, t *takeover, missing, handed bool) {
+	needed := []chan struct{}{t.fenced, t.journal}
+	if handed {
+		needed = needed[:1]
+	}
+	for _, c := range needed {
 		select {
 		case <-c:
 		case <-e.ctx.Done():
@@ -311,16 +279,18 @@
 		return
 	}
 	e.step(now, carobpulley.ShardOpened{
-		Shard:     s.Shard,
-		Epoch:     s.Epoch,
-		Claims:    t.claims,
-		Started:   t.started,
-		AllAgents: t.allAgents || s.Epoch == 1,
-		AllClaims: t.journalOK && (!missing || t.ended) || s.Epoch == 1,
+		Shard:        s.Shard,
+		Epoch:        s.Epoch,
+		Claims:       t.claims,
+		Started:      t.started,
+		AllAgents:    t.allAgents || s.Epoch == 1,
+		Departed:     t.departed,
+		AllClaims:    handed || t.journalOK && (!missing || t.ended) || s.Epoch == 1,
+		UnknownUntil: t.unknownUntil,
 	})
 	delete(e.opening, s.Shard)
 	e.logger.Info().Int("shard", s.Shard).Uint64("epoch", s.Epoch).Int("claims", len(t.claims)).
-		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Bool("missing", missing).Msg("shard opened")
+		Int("started", len(t.started)).Bool("all_agents", t.allAgents).Int("departed", len(t.departed)).Bool("missing", missing).Bool("handed_over", handed).Msg("shard opened")
 	e.pump(now)
 }
 
@@ -332,7 +302,7 @@
 	for _, s := range shards {
 		closed[s.Shard] = true
 		for _, c := range e.table.Claims(s.Shard) {
-			e.witness.Hold(now, c)
+			e.witness.HandOver(now, c)
 		}
 		e.step(now, carobpulley.ShardClosed{Shard: s.Shard})
 	}
--- a/inner/convert_test.go
+++ b/inner/convert_test.go
@@ -29,7 +29,7 @@
 		ID: jobID, Service: "confirm", Outcome: carobpulley.OutcomeComplete,
 		Tasks: []carobpulley.Task{{Phase: carobpulley.PhaseDone, Endpoint: "e1", Status: 200, Result: []byte("r")}},
 	}
-	claim    = carobpulley.Claim{Spec: spec, Shard: 3, Epoch: 4, Answer: &answer}
+	claim    = carobpulley.Claim{Spec: spec, Shard: 3, Epoch: 4, Gone: []uint64{5}, Answer: &answer}
 	shards   = []carobpulley.Ownership{{Shard: 3, Owner: "a", Epoch: 4}}
 	contact  = inner.Contact{Entry: "a", Incarnation: 1, ConfigVersion: 2, OwnersOffset: 3, Draining: true}
 	config   = inner.ConfigRecord{Version: 1, ChangeID: "c", Document: []byte("d"), Offset: 9}
@@ -90,7 +90,11 @@
 	add(msg(inner.WitnessingToWire, inner.WitnessingFromWire, inner.Witnessing{Owner: "a", Claims: []carobpulley.Claim{claim}}))
 	add(msg(inner.WitnessAnswerToWire, func(r *wire.WitnessReply) ([]bool, error) { return inner.WitnessAnswerFromWire(2, r) }, []bool{true, false}))
 	add(msg(inner.YieldingToWire, inner.YieldingFromWire, inner.Yielding{Entry: "a", Shards: shards}))
-	add(msg(inner.YieldAnswerToWire, inner.YieldAnswerFromWire, inner.YieldAnswer{Yielded: true, Claims: []carobpulley.Claim{claim}}))
+	add(msg(inner.YieldAnswerToWire, inner.YieldAnswerFromWire, inner.YieldAnswer{
+		Yielded: true, Claims: []carobpulley.Claim{claim}, Missing: []int{3},
+		Opened:  []carobpulley.Ownership{{Shard: 1, Epoch: 2}},
+		Unknown: []inner.UnknownShard{{Shard: 2, Remaining: 3 * time.Second}},
+	}))
 	add(msg(inner.PublishToWire, inner.PublishFromWire, config))
 	add(msg(inner.AnnouncementToWire, inner.AnnouncementFromWire, announced))
 	add(msg(inner.DispatchToWire, inner.DispatchFromWire, entering))
@@ -106,7 +110,7 @@
 	add(msg(func(v inner.FenceAnswer) *wire.FenceReply { return inner.FenceAnswerToWire(v, carobpulley.Shards) },
 		func(r *wire.FenceReply) (inner.FenceAnswer, error) { return inner.FenceAnswerFromWire("e1", r) },
 		inner.FenceAnswer{
-			Fenced: true, AgentTime: 3, Incarnation: 6, Complete: true,
+			Fenced: true, AgentTime: 3, Incarnation: 6, Complete: true, Next: 9,
 			Started: []carobpulley.StartedTask{{ID: entering.Dispatch.ID, Endpoint: "e1", Phase: carobpulley.PhaseFailed, Status: 500, Err: "x"}},
 		}))
 	add(msg(func(e *carobpulley.Error) *wire.Refusal { return inner.RefusalToWire(e) }, inner.RefusalFromWire, refusal))
--- a/owner.go
+++ b/owner.go
@@ -42,6 +42,10 @@
 	Answer(now time.Time, id JobID) (Answer, error)
 	// Claims returns all that a new owner needs to go on with a shard.
 	Claims(shard int) []Claim
+	// UnknownUntil returns the end of the time in which a key not known in the
+	// shard may have been started earlier; zero if there was none. It stays known
+	// after the shard was closed.
+	UnknownUntil(shard int) time.Time
 	// Start marks a waiting task as dispatched to an endpoint's agent and returns
 	// its attempt. It returns false if the task may not be dispatched any more.
 	Start(now time.Time, id TaskID, endpoint string, incarnation uint64) (Dispatch, bool)
@@ -59,6 +63,8 @@
 		// arrived; zero is not checked. Under another epoch it is refused as unavailable,
 		// since an earlier owner may have answered the key as not run.
 		Epoch uint64
+		// Gone names the agents known to have left.
+		Gone []uint64
 		// Admit decides on a new key; it is not called for a known one.
 		Admit func(JobSpec) error
 	}
@@ -109,10 +115,16 @@
 		Epoch   uint64
 		Claims  []Claim
 		Started []StartedTask
-		// AllAgents is set if every agent that may have started tasks answered.
+		// AllAgents is set if every agent that may have started tasks answered,
+		// those in Departed aside.
 		AllAgents bool
+		// Departed names the agents that left while jobs of the shard may have been
+		// open. A job has no starts there if its claims name them as gone.
+		Departed []uint64
 		// AllClaims is set if every claim of earlier epochs is known.
 		AllClaims bool
+		// UnknownUntil is that of earlier owners; zero if there was none.
+		UnknownUntil time.Time
 	}
 	// ShardClosed takes the shard from this entry.
 	ShardClosed struct{ Shard int }
--- a/owner/simentry_test.go
+++ b/owner/simentry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -13,6 +14,8 @@
 const (
 	simShards = 4
 	simTasks  = 12
+	// simHeldBytes has room for a claim or two, so that others are not held.
+	simHeldBytes = 1500
 )
 
 // reading is what an entry last heard of an agent.
@@ -22,13 +25,6 @@
 	at    time.Time
 }
 
-// opening is what an entry collected of a shard that it takes over.
-type opening struct {
-	claims  []carobpulley.Claim
-	started []carobpulley.StartedTask
-	fenced  map[string]bool
-}
-
 // simEntry is a small shell around Table, Authority and Witness.
 type simEntry struct {
 	proc
@@ -41,6 +37,9 @@
 	queue   []carobpulley.Waiting
 	heard   map[string]reading
 	opening map[carobpulley.Ownership]*opening
+	// departed and left are the agents that announced their departure.
+	departed Departures
+	left     map[uint64]bool
 }
 
 // verdict is an entry's answer to a caller or a receiver.
@@ -60,8 +59,12 @@
 	e.auth = NewAuthority(e.w.now, e.name, e.gen, simShards)
 	e.auth.Step(e.w.now, carobpulley.Configured{Entries: e.w.names})
 	e.witness = NewWitness(simShards)
+	if e.w.fewHeld {
+		e.witness.limit = simHeldBytes
+	}
 	e.read, e.version, e.queue = 0, 0, nil
 	e.heard, e.opening = map[string]reading{}, map[carobpulley.Ownership]*opening{}
+	e.departed, e.left = Departures{}, map[uint64]bool{}
 	e.w.every(&e.proc, carobpulley.ContactInterval, e.contact)
 	e.w.every(&e.proc, 200*time.Millisecond, e.readLog)
 	e.w.every(&e.proc, 100*time.Millisecond, func() {
@@ -143,119 +146,12 @@
 			}
 		case carobpulley.OpenShards:
 			for _, o := range a.Shards {
-				e.open(o, a.Missing)
+				e.open(o, slices.Contains(a.Missing, o.Shard), slices.Contains(a.HandedOver, o.Shard))
 			}
 		}
 	}
 }
 
-func (e *simEntry) collect(o carobpulley.Ownership) *opening {
-	o.Owner = e.name
-	if e.opening[o] == nil {
-		e.opening[o] = &opening{fenced: map[string]bool{}}
-		e.opening[o].claims = e.witness.Yield([]carobpulley.Ownership{o})
-	}
-	return e.opening[o]
-}
-
-func (e *simEntry) yield(a carobpulley.SendYield) {
-	type reply struct {
-		yield  carobpulley.YieldFor
-		claims []carobpulley.Claim
-		gen    uint64
-	}
-	for _, p := range e.w.entries {
-		if p.name != a.Peer {
-			continue
-		}
-		call(e.w, &e.proc, &p.proc, 400*time.Millisecond, func(answer func(reply)) {
-			actions := p.auth.Step(e.w.now, carobpulley.YieldAsked{Entry: e.name, Shards: a.Shards})
-			y := actions[len(actions)-1].(carobpulley.YieldFor)
-			p.authority(actions[:len(actions)-1])
-			claims := p.witness.Yield(y.Shards)
-			for _, o := range y.Shards {
-				claims = append(claims, p.table.Claims(o.Shard)...)
-			}
-			answer(reply{y, claims, p.gen})
-		}, func(r reply, ok bool) {
-			if !ok {
-				return
-			}
-			for _, o := range r.yield.Shards {
-				for _, c := range r.claims {
-					if t := e.collect(o); c.Shard == o.Shard {
-						t.claims = append(t.claims, c)
-					}
-				}
-			}
-			e.auth.Step(e.w.now, carobpulley.YieldAnswered{
-				Peer: p.name, Incarnation: r.gen, Shards: r.yield.Shards, Missing: r.yield.Missing,
-			})
-		})
-	}
-}
-
-// fence asks an agent until it answers or the shards are opened.
-func (e *simEntry) fence(g *simAgent, shards []carobpulley.Ownership) {
-	type reply struct {
-		started []carobpulley.StartedTask
-		gen     uint64
-	}
-	call(e.w, &e.proc, &g.proc, 400*time.Millisecond, func(answer func(reply)) {
-		started, _ := g.gate.Fence(e.w.now, shards)
-		answer(reply{started, g.gen})
-	}, func(r reply, ok bool) {
-		if !ok {
-			for _, o := range shards {
-				if cur, _ := e.auth.Owner(o.Shard); cur.Epoch == o.Epoch && e.opening[o] != nil {
-					e.fence(g, []carobpulley.Ownership{o})
-				}
-			}
-			return
-		}
-		for _, o := range shards {
-			t := e.collect(o)
-			for _, s := range r.started {
-				if s.Incarnation = r.gen; carobpulley.ShardOf(s.ID.Job, simShards) == o.Shard {
-					s.Endpoint = g.name
-					t.started = append(t.started, s)
-				}
-			}
-			// A replaced agent has forgotten its starts.
-			if t.fenced[g.name] = r.gen == 1; e.allFenced(t) {
-				e.auth.Step(e.w.now, carobpulley.AgentsFenced{Shards: []carobpulley.Ownership{o}})
-			}
-		}
-	})
-}
-
-func (e *simEntry) allFenced(t *opening) bool {
-	for _, g := range e.w.agents {
-		if !t.fenced[g.name] {
-			return false
-		}
-	}
-	return true
-}
-
-func (e *simEntry) open(o carobpulley.Ownership, missing []int) {
-	t := e.collect(o)
-	delete(e.opening, o)
-	ev := carobpulley.ShardOpened{
-		Shard: o.Shard, Epoch: o.Epoch, Claims: t.claims, Started: t.started,
-		AllAgents: o.Epoch == 1 || e.allFenced(t), AllClaims: true,
-	}
-	for _, s := range missing {
-		ev.AllClaims = ev.AllClaims && s != o.Shard
-	}
-	for _, c := range e.w.journal {
-		if c.Shard == o.Shard && !e.w.now.Before(e.w.logDownUntil) {
-			ev.Claims = append(ev.Claims, c)
-		}
-	}
-	e.step(ev)
-}
-
 // step feeds an event to the table and carries the actions out.
 func (e *simEntry) step(ev carobpulley.Event) []carobpulley.Action {
 	actions := e.table.Step(e.w.now, ev)
@@ -337,7 +233,7 @@
 		reply(e.take(spec, e.name, own.Epoch, op))
 		return
 	}
-	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true}
+	claim := carobpulley.Claim{Spec: spec, Shard: own.Shard, Epoch: own.Epoch, Pending: true, Gone: e.departed.Known(e.w.now)}
 	receiver := ""
 	if e.witness.Hold(e.w.now, claim) {
 		receiver = e.name
@@ -369,7 +265,7 @@
 		return verdict{err: newError("submit", carobpulley.KindUnavailable, "not the owner")}
 	}
 	_, before := e.table.Answer(e.w.now, spec.ID)
-	actions := e.step(carobpulley.Submitted{Spec: spec, Receiver: receiver, Epoch: epoch, Admit: func(carobpulley.JobSpec) error {
+	actions := e.step(carobpulley.Submitted{Spec: spec, Receiver: receiver, Epoch: epoch, Gone: e.departed.Known(e.w.now), Admit: func(carobpulley.JobSpec) error {
 		if e.w.chance(0.05) {
 			return newError("admit", carobpulley.KindOverload, "the queue is full")
 		}
