Let an agent stop announcing before it leaves in the test

TestOwnerIsKilledAfterDeparture failed in about one run of four under load: the tasks of two jobs were unknown. Cause: the test's announcements went on beside the departure. One with a later agent time that arrived first made the roster ignore the departure as out of order, so that the claims did not name it. agentd ends its announcements before it leaves; the test now does the same.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -81,8 +81,7 @@
 	t.Parallel()
 	c := newCluster(t, 300*time.Millisecond)
 	c.ownerOf("kill-0")
-	c.hosts[5].agent.Drain(c.ctx)
-	c.hosts[5].agent.Leave(c.ctx)
+	c.hosts[5].leave(c.ctx)
 	killOwner(t, c)
 }
 
--- a/entry/hosts_test.go
+++ b/entry/hosts_test.go
@@ -28,6 +28,16 @@
 	agent  *agent.Agent
 	// kill ends the agent without a drain or a farewell.
 	kill func()
+	// stopAnnouncing ends the announcements and waits for the last one.
+	stopAnnouncing func()
+}
+
+// leave announces the agent's departure as agentd does on SIGTERM: after the
+// last announcement, since an older one that comes later is ignored.
+func (h *host) leave(ctx context.Context) {
+	h.agent.Drain(ctx)
+	h.stopAnnouncing()
+	h.agent.Leave(ctx)
 }
 
 func (c *cluster) startEndpoint(i int) {
@@ -78,11 +88,15 @@
 	srv.LogTo(io.Discard)
 	h.relay.to(srv.Addr())
 	ctx, cancel := context.WithCancel(c.ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() { h.agent.Announce(ctx) })
+	var announcing, wg sync.WaitGroup
+	announcing.Go(func() { h.agent.Announce(ctx) })
 	wg.Go(func() { _ = srv.Serve() })
-	h.kill = func() {
+	h.stopAnnouncing = func() {
 		cancel()
+		announcing.Wait()
+	}
+	h.kill = func() {
+		h.stopAnnouncing()
 		done, now := context.WithCancel(context.Background())
 		now()
 		_ = srv.Stop(done)
