Send a lost cancellation again, split the dispatch file

A CancelTask call that was lost was never repeated, so that a dispatch waiting at the agent could start and a running task ran on.

--- a/entry/cancel_test.go
+++ b/entry/cancel_test.go
@@ -38,6 +38,34 @@
 	c.starts.checkOnce(t)
 }
 
+// Guards against a task that runs on because the message that cancels it was lost.
+func TestCancelIsSentAgain(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 20*time.Millisecond)
+	c.settle()
+	const key, tasks = "again", 6
+	if _, err := c.entries["entry-1"].Submit(c.ctx, holdSpec(key, tasks), false); err != nil {
+		t.Fatal(err)
+	}
+	for i := range tasks {
+		c.awaitStart(fmt.Sprintf("%s%s/%d", holding, key, i))
+	}
+	for _, h := range c.hosts {
+		h.lostCancels.Store(1)
+	}
+	id := carobpulley.JobID{Member: "depots", Key: key}
+	if _, err := c.entries["entry-2"].Cancel(c.ctx, id); err != nil {
+		t.Fatal(err)
+	}
+	a, err := c.entries["entry-3"].Lookup(c.ctx, id, true)
+	if err != nil || a.Outcome != carobpulley.OutcomeFailed {
+		t.Errorf("outcome %s, %v", a.Outcome, err)
+	}
+	if stopped, _ := c.countCancelled(a); stopped != tasks {
+		t.Errorf("%d stopped of %d", stopped, tasks)
+	}
+}
+
 // countCancelled checks the phases of a cancelled job of held tasks against the
 // endpoints' record, and counts them. A task whose request was closed on its way
 // is called stopped although the endpoint may not have seen it.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,10 +16,6 @@
 	// maxRunTime bounds one Dispatch call beyond the task's deadline. A task
 	// that runs longer is followed by queries.
 	maxRunTime = time.Minute
-	// queryTimeout bounds one Query call.
-	queryTimeout = 5 * time.Second
-	// cancelTimeout bounds one CancelTask call.
-	cancelTimeout = 2 * time.Second
 )
 
 // agentState is what this entry knows of an agent beside its placement.
@@ -228,176 +223,6 @@
 	e.stats.Observe(m, stats.ByDomain, f.endpoint.Domain, d)
 }
 
-// resolve tells the outcome of a dispatch to the job table or the request.
-func (e *Entry) resolve(now time.Time, f *flight, a *inner.DispatchAnswer, err error) {
-	d := f.dispatch
-	switch {
-	case err != nil && inner.NotSent(err):
-		e.outcome(now, carobpulley.TaskRefused{ID: d.ID, Attempt: d.Attempt, Kind: carobpulley.KindUnavailable})
-	case a == nil:
-		e.counters.lost.Add(1)
-		e.logger.Warn().Err(err).Str("endpoint", d.Endpoint).Msg("dispatch got no answer")
-		e.outcome(now, carobpulley.TaskLost{ID: d.ID, Attempt: d.Attempt})
-	default:
-		e.answered(now, d, a)
-	}
-}
-
-// answered tells what an agent said of an attempt.
-func (e *Entry) answered(now time.Time, d carobpulley.Dispatch, a *inner.DispatchAnswer) {
-	switch {
-	case a.Refusal != nil && a.Refusal.Kind == carobpulley.KindStarted:
-		e.outcome(now, carobpulley.TaskLost{ID: d.ID, Attempt: d.Attempt})
-	case a.Phase == carobpulley.PhaseNotRun || a.Refusal != nil:
-		e.refused(now, d, a)
-	case a.Incarnation != d.Incarnation:
-		e.outcome(now, carobpulley.TaskGone{ID: d.ID, Attempt: d.Attempt})
-	case a.Phase == carobpulley.PhaseUnknown:
-		e.outcome(now, carobpulley.TaskGone{ID: d.ID, Attempt: d.Attempt})
-	case !a.Phase.Ended():
-		e.outcome(now, carobpulley.TaskLost{ID: d.ID, Attempt: d.Attempt})
-	default:
-		e.outcome(now, carobpulley.TaskEnded{
-			ID:      d.ID,
-			Attempt: d.Attempt,
-			Phase:   a.Phase,
-			Status:  a.Status,
-			Result:  a.Result,
-			Err:     a.Err,
-		})
-	}
-}
-
-func (e *Entry) refused(now time.Time, d carobpulley.Dispatch, a *inner.DispatchAnswer) {
-	kind := carobpulley.KindCancelled
-	if a.Refusal != nil {
-		kind = a.Refusal.Kind
-	}
-	e.counters.refused.Add(1)
-	e.outcome(now, carobpulley.TaskRefused{ID: d.ID, Attempt: d.Attempt, Kind: kind})
-}
-
-// outcome passes an event on to the request or the job table that it is for.
-func (e *Entry) outcome(now time.Time, ev carobpulley.Event) {
-	if e.callEvent(now, ev) {
-		return
-	}
-	e.step(now, ev)
-}
-
-// query asks the agent for the outcome of an attempt, on a new connection.
-func (e *Entry) query(d carobpulley.Dispatch, at time.Time) {
-	a := e.agents[d.Endpoint]
-	if a == nil {
-		e.goDo(func() { e.unresolved(d, at) })
-		return
-	}
-	addr := a.endpoint.Addr
-	e.goDo(func() { e.queryAgent(d, addr, at) })
-}
-
-// unresolved reports a query that cannot be sent, at the time it was due.
-func (e *Entry) unresolved(d carobpulley.Dispatch, at time.Time) {
-	if !e.sleep(at.Add(queryTimeout / 10)) {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	e.outcome(now, carobpulley.TaskUnresolved{ID: d.ID, Attempt: d.Attempt})
-	e.pump(now)
-}
-
-func (e *Entry) queryAgent(d carobpulley.Dispatch, addr netip.AddrPort, at time.Time) {
-	if !e.sleep(at) {
-		return
-	}
-	var a *inner.DispatchAnswer
-	for {
-		a = e.queryOnce(d, addr)
-		running := a != nil && !a.Phase.Ended() && a.Refusal == nil
-		if !running {
-			break
-		}
-		if !e.sleep(time.Now().Add(queryTimeout / 100)) {
-			return
-		}
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	if a == nil {
-		e.outcome(now, carobpulley.TaskUnresolved{ID: d.ID, Attempt: d.Attempt})
-	} else {
-		e.queried(now, d, a)
-	}
-	e.pump(now)
-}
-
-// queried tells what an agent said to a query. One of another incarnation than
-// the attempt was sent to has no memory of it.
-func (e *Entry) queried(now time.Time, d carobpulley.Dispatch, a *inner.DispatchAnswer) {
-	wrong := a.Refusal != nil && a.Refusal.Kind == carobpulley.KindWrongAgent
-	if wrong || a.Incarnation != d.Incarnation {
-		e.outcome(now, carobpulley.TaskGone{ID: d.ID, Attempt: d.Attempt})
-		return
-	}
-	if a.Refusal != nil && a.Phase != carobpulley.PhaseNotRun {
-		e.outcome(now, carobpulley.TaskUnresolved{ID: d.ID, Attempt: d.Attempt})
-		return
-	}
-	e.heard(d.Endpoint, a.Incarnation, a.AgentTime)
-	e.answered(now, d, a)
-}
-
-func (e *Entry) queryOnce(d carobpulley.Dispatch, addr netip.AddrPort) *inner.DispatchAnswer {
-	ctx, cancel := context.WithTimeout(e.ctx, queryTimeout)
-	defer cancel()
-	e.counters.queries.Add(1)
-	r, err := e.fresh.Agent(addr).Query(ctx, connect.NewRequest(inner.QueryToWire(inner.Query{
-		ID:          d.ID,
-		Attempt:     d.Attempt,
-		Shard:       d.Shard,
-		Epoch:       d.Epoch,
-		Wait:        true,
-		Endpoint:    d.Endpoint,
-		Incarnation: d.Incarnation,
-	})))
-	a, err := answerOf(r, err)
-	if err == nil {
-		return a
-	}
-	if refusal := inner.AsError(err); refusal.Kind == carobpulley.KindWrongAgent {
-		return &inner.DispatchAnswer{Phase: carobpulley.PhaseUnknown, Refusal: refusal}
-	}
-	e.logger.Warn().Err(err).Str("endpoint", d.Endpoint).Msg("query got no answer")
-	return nil
-}
-
-// cancelTask asks the agent to withdraw or stop a task. The outcome comes with
-// the answer of the dispatch itself.
-func (e *Entry) cancelTask(d carobpulley.Dispatch) {
-	a := e.agents[d.Endpoint]
-	if a == nil {
-		return
-	}
-	addr := a.endpoint.Addr
-	e.goDo(func() {
-		ctx, cancel := context.WithTimeout(e.ctx, cancelTimeout)
-		defer cancel()
-		_, err := e.client.Agent(addr).CancelTask(ctx, connect.NewRequest(inner.CancelTaskToWire(inner.Cancel{
-			ID:          d.ID,
-			Shard:       d.Shard,
-			Epoch:       d.Epoch,
-			Endpoint:    d.Endpoint,
-			Incarnation: d.Incarnation,
-		})))
-		if err != nil {
-			e.logger.Warn().Err(err).Str("endpoint", d.Endpoint).Msg("cancel got no answer")
-		}
-	})
-}
-
 // sleep waits until a time; it returns false if the entry stops first.
 func (e *Entry) sleep(until time.Time) bool {
 	t := time.NewTimer(time.Until(until))
--- a/entry/hosts_test.go
+++ b/entry/hosts_test.go
@@ -9,7 +9,9 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +28,9 @@
 	id     string
 	relay  *relay
 	agent  *agent.Agent
+	// lostCancels is the number of next CancelTask calls that get no answer and
+	// have no effect.
+	lostCancels atomic.Int32
 	// kill ends the agent without a drain or a farewell.
 	kill func()
 	// stopAnnouncing ends the announcements and waits for the last one.
@@ -81,7 +86,13 @@
 	h.agent = agent.New(cfg, agent.ClientEntries(client), agent.NewTransport(8), zerolog.Nop())
 	mux := http.NewServeMux()
 	mux.Handle(inner.AgentHandler(h.agent))
-	srv, err := inner.NewServer(c.ctx, netip.MustParseAddrPort("127.0.0.1:0"), c.opts.tls, mux)
+	lossy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/CancelTask") && h.lostCancels.Add(-1) >= 0 {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+	srv, err := inner.NewServer(c.ctx, netip.MustParseAddrPort("127.0.0.1:0"), c.opts.tls, lossy)
 	if err != nil {
 		c.t.Fatal(err)
 	}
