--- /dev/null
+++ b/entry/latency_test.go
@@ -0,0 +1,100 @@
+package entry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"carobpulley"
+)
+
+// held is a job table whose claims count as held by a second entry at once.
+type held struct {
+	carobpulley.JobTable
+}
+
+// Step implements carobpulley.JobTable.
+func (t held) Step(now time.Time, ev carobpulley.Event) []carobpulley.Action {
+	out := t.JobTable.Step(now, ev)
+	if s, ok := ev.(carobpulley.Submitted); ok {
+		out = append(out, t.JobTable.Step(now, carobpulley.ClaimHeld{Job: s.Spec.ID})...)
+	}
+	return out
+}
+
+// BenchmarkKeyDecision measures the time from a submission to the first start,
+// with three entries on loopback and a log that takes 3 ms per append. The
+// receiver is the owner of the key or another entry; without a second holder the
+// owner starts at once, which would lose keys with it.
+func BenchmarkKeyDecision(b *testing.B) {
+	for _, second := range []bool{true, false} {
+		opts := options{endpoints: 6}
+		if !second {
+			opts.table = func(t carobpulley.JobTable) carobpulley.JobTable { return held{t} }
+		}
+		c := newClusterWith(b, opts)
+		c.settle()
+		for _, owner := range []bool{true, false} {
+			for _, tasks := range []int{1, 20} {
+				name := fmt.Sprintf("second_holder=%t/receiver_is_owner=%t/tasks=%d", second, owner, tasks)
+				prefix := fmt.Sprintf("%t-%t-%d", second, owner, tasks)
+				b.Run(name, func(b *testing.B) { c.decide(b, prefix, owner, tasks) })
+			}
+		}
+	}
+}
+
+// decide submits a job per iteration and reports quantiles of the time to its
+// first start.
+func (c *cluster) decide(b *testing.B, prefix string, owner bool, tasks int) {
+	took := make([]time.Duration, 0, b.N)
+	appends := c.log.Stats().Appends
+	began := time.Now()
+	for i := range b.N {
+		key := fmt.Sprintf("%s-%d-%d", prefix, b.N, i)
+		receiver := c.receiver(key, owner)
+		sent := time.Now()
+		a, err := receiver.Submit(c.ctx, spec(key, tasks), true)
+		if err != nil || a.Outcome != carobpulley.OutcomeComplete {
+			b.Fatalf("outcome %s, %v", a.Outcome, err)
+		}
+		took = append(took, c.starts.first(key, tasks).Sub(sent))
+	}
+	slices.Sort(took)
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	b.ReportMetric(ms(took[len(took)/2]), "p50_ms")
+	b.ReportMetric(ms(took[len(took)*99/100]), "p99_ms")
+	seconds := time.Since(began).Seconds()
+	b.ReportMetric(float64(b.N)/seconds, "jobs/s")
+	b.ReportMetric(float64(c.log.Stats().Appends-appends)/seconds, "appends/s")
+}
+
+// receiver returns the owner of a key's shard, or another entry.
+func (c *cluster) receiver(key string, owner bool) *node {
+	name := c.ownerOf(key)
+	if owner {
+		return c.entries[name]
+	}
+	for other, n := range c.entries {
+		if other != name {
+			return n
+		}
+	}
+	return nil
+}
+
+// first returns when the first task of a job started.
+func (s *starts) first(key string, tasks int) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var at time.Time
+	for i := range tasks {
+		for _, st := range s.at[fmt.Sprintf("depots/%s#%d", key, i)] {
+			if at.IsZero() || st.at.Before(at) {
+				at = st.at
+			}
+		}
+	}
+	return at
+}
