--- a/admit/example_test.go
+++ b/admit/example_test.go
@@ -23,15 +23,15 @@
 	a := admit.New(always{})
 	a.Configure(now, &carobpulley.Catalogue{
 		Version: 1,
-		Members: map[string]carobpulley.Member{"depots": {Name: "depots", Weight: 1}},
+		Members: map[string]carobpulley.Member{"rentals": {Name: "rentals", Weight: 1}},
 		Services: map[string]carobpulley.Service{
-			"confirm": {Name: "confirm", Member: "depots", Class: carobpulley.ClassUrgent, MaxTasks: 120},
-			"report":  {Name: "report", Member: "depots", Class: carobpulley.ClassBulk, MaxTasks: 120},
+			"confirm": {Name: "confirm", Member: "rentals", Class: carobpulley.ClassUrgent, MaxTasks: 120},
+			"report":  {Name: "report", Member: "rentals", Class: carobpulley.ClassBulk, MaxTasks: 120},
 		},
 	})
 	job := func(key, service string) carobpulley.JobSpec {
 		return carobpulley.JobSpec{
-			ID:       carobpulley.JobID{Member: "depots", Key: key},
+			ID:       carobpulley.JobID{Member: "rentals", Key: key},
 			Service:  service,
 			Payloads: make([][]byte, 1),
 			Deadline: now.Add(time.Minute),
@@ -43,7 +43,7 @@
 		spec := job("j-"+service, service)
 		fmt.Println(service, a.Admit(now, spec))
 		a.Push(now, carobpulley.Waiting{
-			Task: carobpulley.TaskID{Job: spec.ID}, Service: service, Member: "depots",
+			Task: carobpulley.TaskID{Job: spec.ID}, Service: service, Member: "rentals",
 			Class: classes[service], Deadline: spec.Deadline, QueuedAt: now,
 		})
 	}
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -26,7 +26,7 @@
 	if token != "good" {
 		return "", &carobpulley.Error{Op: "authenticate", Kind: carobpulley.KindUnauthenticated, Msg: "unknown token"}
 	}
-	return "depots", nil
+	return "rentals", nil
 }
 
 func (b *backend) answer() (carobpulley.Answer, error) {
@@ -35,7 +35,7 @@
 		return carobpulley.Answer{}, b.err
 	}
 	return carobpulley.Answer{
-		ID:      carobpulley.JobID{Member: "depots", Key: "k"},
+		ID:      carobpulley.JobID{Member: "rentals", Key: "k"},
 		Service: "check",
 		Outcome: carobpulley.OutcomeComplete,
 		Tasks: []carobpulley.Task{
@@ -129,7 +129,7 @@
 	w := do(t, b, http.MethodPost, "/v1/jobs", "good",
 		`{"key":"k","service":"check","tasks":[{"payload":{"a": 1}},{"payload_base64":"/w=="}],"timeout_ms":1500}`)
 	want := carobpulley.JobSpec{
-		ID:       carobpulley.JobID{Member: "depots", Key: "k"},
+		ID:       carobpulley.JobID{Member: "rentals", Key: "k"},
 		Service:  "check",
 		Payloads: [][]byte{[]byte(`{"a": 1}`), {0xff}},
 		Deadline: time.Date(2026, 1, 1, 0, 0, 1, 500e6, time.UTC),
--- a/conf/example_test.go
+++ b/conf/example_test.go
@@ -9,11 +9,11 @@
 
 const catalogue = `format: 1
 members:
-  - name: depots
+  - name: rentals
     token_sha256: ["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]
     quota: {starts_per_second: 100, max_concurrent: 20, weight: 1}
 services:
-  - {name: check, member: depots, class: normal, run_time: 50ms, idempotent: true}
+  - {name: check, member: rentals, class: normal, run_time: 50ms, idempotent: true}
 domains:
   - {name: d1, region: r, in_service: true}
 entries: [entry-1]
--- a/entry/cancel_test.go
+++ b/entry/cancel_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	c.awaitStart(holding + key + "/0")
-	id := carobpulley.JobID{Member: "depots", Key: key}
+	id := carobpulley.JobID{Member: "rentals", Key: key}
 	if _, err := c.entries["entry-2"].Cancel(c.ctx, id); err != nil {
 		t.Fatal(err)
 	}
@@ -53,7 +53,7 @@
 	for _, h := range c.hosts {
 		h.lostCancels.Store(1)
 	}
-	id := carobpulley.JobID{Member: "depots", Key: key}
+	id := carobpulley.JobID{Member: "rentals", Key: key}
 	if _, err := c.entries["entry-2"].Cancel(c.ctx, id); err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +74,7 @@
 	for _, k := range a.Tasks {
 		started := c.starts.of(a.ID.Key, k.Index)
 		c.starts.mu.Lock()
-		closed := c.starts.closed[fmt.Sprintf("depots/%s#%d", a.ID.Key, k.Index)]
+		closed := c.starts.closed[fmt.Sprintf("rentals/%s#%d", a.ID.Key, k.Index)]
 		c.starts.mu.Unlock()
 		switch {
 		case k.Phase == carobpulley.PhaseNotRun && started == 0:
@@ -153,13 +153,13 @@
 	c.t.Helper()
 	answers := make([]carobpulley.Answer, jobs)
 	each(jobs, func(i int) {
-		id := carobpulley.JobID{Member: "depots", Key: fmt.Sprintf("%s-%d", prefix, i)}
+		id := carobpulley.JobID{Member: "rentals", Key: fmt.Sprintf("%s-%d", prefix, i)}
 		if _, err := c.entries[fmt.Sprintf("entry-%d", (i+1)%3+1)].Cancel(c.ctx, id); err != nil {
 			c.t.Errorf("%s: %v", id.Key, err)
 		}
 	})
 	each(jobs, func(i int) {
-		id := carobpulley.JobID{Member: "depots", Key: fmt.Sprintf("%s-%d", prefix, i)}
+		id := carobpulley.JobID{Member: "rentals", Key: fmt.Sprintf("%s-%d", prefix, i)}
 		a, err := c.entries[fmt.Sprintf("entry-%d", i%3+1)].Lookup(c.ctx, id, true)
 		if err != nil || a.Outcome == carobpulley.OutcomeRunning {
 			c.t.Errorf("%s: outcome %s, %v", id.Key, a.Outcome, err)
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -30,16 +30,16 @@
 
 const document = `format: 1
 members:
-  - name: depots
+  - name: rentals
     token_sha256: ["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]
     quota: {starts_per_second: 100000, max_concurrent: 10000, weight: 1}
   - name: others
     token_sha256: ["d9298a10d1b0735837dc4bd85dac641b0f3cef27a47e5d53a54f2f3f5b2fcffa"]
     quota: {starts_per_second: 100000, max_concurrent: 10000, weight: 1}
 services:
-  - {name: check, member: depots, class: normal, run_time: 20ms, idempotent: true}
-  - {name: confirm, member: depots, class: urgent, run_time: 20ms, idempotent: false}
-  - {name: single, member: depots, class: normal, run_time: 20ms, idempotent: true, limits: {max_concurrent: 1}}
+  - {name: check, member: rentals, class: normal, run_time: 20ms, idempotent: true}
+  - {name: confirm, member: rentals, class: urgent, run_time: 20ms, idempotent: false}
+  - {name: single, member: rentals, class: normal, run_time: 20ms, idempotent: true, limits: {max_concurrent: 1}}
 domains:
   - {name: d1, region: r, in_service: %t}
   - {name: d2, region: r, in_service: true}
@@ -93,7 +93,7 @@
 func (s *starts) of(key string, task int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.at[fmt.Sprintf("depots/%s#%d", key, task)])
+	return len(s.at[fmt.Sprintf("rentals/%s#%d", key, task)])
 }
 
 // serve runs a task as its payload says.
@@ -343,7 +343,7 @@
 
 func spec(key string, tasks int) carobpulley.JobSpec {
 	s := carobpulley.JobSpec{
-		ID:       carobpulley.JobID{Member: "depots", Key: key},
+		ID:       carobpulley.JobID{Member: "rentals", Key: key},
 		Service:  "check",
 		Deadline: time.Now().Add(30 * time.Second),
 	}
@@ -369,7 +369,7 @@
 // ownerOf waits until a key's shard has an owner and returns its name.
 func (c *cluster) ownerOf(key string) string {
 	c.t.Helper()
-	shard := carobpulley.ShardOf(carobpulley.JobID{Member: "depots", Key: key}, carobpulley.Shards)
+	shard := carobpulley.ShardOf(carobpulley.JobID{Member: "rentals", Key: key}, carobpulley.Shards)
 	for c.ctx.Err() == nil {
 		for _, n := range c.entries {
 			for _, s := range n.Status().Shards {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -231,7 +231,7 @@
 	for i := range 20 {
 		n := c.entries[fmt.Sprintf("entry-%d", i%3+1)]
 		k, err := n.Call(c.ctx, api.Request{
-			Member:        "depots",
+			Member:        "rentals",
 			Service:       "confirm",
 			Payload:       []byte("van"),
 			NonIdempotent: true,
--- a/entry/forged_test.go
+++ b/entry/forged_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	id := carobpulley.JobID{Member: "depots", Key: key}
+	id := carobpulley.JobID{Member: "rentals", Key: key}
 	return carobpulley.Entering{
 		Dispatch: carobpulley.Dispatch{
 			ID:          carobpulley.TaskID{Job: id},
@@ -187,7 +187,7 @@
 	c.settle()
 	owner := c.ownerOf("target")
 	calls := c.client.Entry(c.addrs[owner])
-	id := carobpulley.JobID{Member: "depots", Key: "target"}
+	id := carobpulley.JobID{Member: "rentals", Key: "target"}
 	shard := carobpulley.ShardOf(id, carobpulley.Shards)
 
 	r, err := calls.Submit(c.ctx, connect.NewRequest(inner.SubmissionToWire(inner.Submission{
@@ -286,12 +286,12 @@
 		if m, err := n.Authenticate("guess"); kind(err) != carobpulley.KindUnauthenticated {
 			t.Errorf("%s: an unknown token belongs to %q, %v", name, m, err)
 		}
-		if m, err := n.Authenticate("test"); err != nil || m != "depots" {
+		if m, err := n.Authenticate("test"); err != nil || m != "rentals" {
 			t.Errorf("%s: the member's token belongs to %q, %v", name, m, err)
 		}
 	}
 	close(c.starts.release)
-	a, err := n.Lookup(c.ctx, carobpulley.JobID{Member: "depots", Key: "private"}, true)
+	a, err := n.Lookup(c.ctx, carobpulley.JobID{Member: "rentals", Key: "private"}, true)
 	if err != nil || a.Outcome != carobpulley.OutcomeComplete {
 		t.Errorf("outcome %s, %v", a.Outcome, err)
 	}
--- a/entry/latency_test.go
+++ b/entry/latency_test.go
@@ -90,7 +90,7 @@
 	defer s.mu.Unlock()
 	var at time.Time
 	for i := range tasks {
-		for _, st := range s.at[fmt.Sprintf("depots/%s#%d", key, i)] {
+		for _, st := range s.at[fmt.Sprintf("rentals/%s#%d", key, i)] {
 			if at.IsZero() || st.at.Before(at) {
 				at = st.at
 			}
--- a/entry/logfault_test.go
+++ b/entry/logfault_test.go
@@ -177,10 +177,10 @@
 		c.t.Fatal(err)
 	}
 	c.awaitStart(holding + key + "/0")
-	if _, err := n.Cancel(c.ctx, carobpulley.JobID{Member: "depots", Key: key}); err != nil {
+	if _, err := n.Cancel(c.ctx, carobpulley.JobID{Member: "rentals", Key: key}); err != nil {
 		c.t.Error(err)
 	}
-	a, err := n.Lookup(c.ctx, carobpulley.JobID{Member: "depots", Key: key}, true)
+	a, err := n.Lookup(c.ctx, carobpulley.JobID{Member: "rentals", Key: key}, true)
 	if err != nil || a.Outcome != carobpulley.OutcomeFailed {
 		c.t.Errorf("%s: outcome %q, %v", key, a.Outcome, err)
 	}
@@ -232,7 +232,7 @@
 
 func request(service, payload string, timeout time.Duration) api.Request {
 	return api.Request{
-		Member:        "depots",
+		Member:        "rentals",
 		Service:       service,
 		Payload:       []byte(payload),
 		NonIdempotent: service == "confirm",
--- a/owner/example_test.go
+++ b/owner/example_test.go
@@ -12,7 +12,7 @@
 func ExampleTable() {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	t := owner.NewTable("entry-1", carobpulley.Shards)
-	id := carobpulley.JobID{Member: "depots", Key: "order-1"}
+	id := carobpulley.JobID{Member: "rentals", Key: "order-1"}
 	t.Step(now, carobpulley.ShardOpened{
 		Shard: carobpulley.ShardOf(id, carobpulley.Shards), Epoch: 1, AllAgents: true, AllClaims: true,
 	})
