--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -298,3 +298,54 @@
 		t.Errorf("%d retries of %d requests, at most a tenth are allowed", retries, n+failed)
 	}
 }
+
+// Guards against an idempotent request that waits for a straggler although
+// another endpoint would answer, a straggler that runs on after the answer, and a
+// non-idempotent request that is hedged.
+func TestStragglerIsHedged(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 20*time.Millisecond)
+	c.settle()
+	const n = 40
+	c.checkRequests(c.collect(c.callAll("check", "good-", n, 20*time.Second), n))
+	const slow = straggling + "0"
+	k, err := c.entries["entry-1"].Call(c.ctx, api.Request{
+		Member: "rentals", Service: "check", Payload: []byte(slow), Deadline: time.Now().Add(5 * time.Second),
+	})
+	if err != nil || string(k.Result) != slow {
+		t.Errorf("result %q, %v", k.Result, err)
+	}
+	if got := c.starts.with(slow); got != 2 {
+		t.Errorf("%d starts, want the first and its second copy", got)
+	}
+	for c.starts.allClosed() == 0 && c.ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	const once = holding + "once"
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = c.entries["entry-1"].Call(c.ctx, api.Request{
+			Member: "rentals", Service: "confirm", Payload: []byte(once),
+			NonIdempotent: true, Deadline: time.Now().Add(5 * time.Second),
+		})
+	}()
+	c.awaitStart(once)
+	time.Sleep(time.Second)
+	if got := c.starts.with(once); got != 1 {
+		t.Errorf("the non-idempotent request started %d times", got)
+	}
+	close(c.starts.release)
+	<-done
+}
+
+// allClosed returns how many requests were closed before their end.
+func (s *starts) allClosed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, closed := range s.closed {
+		n += closed
+	}
+	return n
+}
