Revert hedging of overdue idempotent requests

Not ruled out: an estimate of the expected time that load inflates past the deadline, and a budget used up.

--- a/entry/call.go
+++ b/entry/call.go
@@ -27,9 +27,6 @@
 	open bool
 	// started is set once an attempt has started or may have.
 	started bool
-	// hedge is a second copy of this request, first the one that this copies.
-	hedge *call
-	first *call
 	// left is set once nobody waits for another attempt.
 	left  bool
 	ended bool
@@ -171,7 +168,6 @@
 	c.task, c.err = t, err
 	delete(e.single, c.id)
 	close(c.done)
-	e.endCopies(c)
 }
 
 // callEvent takes an outcome if it is that of a single request.
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -54,8 +54,6 @@
 	failing = "fail:"
 	slowly  = "fail:slowly:"
 	holding = "hold:"
-	// straggling payloads are held at their first start only.
-	straggling = "straggle:"
 )
 
 const failTime = 200 * time.Millisecond
@@ -76,13 +74,6 @@
 	at     time.Time
 }
 
-// count returns how often a payload has started.
-func (s *starts) count(payload string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.payloads[payload]
-}
-
 func (s *starts) add(r *http.Request, domain, payload string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +111,7 @@
 		}
 		http.Error(w, "no van", http.StatusInternalServerError)
 		return
-	case strings.HasPrefix(payload, holding), strings.HasPrefix(payload, straggling) && s.count(payload) == 1:
+	case strings.HasPrefix(payload, holding):
 		select {
 		case <-s.release:
 		case <-r.Context().Done():
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -98,9 +98,6 @@
 	f := &flight{waiting: w, dispatch: d, endpoint: ep, sentAt: now}
 	e.flights[w.Task] = f
 	e.observe(stats.Queue, f, now.Sub(w.QueuedAt))
-	if c := e.single[w.Task.Job]; c != nil {
-		e.planHedge(now, c)
-	}
 	e.goDo(func() { e.send(f) })
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -14,7 +14,6 @@
 	lost           atomic.Int64
 	queries        atomic.Int64
 	retries        atomic.Int64
-	hedges         atomic.Int64
 	contacts       atomic.Int64
 	witness        atomic.Int64
 	journalRefused atomic.Int64
@@ -29,7 +28,6 @@
 	Lost           int64  `json:"dispatches_lost"`
 	Queries        int64  `json:"queries"`
 	Retries        int64  `json:"retries"`
-	Hedges         int64  `json:"hedges"`
 	Contacts       int64  `json:"contacts"`
 	Witness        int64  `json:"witness_messages"`
 	JournalRefused int64  `json:"journal_refused"`
@@ -58,7 +56,6 @@
 	m.Lost = e.counters.lost.Load()
 	m.Queries = e.counters.queries.Load()
 	m.Retries = e.counters.retries.Load()
-	m.Hedges = e.counters.hedges.Load()
 	m.Contacts = e.counters.contacts.Load()
 	m.Witness = e.counters.witness.Load()
 	m.JournalRefused = e.counters.journalRefused.Load()
