jobs: acknowledge ends of unknown jobs only as the owner of their shard

Cause: an owner that had given up a shard no longer knew its jobs and acknowledged their ends as those of dropped jobs. The agent let the runner forget them before the new owner attached, which ran the tasks again (TWICE).

Ruled out, from the logs of the first: a progress record lost between the last append of the old owner and the read of the new one (the end was never dirty at the new owner), and the agent's own list (its answer to the attachment held the sibling run but neither the run nor its end, 40 ms after the old owner gave up).

Change: an end of an unknown job is acknowledged only if the shard is owned. TestEndAfterHandoverIsNotAcknowledged failed before the change.

--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -16,7 +16,10 @@
 func (t *Table) takeEnd(now time.Time, h *host, e *work.End) {
 	tk := t.taskOf(e.Run)
 	if tk == nil {
-		t.ackNow(h, e)
+		// Only the owner knows that the job needs this end no more.
+		if t.Owns(work.JobOfTask(e.Run.Task)) {
+			t.ackNow(h, e)
+		}
 		return
 	}
 	if tk.phase == taskDone || !t.current(h, tk, e) {
