--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run smoke test check generate fmt bench test-long slopes e2e
+.PHONY: run smoke test check generate fmt bench test-long slopes e2e soak
 
 run:
 	@scripts/run.sh
@@ -33,3 +33,9 @@
 test-long:
 	CAROB_SCHEDULES=20000 go test -count=1 -timeout 10m -run 'TestFaultMatrix$$|AgainstModel' ./owner -rapid.checks=20000 -rapid.seed=$(SEED)
 	CAROB_SPREAD_SCHEDULES=20000 go test -count=1 -timeout 10m -run 'TestSpreadMatrix$$' ./conf
+
+# Plays seeds of the fault soak: FIRST and SEEDS choose them.
+FIRST ?= 1
+SEEDS ?= 10
+soak:
+	@scripts/soak.sh $(FIRST) $(SEEDS) 20s
--- /dev/null
+++ b/cmd/carobctl/explain.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"carobpulley/logs"
+)
+
+const explainUsage = `Tell a request's story from the logs of many processes: all lines that carry its
+id, in order of time. Clocks that differ are compared by the attachments that
+coordinators and agents both log; the time shown is that of the first line's
+process. Pass the agents' logs too, or their lines are missing.
+
+  carobctl explain 70491baaa1c38ad9 logs/*.log
+  carobctl --json explain 70491baaa1c38ad9 - < all.log
+
+docs/OPERATIONS.md says what each line means.`
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "explain",
+		Usage:       "tell a request's story from log files",
+		ArgsUsage:   "ID FILE...",
+		Description: explainUsage,
+		Action:      explain,
+	}
+}
+
+func explain(_ context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	if len(args) < 2 {
+		return usagef("an id and at least one file are needed")
+	}
+	r := logs.NewReader(args[0])
+	for _, name := range args[1:] {
+		if err := readLog(r, name); err != nil {
+			return err
+		}
+	}
+	s := r.Story()
+	if len(s.Lines) == 0 {
+		return exitf(exitFailed, "no line of %d files names %s", len(args)-1, args[0])
+	}
+	if cmd.Root().Bool(flagJSON) {
+		printJSON(cmd.Root().Writer, s)
+		return nil
+	}
+	printStory(cmd.Root().Writer, s)
+	return nil
+}
+
+func readLog(r *logs.Reader, name string) error {
+	if name == "-" {
+		return r.Read(os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return usagef("%v", err)
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	if err := r.Read(f); err != nil {
+		return exitf(exitFailed, "%s: %v", name, err)
+	}
+	return nil
+}
+
+func printStory(w io.Writer, s logs.Story) {
+	began := s.Lines[0].Shifted
+	for _, l := range s.Lines {
+		fields := make([]string, 0, len(l.Fields))
+		for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+			if v := l.Fields[name]; v != "" && name != "level" && name != "job" {
+				fields = append(fields, fmt.Sprintf("%s=%v", name, v))
+			}
+		}
+		_, _ = fmt.Fprintf(w, "%s %+8d ms  %-24s %-20s %s\n", l.Shifted.UTC().Format("15:04:05.000"),
+			l.Shifted.Sub(began).Milliseconds(), l.Process, l.Message, strings.Join(fields, " "))
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Offsets)) {
+		if d := s.Offsets[name]; d.Abs() > time.Second/10 {
+			_, _ = fmt.Fprintf(w, "the clock of %s is %s ahead\n", name, d)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/carobctl/explain_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Guards against a story that is not found, or told, from files on disk.
+func TestExplain(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "c.log")
+	log := `{"process":"c","job":"0000000000000001","why":"overload","code":2,"time":6000,"message":"submitted"}` + "\n"
+	if err := os.WriteFile(file, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"explain 0000000000000001 " + file, exitOK, "code=2 why=overload"},
+		{"--json explain 0000000000000001 " + file, exitOK, `"process":"c"`},
+		{"explain 0000000000000002 " + file, exitFailed, "no line"},
+		{"explain 0000000000000001", exitUsage, "at least one file"},
+		{"explain 0000000000000001 " + file + ".none", exitUsage, "no such file"},
+	} {
+		var out, errs bytes.Buffer
+		code := run(t.Context(), append([]string{"carobctl"}, strings.Fields(tt.args)...), &out, &errs)
+		said := strings.ReplaceAll(out.String(), `": "`, `":"`) + errs.String()
+		if code != tt.code || !strings.Contains(said, tt.says) {
+			t.Errorf("%s: code %d, want %d; said %q, want %q in it", tt.args, code, tt.code, said, tt.says)
+		}
+	}
+}
--- a/cmd/carobctl/main.go
+++ b/cmd/carobctl/main.go
@@ -83,6 +83,7 @@
 			statusCommand(),
 			watchCommand(),
 			jobCommand(),
+			explainCommand(),
 			hashCommand(),
 			versionCommand(),
 		},
--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -17,7 +17,7 @@
 	return &cli.Command{
 		Name:   "agent",
 		Usage:  "order the runner on this host",
-		Flags:  []cli.Flag{shardsFlag()},
+		Flags:  []cli.Flag{shardsFlag(), advertiseFlag()},
 		Action: runAgent,
 	}
 }
--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -16,7 +16,7 @@
 	return &cli.Command{
 		Name:   "coordinator",
 		Usage:  "serve callers and own shards of the jobs",
-		Flags:  []cli.Flag{shardsFlag()},
+		Flags:  []cli.Flag{shardsFlag(), advertiseFlag()},
 		Action: runCoordinator,
 	}
 }
--- a/cmd/carobd/process.go
+++ b/cmd/carobd/process.go
@@ -48,6 +48,26 @@
 	}
 }
 
+func advertiseFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    "advertise",
+		Usage:   "`IP:PORT` at which other processes reach this one; the settings file's own address if empty",
+		Sources: cli.EnvVars("CAROB_ADVERTISE"),
+		Validator: func(text string) error {
+			_, err := netip.ParseAddrPort(text)
+			return err
+		},
+	}
+}
+
+// advertised returns the address that others are told.
+func advertised(cmd *cli.Command, inner netip.AddrPort) netip.AddrPort {
+	if addr, err := netip.ParseAddrPort(cmd.String("advertise")); err == nil {
+		return addr
+	}
+	return inner
+}
+
 // process is what both roles need.
 type process struct {
 	settings platform.Settings
@@ -75,7 +95,7 @@
 		meter:    meter.New(),
 		self: work.Address{
 			Name:        settings.Name,
-			Addr:        settings.Inner,
+			Addr:        advertised(cmd, settings.Inner),
 			Incarnation: uint64(time.Now().UnixNano()),
 			Domain:      settings.Domain,
 			Share:       settings.Share,
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -157,14 +157,14 @@
 	go func() {
 		defer f.wg.Done()
 		if err := p.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			f.Judge.fail("server: " + err.Error())
+			f.Judge.Fail("server: " + err.Error())
 		}
 	}()
 	go func() {
 		defer f.wg.Done()
 		defer close(p.done)
 		if err := run(); err != nil {
-			f.Judge.fail("process: " + err.Error())
+			f.Judge.Fail("process: " + err.Error())
 		}
 		_ = p.server.Close() // the process ends whatever is open
 		p.kill()
@@ -224,7 +224,7 @@
 func (f *Fleet) beat(ctx context.Context, g *guard.Guard, n int) {
 	domain := fmt.Sprintf("domain-%d", n%3)
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
-		if !f.Runner[n].isDown() {
+		if !f.Runner[n].Down() {
 			g.Beat(f.Runner[n].Beat(fmt.Sprintf("runner-%d", n), service, domain, sequence))
 		}
 		select {
@@ -237,12 +237,6 @@
 // service is the service of all runners.
 const service = "s"
 
-func (r *Runner) isDown() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.down
-}
-
 // Kill ends a process at once.
 func (p *Process) Kill() {
 	p.kill()
--- a/emul/runner.go
+++ b/emul/runner.go
@@ -65,12 +65,20 @@
 	j.running[task]--
 }
 
-func (j *Judge) fail(what string) {
+// Fail records that something is wrong.
+func (j *Judge) Fail(what string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.broken = append(j.broken, what)
 }
 
+// Starts returns the number of runs of a task.
+func (j *Judge) Starts(task string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.starts[task]
+}
+
 // Begun returns the number of runs so far, and Broken what was wrong.
 func (j *Judge) Begun() int {
 	j.mu.Lock()
@@ -166,6 +174,13 @@
 	}
 }
 
+// Down reports whether the runner has crashed and not restarted.
+func (r *Runner) Down() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
 // Restart begins another life of the runner.
 func (r *Runner) Restart() {
 	r.mu.Lock()
@@ -294,7 +309,7 @@
 		used = used.Add(other.start.Need)
 	}
 	if !used.Fits(r.capacity) {
-		r.judge.fail("a start of " + s.Run.Task + " over the room")
+		r.judge.Fail("a start of " + s.Run.Task + " over the room")
 	}
 	d, how := r.run(s)
 	r.judge.start(s.Run.Task)
--- /dev/null
+++ b/logs/story_test.go
@@ -0,0 +1,63 @@
+package logs
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const coordinatorLog = `{"process":"c","host":"a","attachment":1,"time":1000,"message":"attached"}
+{"process":"c","host":"a","attachment":2,"time":5000,"message":"attached"}
+{"process":"c","job":"0000000000000001","why":"","time":6000,"message":"submitted"}
+{"process":"c","job":"0000000000000002","time":6001,"message":"submitted"}
+{"process":"c","job":"0000000000000001","task":"0000000000000001.0.0.0","run":1,"why":"told by the agent","time":6200,"message":"absent"}
+`
+
+// The agent's clock is 2 s ahead. Its lines carry what a log collector puts before
+// them.
+const agentLog = `  38.1 a {"process":"a","coordinator":"c","attachment":1,"time":2998,"message":"attached"}
+  38.2 a {"process":"a","coordinator":"c","attachment":2,"time":7000,"message":"attached"}
+not a line
+  38.3 a {"process":"a","task":"0000000000000001.0.0.0","run":1,"refusal":"late","time":8100,"message":"start not confirmed"}
+  38.4 a {"process":"a","task":"00000000000000010.0.0.0","run":1,"time":8101,"message":"start not confirmed"}
+`
+
+// Guards against a story that misses a process's lines, takes those of another
+// request, or tells effects before causes because clocks differ.
+func TestStoryAcrossClocks(t *testing.T) {
+	r := NewReader("0000000000000001")
+	for _, log := range []string{coordinatorLog, agentLog} {
+		if err := r.Read(strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s := r.Story()
+	got := make([]string, 0, len(s.Lines))
+	for _, l := range s.Lines {
+		got = append(got, l.Process+" "+l.Message)
+	}
+	want := []string{"c submitted", "a start not confirmed", "c absent"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(map[string]time.Duration{"c": 0, "a": 2 * time.Second}, s.Offsets); diff != "" {
+		t.Errorf("offsets (-want +got):\n%s", diff)
+	}
+	if s.Unread != 1 {
+		t.Errorf("%d lines unread, want 1", s.Unread)
+	}
+}
+
+// Guards against a search for an unknown request that fails instead of finding
+// nothing.
+func TestStoryOfUnknownRequest(t *testing.T) {
+	r := NewReader("ffffffffffffffff")
+	if err := r.Read(strings.NewReader(coordinatorLog)); err != nil {
+		t.Fatal(err)
+	}
+	if s := r.Story(); len(s.Lines) != 0 {
+		t.Errorf("%d lines, want none", len(s.Lines))
+	}
+}
