carobd: read a changed settings file while running

Ruled out: applying addresses and names to a running process; they identify it to its peers, and the platform restarts a process with the settings in effect.

--- a/cmd/carobd/check.go
+++ b/cmd/carobd/check.go
@@ -19,7 +19,11 @@
 }
 
 func runCheck(context.Context, *cli.Command) error {
-	s, err := platform.LoadSettings()
+	b, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	s, err := platform.ParseSettings(b)
 	if err != nil {
 		return err
 	}
--- a/cmd/carobd/process.go
+++ b/cmd/carobd/process.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -82,7 +81,11 @@
 }
 
 func newProcess(ctx context.Context, cmd *cli.Command) (*process, error) {
-	settings, err := platform.LoadSettings()
+	content, err := platform.ReadSettings()
+	if err != nil {
+		return nil, err
+	}
+	settings, err := platform.ParseSettings(content)
 	if err != nil {
 		return nil, err
 	}
@@ -101,11 +104,11 @@
 			Share:       settings.Share,
 		},
 	}
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryPart * (1 << 20)))
-	}
+	limitMemory(settings.MemoryMB)
 	p.ctx, p.stop = signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	r := &reloader{log: log, read: platform.ReadSettings, content: content, settings: settings}
+	go r.watch(p.ctx)
 	p.log.Info().Str("role", cmd.Name).Uint64("incarnation", p.self.Incarnation).Stringer("inner", p.self.Addr).Msg("start")
 	return p, nil
 }
--- a/cmd/soak/play.go
+++ b/cmd/soak/play.go
@@ -106,6 +106,9 @@
 	s.load(seed, duration)
 	r := s.report(seed)
 	s.fleet.close()
+	if err := ctx.Err(); err != nil {
+		return r, err // an interrupted seed says nothing
+	}
 	if len(r.Broken) == 0 {
 		return r, os.RemoveAll(dir)
 	}
