runs: attach only once the runner's lists are known; a lapsed lease frees the runner

Two findings of the soak (20 s, two series of faults):

Cause: an agent that had just been restarted answered an attachment before a look at its runner had been answered (no heartbeat yet, and looks unanswered by 'lose orders'): it listed no run and no end, so both coordinators placed the tasks again at once, while the runner still ran them under the earlier process's lease. The same could make two runs at a time. Ruled out: the table (it did as the list said: 'not on the agent's list', 9 tasks within 5 ms of the attachment). Change: an agent answers attachments once its runner's lists were read, it is known that nothing listens there or that another life began, or every lease of an earlier process has lapsed.

Cause: an end that nobody could store (its owner had no proof) kept the lease from being renewed for good, so each start was sent with a lease that was over ('late') and placed anew without a pause. Ends found by a restarted agent count so too, also those of jobs that are not kept: beside a store that is away their runner would have started nothing. Change: an end holds the lease back until it has lapsed once, as the rule asks; an order whose lease would be over is refused at once.

Tests that fail with each protection out: TestAttachWaitsForRunnersLists, TestUnstoredEndHoldsStartsUpOnce.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -56,7 +56,8 @@
 			&cli.Uint64Flag{Name: "first", Usage: "first seed", Value: 1},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.DurationFlag{Name: "duration", Usage: "time in which faults strike, for each seed", Value: 20 * time.Second},
-			&cli.StringFlag{Name: "logs", Usage: "`DIR` for the logs of seeds that broke a promise", Value: os.TempDir()},
+			&cli.StringFlag{Name: "logs", Usage: "`DIR` for the logs", Value: os.TempDir()},
+			&cli.BoolFlag{Name: "keep", Usage: "keep the logs of all seeds, not only of those that broke a promise"},
 		},
 		Action: runSeeds,
 	}
@@ -70,7 +71,7 @@
 	broken := false
 	first := cmd.Uint64("first")
 	for seed := first; seed < first+uint64(cmd.Int("seeds")) && ctx.Err() == nil; seed++ {
-		r, err := play(ctx, cmd.String("carobd"), seed, cmd.Duration("duration"), cmd.String("logs"))
+		r, err := play(ctx, cmd.String("carobd"), seed, cmd.Duration("duration"), cmd.String("logs"), cmd.Bool("keep"))
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/cmd/soak/play.go
+++ b/cmd/soak/play.go
@@ -37,17 +37,19 @@
 
 // report is the result of one seed.
 type report struct {
-	Seed      uint64   `json:"seed"`
-	Jobs      int      `json:"jobs"`
-	Completed int      `json:"completed"`
-	Refused   int      `json:"refused"`
-	Failed    int      `json:"failed"`
-	Resent    int      `json:"resent"`
-	Starts    int      `json:"starts"`
-	LongestMS int64    `json:"longest_ms"`
-	Broken    []string `json:"broken,omitempty"`
-	Logs      string   `json:"logs,omitempty"`
-	Faults    []struck `json:"faults"`
+	Seed      uint64 `json:"seed"`
+	Jobs      int    `json:"jobs"`
+	Completed int    `json:"completed"`
+	Refused   int    `json:"refused"`
+	Failed    int    `json:"failed"`
+	Resent    int    `json:"resent"`
+	Starts    int    `json:"starts"`
+	LongestMS int64  `json:"longest_ms"`
+	// LongestJob had the longest way to its answer.
+	LongestJob string   `json:"longest_job"`
+	Broken     []string `json:"broken,omitempty"`
+	Logs       string   `json:"logs,omitempty"`
+	Faults     []struck `json:"faults"`
 }
 
 // soak is one seed being played.
@@ -88,8 +90,8 @@
 	return d, work.HowDone
 }
 
-// play plays one seed.
-func play(ctx context.Context, program string, seed uint64, duration time.Duration, logs string) (report, error) {
+// play plays one seed. The logs are kept if it broke a promise, or upon request.
+func play(ctx context.Context, program string, seed uint64, duration time.Duration, logs string, keep bool) (report, error) {
 	dir, err := os.MkdirTemp(logs, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		return report{}, err
@@ -109,7 +111,7 @@
 	if err := ctx.Err(); err != nil {
 		return r, err // an interrupted seed says nothing
 	}
-	if len(r.Broken) == 0 {
+	if len(r.Broken) == 0 && !keep {
 		return r, os.RemoveAll(dir)
 	}
 	r.Logs = filepath.Clean(dir)
@@ -178,7 +180,9 @@
 	r := report{Seed: seed, Jobs: len(s.outcomes), Starts: s.fleet.judge.Begun(), Faults: s.struck, Broken: s.fleet.judge.Broken()}
 	for i := range s.outcomes {
 		o := &s.outcomes[i]
-		r.LongestMS = max(r.LongestMS, o.took.Milliseconds())
+		if ms := o.took.Milliseconds(); ms > r.LongestMS {
+			r.LongestMS, r.LongestJob = ms, o.job.ID
+		}
 		r.Resent += o.tries - 1
 		switch {
 		case o.refused:
--- a/guard/report.go
+++ b/guard/report.go
@@ -111,7 +111,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.gate.Settled() {
+	if !g.gate.Settled(now) {
 		return connect.NewResponse(&relay.ReportRequest{Refusal: "the runner's lists are not read yet"}), nil
 	}
 	ok := g.gate.Attach(now, runs.Attach{
--- a/runs/gate.go
+++ b/runs/gate.go
@@ -114,6 +114,8 @@
 	toldAt time.Time
 	// acked is set once the owner has stored it.
 	acked bool
+	// lapsed is set once the runner's lease has lapsed after it.
+	lapsed bool
 }
 
 // Gate is the state beside one runner.
@@ -126,6 +128,9 @@
 	gone     bool
 	draining bool
 	silent   bool
+	// read is set once it is known what the runner runs: its lists were read, or it
+	// is a life that this process saw begin.
+	read bool
 	// failures counts looks in a row without an answer.
 	failures int
 	token    int64
@@ -298,6 +303,7 @@
 
 // restarted gives up all runs of a runner that runs nothing any more.
 func (g *Gate) restarted(now time.Time) {
+	g.read = true
 	for key, r := range g.runs {
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
 			// The order may still reach the next life of the runner, which knows no
--- a/runs/gate_test.go
+++ b/runs/gate_test.go
@@ -263,11 +263,11 @@
 	if diff := cmp.Diff([]Command{{Stop: key(9)}}, b.g.Commands()); diff != "" {
 		t.Errorf("commands (-want +got):\n%s", diff)
 	}
-	if b.g.Usable() || b.g.Settled() {
+	if b.g.Usable() || b.g.Settled(b.now) {
 		t.Error("starts or attachments are taken beside it")
 	}
 	b.look(carobpulley.Lists{Finished: []work.End{{Number: 1, Run: key(9), How: work.HowStopped}}})
-	if !b.g.Usable() || !b.g.Settled() {
+	if !b.g.Usable() || !b.g.Settled(b.now) {
 		t.Error("no starts or attachments after its end")
 	}
 }
@@ -295,3 +295,66 @@
 		t.Errorf("ends %v of runs that go on", ends)
 	}
 }
+
+// Guards against tasks that run twice at a time: a restarted agent whose runner has
+// not told yet what it runs must not let a coordinator believe that nothing does.
+func TestAttachWaitsForRunnersLists(t *testing.T) {
+	unanswered := &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown}
+	gone := &carobpulley.Error{Op: "hold", Kind: carobpulley.KindGone}
+	for _, tt := range []struct {
+		name  string
+		after time.Duration
+		fails error
+		reads bool
+		want  bool
+	}{
+		{"no look yet", 0, nil, false, false},
+		{"looks without an answer", 300 * time.Millisecond, unanswered, false, false},
+		{"the earlier process's leases have lapsed", 1100 * time.Millisecond, unanswered, false, true},
+		{"nothing listens there", 0, gone, false, true},
+		{"the lists are read", 0, nil, true, true},
+	} {
+		b := &bed{t: t, now: testStart}
+		b.g = New(Config{Agent: "a", Incarnation: 1, Token: 100, MaxLease: time.Second, Shards: testShards}, b.now)
+		b.after(tt.after)
+		for range silentAfter {
+			if tt.fails != nil {
+				b.g.LookFailed(b.now, b.g.Look(b.now), "", tt.fails)
+			}
+		}
+		if tt.reads {
+			b.look(carobpulley.Lists{})
+		}
+		if got := b.g.Settled(b.now); got != tt.want {
+			t.Errorf("%s: settled %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a runner that gets no starts for as long as an end that nobody has
+// stored lies there: once the lease has lapsed, the end holds nothing up. Until
+// then orders are refused at once, not sent to the runner with a lease that is
+// over.
+func TestUnstoredEndHoldsStartsUpOnce(t *testing.T) {
+	b := newBed(t)
+	b.attach("owner", 1, map[int]uint64{0: 1})
+	b.look(carobpulley.Lists{Finished: []work.End{{Number: 1, Run: key(1000), How: work.HowDone}}})
+	b.after(ProofLife / 2)
+	b.look(carobpulley.Lists{Finished: []work.End{{Number: 1, Run: key(1000), How: work.HowDone}}})
+	b.after(ProofLife/2 + time.Millisecond)
+	b.report("c", nil)
+	want := []Refused{{Run: key(1), Reason: ReasonRunner}}
+	if diff := cmp.Diff(want, b.order("c", one(1, 100))); diff != "" {
+		t.Errorf("before the lease has lapsed (-want +got):\n%s", diff)
+	}
+	b.after(time.Second)
+	b.g.Tick(b.now)
+	b.look(carobpulley.Lists{Finished: []work.End{{Number: 1, Run: key(1000), How: work.HowDone}}})
+	b.report("c", nil)
+	if diff := cmp.Diff([]Refused(nil), b.order("c", one(2, 100))); diff != "" {
+		t.Errorf("after the lease has lapsed (-want +got):\n%s", diff)
+	}
+	if l := b.g.Lease(b.now); l.DeadlineMS == 0 {
+		t.Error("no lease after the earlier one has lapsed")
+	}
+}
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -14,6 +14,7 @@
 	if g.clockMS == 0 {
 		return l
 	}
+	g.noteLapse(now)
 	until := now.Add(g.cfg.MaxLease)
 	if limit, ok := g.proofEnd(); ok && limit.Before(until) {
 		until = limit
@@ -30,9 +31,27 @@
 	return l
 }
 
+// noteLapse marks the ends that are older than a lapse of the runner's lease. They
+// never count as taken note of, so their tasks may be run elsewhere.
+func (g *Gate) noteLapse(now time.Time) {
+	if now.Before(g.lapseAt) || now.Before(g.inherited()) {
+		return
+	}
+	for _, e := range g.ends {
+		e.lapsed = true
+	}
+}
+
+// leasable reports whether a start that is ordered now can get a lease.
+func (g *Gate) leasable(now time.Time) bool {
+	g.noteLapse(now)
+	limit, limited := g.proofEnd()
+	return !limited || limit.After(now)
+}
+
 // proofEnd returns when the first run here loses its last proof. An end of a kept
-// job that is not stored counts as a run: its task may be run elsewhere only
-// after the lease has lapsed. It reports false if there is nothing to prove.
+// job that is not stored counts as a run until the lease has lapsed: its task may
+// be run elsewhere only then. It reports false if there is nothing to prove.
 func (g *Gate) proofEnd() (time.Time, bool) {
 	var first time.Time
 	found := false
@@ -49,7 +68,7 @@
 		}
 	}
 	for _, e := range g.ends {
-		if e.owner == "" && e.Number > 0 && !e.acked {
+		if e.owner == "" && e.Number > 0 && !e.acked && !e.lapsed {
 			take(g.shardProof(e.Run.Task))
 		}
 	}
@@ -133,6 +152,7 @@
 			delete(g.over, key)
 		}
 	}
+	g.noteLapse(now)
 	g.stopOrphans(now)
 	changed := g.fill(now)
 	if !g.silent || len(g.runs) == 0 || now.Before(g.lapseAt) {
--- a/runs/look.go
+++ b/runs/look.go
@@ -103,6 +103,7 @@
 		return true
 	}
 	g.life = max(g.life, lists.Life)
+	g.read = true
 	changed := g.silent || g.clockMS == 0
 	g.silent = false
 	g.failures = 0
--- a/runs/report.go
+++ b/runs/report.go
@@ -70,8 +70,15 @@
 
 // Settled reports whether the runner's lists have been read and nothing runs that
 // an earlier process of this agent started, so that an Attach can be answered.
-func (g *Gate) Settled() bool {
-	return !g.strangers() && g.settledClock()
+func (g *Gate) Settled(now time.Time) bool {
+	return !g.strangers() && g.settledClock() && (g.read || now.After(g.inherited()))
+}
+
+// inherited returns when the last lease that an earlier process of this agent can
+// have given has lapsed.
+func (g *Gate) inherited() time.Time {
+	span := g.cfg.MaxLease
+	return g.origin.Add(span + time.Duration(float64(span)*ClockSlack) + lapseMargin)
 }
 
 func (g *Gate) settledClock() bool {
