--- a/cmd/carobctl/explain.go
+++ b/cmd/carobctl/explain.go
@@ -7,6 +7,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -73,13 +74,21 @@
 	return nil
 }
 
+// show prints whole numbers, such as tokens, with all their digits.
+func show(v any) string {
+	if n, ok := v.(float64); ok {
+		return strconv.FormatFloat(n, 'f', -1, 64)
+	}
+	return fmt.Sprint(v)
+}
+
 func printStory(w io.Writer, s logs.Story) {
 	began := s.Lines[0].Shifted
 	for _, l := range s.Lines {
 		fields := make([]string, 0, len(l.Fields))
 		for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
 			if v := l.Fields[name]; v != "" && name != "level" && name != "job" {
-				fields = append(fields, fmt.Sprintf("%s=%v", name, v))
+				fields = append(fields, name+"="+show(v))
 			}
 		}
 		_, _ = fmt.Fprintf(w, "%s %+8d ms  %-24s %-20s %s\n", l.Shifted.UTC().Format("15:04:05.000"),
