carobd: keep taking SIGHUP while draining; soak: reload, and the status of stops

Ruled out: a signal before the process takes it; nothing ends within start. Change: SIGHUP is taken first of all and never given back. The soak sends SIGHUP in series, also to draining processes, demands status 0 of stops, and starts its processes in groups of their own. TestHangupAfterStop ends with 'signal: hangup' with the protection out.

--- a/cmd/carobd/process.go
+++ b/cmd/carobd/process.go
@@ -81,6 +81,7 @@
 }
 
 func newProcess(ctx context.Context, cmd *cli.Command) (*process, error) {
+	hangups := takeHangups()
 	content, err := platform.ReadSettings()
 	if err != nil {
 		return nil, err
@@ -107,7 +108,7 @@
 	limitMemory(settings.MemoryMB)
 	p.ctx, p.stop = signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGPIPE)
-	r := &reloader{log: log, read: platform.ReadSettings, content: content, settings: settings}
+	r := &reloader{log: log, hangups: hangups, read: platform.ReadSettings, content: content, settings: settings}
 	go r.watch(p.ctx)
 	p.log.Info().Str("role", cmd.Name).Uint64("incarnation", p.self.Incarnation).Stringer("inner", p.self.Addr).Msg("start")
 	return p, nil
--- a/cmd/carobd/reload.go
+++ b/cmd/carobd/reload.go
@@ -23,23 +23,29 @@
 // at the next start.
 type reloader struct {
 	log      zerolog.Logger
+	hangups  <-chan os.Signal
 	read     func() ([]byte, error)
 	content  []byte
 	settings platform.Settings
 }
 
+// takeHangups returns the channel of SIGHUP, which ends the process no more from
+// then on, also while it drains.
+func takeHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // watch rereads the settings file upon SIGHUP and when it has changed.
 func (r *reloader) watch(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(watchEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-r.hangups:
 			r.log.Info().Msg("asked to reload")
 		case <-tick.C:
 		}
--- a/cmd/carobd/reload_test.go
+++ b/cmd/carobd/reload_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"context"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -59,3 +62,16 @@
 		}
 	}
 }
+
+// Guards against a process that a SIGHUP ends while it drains, with the requests
+// that it still answers: the default action of the signal would end this test.
+func TestHangupAfterStop(t *testing.T) {
+	r := &reloader{hangups: takeHangups()}
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	r.watch(stopped)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	<-r.hangups
+}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -15,6 +16,9 @@
 // still start tasks, as RULES.md gives it.
 const domainBound = 5 * time.Second
 
+// reloads is the number of signals in one series of reloads.
+const reloads = 4
+
 // operatorPause separates an operator's tries.
 const operatorPause = 100 * time.Millisecond
 
@@ -34,6 +38,7 @@
 	onStore
 	onLinks
 	onDomains
+	onSignals
 	targets
 )
 
@@ -85,6 +90,12 @@
 		{"coordinator's links", onLinks, func(s *soak, rng *rand.Rand) { strikeLinks(pick(rng, s.fleet.coords).proxy, rng) }},
 		{"agent's links", onLinks, func(s *soak, rng *rand.Rand) { strikeLinks(pick(rng, s.fleet.agents).proxy, rng) }},
 		{"reset", onLinks, func(s *soak, rng *rand.Rand) { pick(rng, s.fleet.agents).proxy.resetAll() }},
+		{"reload", onSignals, func(s *soak, rng *rand.Rand) {
+			for range reloads {
+				pick(rng, append(append([]*process(nil), s.fleet.coords...), s.fleet.agents...)).signal(syscall.SIGHUP)
+				time.Sleep(lasting(rng) / reloads)
+			}
+		}},
 		{"domain", onDomains, func(s *soak, rng *rand.Rand) { s.takeOut(rng) }},
 	}
 }
@@ -106,14 +117,14 @@
 }
 
 func (s *soak) kill(p *process, dark time.Duration) {
-	p.end(syscall.SIGKILL)
+	_ = p.end(syscall.SIGKILL) // killed as meant
 	time.Sleep(dark)
 	s.restart(p)
 }
 
 func (s *soak) term(p *process) {
-	if !p.end(syscall.SIGTERM) {
-		s.fleet.judge.Fail(p.name + " did not end within the grace")
+	if err := p.end(syscall.SIGTERM); err != nil {
+		s.fleet.judge.Fail(fmt.Sprintf("stop of %s: %v", p.name, err))
 	}
 	s.restart(p)
 }
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -62,9 +62,11 @@
 	env      []string
 
 	mu sync.Mutex
-	// cmd is nil while the process is not to run.
-	cmd  *exec.Cmd
-	done chan struct{}
+	// cmd is nil while the process is not to run; last is its newest start.
+	cmd, last *exec.Cmd
+	done      chan struct{}
+	// exit is how the newest start ended.
+	exit error
 }
 
 // fleet is the system under test with all that surrounds it.
@@ -200,17 +202,20 @@
 	defer p.mu.Unlock()
 	cmd := exec.Command(f.program, p.args...) //nolint:noctx // the soak ends it by signals
 	cmd.Env = p.env
+	// A stopped process would be hung up with the soak's own group.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	cmd.Stdout = p.log
 	cmd.Stderr = p.log
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd = cmd
+	p.cmd, p.last = cmd, cmd
 	p.done = make(chan struct{})
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		p.exit = err
 		if p.cmd == cmd {
 			f.judge.Fail(fmt.Sprintf("%s ended by itself: %v", p.name, err))
 		}
@@ -223,8 +228,11 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	cmd := p.cmd
-	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
 		p.cmd = nil
+	case syscall.SIGHUP:
+		cmd = p.last // also while it drains
 	}
 	p.mu.Unlock()
 	if cmd != nil {
@@ -232,23 +240,28 @@
 	}
 }
 
-// end ends a process by a signal and reports whether it ended within the grace.
-func (p *process) end(s syscall.Signal) bool {
+// errGrace is the end of a process that did not end within its grace.
+var errGrace = errors.New("not within the grace")
+
+// end ends a process by a signal and returns how it ended.
+func (p *process) end(s syscall.Signal) error {
 	p.mu.Lock()
 	cmd, done := p.cmd, p.done
 	p.mu.Unlock()
 	if cmd == nil {
-		return true
+		return nil
 	}
 	p.signal(s)
 	select {
 	case <-done:
-		return true
 	case <-time.After(grace):
 		_ = cmd.Process.Kill() // as the platform does after the grace
 		<-done
-		return false
+		return errGrace
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exit
 }
 
 // beat sends a runner's heartbeats to its agent.
@@ -271,7 +284,7 @@
 func (f *fleet) close() {
 	for _, p := range append(append([]*process(nil), f.coords...), f.agents...) {
 		p.signal(syscall.SIGCONT)
-		p.end(syscall.SIGKILL)
+		_ = p.end(syscall.SIGKILL) // killed as meant
 		p.proxy.close()
 		_ = p.log.Close() // it is read by people only
 	}
