--- a/runs/lease.go
+++ b/runs/lease.go
@@ -42,8 +42,11 @@
 	}
 }
 
-// leasable reports whether a start that is ordered now can get a lease.
-func (g *Gate) leasable(now time.Time) bool {
+// startable reports whether a start that is ordered now can be sent with a lease.
+func (g *Gate) startable(now time.Time) bool {
+	if !g.Usable() {
+		return false
+	}
 	g.noteLapse(now)
 	limit, limited := g.proofEnd()
 	return !limited || limit.After(now)
--- a/runs/order.go
+++ b/runs/order.go
@@ -173,7 +173,7 @@
 	if _, dead := g.stopped[s.Run]; dead {
 		return ReasonStopped
 	}
-	if !g.Usable() || !g.leasable(now) {
+	if !g.startable(now) {
 		return ReasonRunner
 	}
 	r := &run{start: *s, owner: coordinator, incarnation: o.incarnation, since: now}
