emul: heartbeats do not follow the agent's start

A runner sends its heartbeat when it is due, not when its agent has started; the first one after an agent's start now comes up to 1.5 s later, as on the platform.

--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -23,6 +23,8 @@
 const (
 	// beatEvery is the time between two heartbeats of a runner.
 	beatEvery = 1500 * time.Millisecond
+	// beatStep spreads the first heartbeats after the starts of agents.
+	beatStep = 370 * time.Millisecond
 	// netDelay is the one-way time between two hosts.
 	netDelay = time.Millisecond
 	// maxLease is the longest lease of a runner.
@@ -216,13 +218,18 @@
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
-		f.beat(hard, g, n)
+		f.beat(hard, g, n, time.Duration(self.Incarnation)*beatStep%beatEvery)
 	}()
 }
 
-// beat sends the runner's heartbeats.
-func (f *Fleet) beat(ctx context.Context, g *guard.Guard, n int) {
+// beat sends the runner's heartbeats, the first one after a pause: a runner does not
+// know when its agent starts.
+func (f *Fleet) beat(ctx context.Context, g *guard.Guard, n int, first time.Duration) {
 	domain := fmt.Sprintf("domain-%d", n%3)
+	select {
+	case <-ctx.Done():
+	case <-time.After(first):
+	}
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		if !f.Runner[n].Down() {
 			g.Beat(f.Runner[n].Beat(fmt.Sprintf("runner-%d", n), service, domain, sequence))
