soak: stop processes that serve

Ruled out: a lost drain; every process that logged 'start' also logged 'draining'. Change: a stop waits until the process listens, 2 s at most.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -122,7 +122,12 @@
 	s.restart(p)
 }
 
+// term stops a process that serves: a signal that comes before a process takes it
+// has its default action, with nothing to lose.
 func (s *soak) term(p *process) {
+	if !p.serves() {
+		return
+	}
 	if err := p.end(syscall.SIGTERM); err != nil {
 		s.fleet.judge.Fail(fmt.Sprintf("stop of %s: %v", p.name, err))
 	}
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -39,6 +39,10 @@
 	maxLease = time.Second
 	// statusFor is how long the state of an ended job is kept.
 	statusFor = 2 * time.Minute
+	// serveLimit bounds the wait for a process's listener, servePause separates the
+	// looks for it.
+	serveLimit = 2 * time.Second
+	servePause = 20 * time.Millisecond
 	// operatorLimit bounds one call of the operator.
 	operatorLimit = time.Second
 	// memoryMB is what a process may use.
@@ -240,6 +244,19 @@
 	}
 }
 
+// serves waits for a process's listener, and reports whether it opened.
+func (p *process) serves() bool {
+	addr := netip.AddrPortFrom(p.addr, innerPort).String()
+	for until := time.Now().Add(serveLimit); time.Now().Before(until); time.Sleep(servePause) {
+		c, err := net.DialTimeout("tcp", addr, serveLimit)
+		if err == nil {
+			_ = c.Close() // only the opening counts
+			return true
+		}
+	}
+	return false
+}
+
 // errGrace is the end of a process that did not end within its grace.
 var errGrace = errors.New("not within the grace")
 
