--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -246,9 +246,9 @@
 
 // serves waits for a process's listener, and reports whether it opened.
 func (p *process) serves() bool {
-	addr := netip.AddrPortFrom(p.addr, innerPort).String()
+	addr := net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.addr, innerPort))
 	for until := time.Now().Add(serveLimit); time.Now().Before(until); time.Sleep(servePause) {
-		c, err := net.DialTimeout("tcp", addr, serveLimit)
+		c, err := net.DialTCP("tcp", nil, addr)
 		if err == nil {
 			_ = c.Close() // only the opening counts
 			return true
