jobs: number each try to attach to an agent

Cause: a coordinator asked for the same attachment number until one was answered. An agent that had taken a number and whose answer was lost or late refused it from then on ('a newer owner or attachment is known', 20 to 49 times a second in the log of coordinator-1), until it forgot the coordinator after 10 s without a proof; an owner of a shard is never forgotten. Ruled out: the load of the machine (56 at the time) as the reason for the length: the refusals are answers, and they end when the agents forget the coordinator. It is the reason why attachments took longer than their limit of 400 ms. Change: each try has a number of its own. TestEachTryToAttachHasItsOwnNumber fails with the protection out.

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		c.attaching[name] = now.Add(attachLimit + attachPauseMax)
-		go c.attach(a, c.table.Attachment(name), c.table.Owned())
+		go c.attach(a, c.table.Ask(name), c.table.Owned())
 	}
 }
 
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -57,3 +57,18 @@
 		t.Errorf("acknowledged at once (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an agent that is lost to a coordinator for seconds after the answer
+// to one attachment was lost: the agent refuses a number that it has seen.
+func TestEachTryToAttachHasItsOwnNumber(t *testing.T) {
+	b := owned(t, 1)
+	first := b.table.Ask("h0")
+	second := b.table.Ask("h0")
+	if second <= first {
+		t.Errorf("the second try has number %d, the first %d", second, first)
+	}
+	b.table.Attached(b.now, b.say("h0", second), b.table.Owned())
+	if third := b.table.Ask("h0"); third <= second {
+		t.Errorf("the try after an attachment has number %d, the attachment %d", third, second)
+	}
+}
--- a/jobs/host.go
+++ b/jobs/host.go
@@ -28,6 +28,8 @@
 	name        string
 	incarnation uint64
 	attachment  uint64
+	// asked is the number of the newest attachment that was asked for.
+	asked uint64
 	// life names the runner's life that numbers of ends belong to.
 	life     string
 	state    work.RunnerState
@@ -124,6 +126,18 @@
 	return h.attachment + 1
 }
 
+// Ask returns the number for another try to attach to an agent. Each try has a
+// number of its own: the agent may have taken one whose answer was lost, and takes
+// none twice.
+func (t *Table) Ask(name string) uint64 {
+	h := t.hosts[name]
+	if h == nil {
+		return 0
+	}
+	h.asked = max(h.asked, h.attachment) + 1
+	return h.asked
+}
+
 // Detach ends the attachment with an agent, so that the shell attaches again.
 func (t *Table) Detach(name string, attachment uint64) {
 	if h := t.hosts[name]; h != nil && h.attachment == attachment {
