--- a/cmd/soak/calls.go
+++ b/cmd/soak/calls.go
@@ -75,7 +75,9 @@
 	state work.State
 	// refused is set if every attempt was answered by a refusal.
 	refused bool
-	tries   int
+	// accepted is set if an attempt was answered with success.
+	accepted bool
+	tries    int
 	took    time.Duration
 }
 
@@ -96,6 +98,7 @@
 		switch {
 		case err == nil && status == http.StatusOK:
 			o.state = state
+			o.accepted = true
 			return o
 		case err == nil && status != http.StatusGatewayTimeout && status != http.StatusBadGateway:
 			o.refused = !unclear
