--- a/cmd/soak/calls.go
+++ b/cmd/soak/calls.go
@@ -78,7 +78,7 @@
 	// accepted is set if an attempt was answered with success.
 	accepted bool
 	tries    int
-	took    time.Duration
+	took     time.Duration
 }
 
 // submit sends a job until it has an answer.
