control: a coordinator works with a fixed share of the agents

Cause: every agent reported to every coordinator.

Change: package share assigns each agent 6 coordinators (half in its own domain, half in others) by rendezvous hashing with a bound on the load; a coordinator has 16 agents at least. Work that waits extends the share by endpoints elsewhere, in steps that follow the waiting work and back off while they find no capacity; extra agents are released 3 s after their last start. A takeover still asks all agents. Agents append their endpoint's capacity with their address, so that a coordinator knows what endpoints outside its share can run. Decisions look at attached agents only. Four candidates ping an owner every 120 ms, the others each 960 ms.

Weighed: a ring of slices (a coordinator that joins moves half of the pairs); plain rendezvous hashing (2 in 100 agents have at most one coordinator); bounded rendezvous hashing (taken: one member moves under a tenth).

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -33,7 +33,7 @@
 // over. The caller holds the lock.
 func (c *Coordinator) attachDetached(now time.Time) {
 	c.table.DetachUnresponsive(now, reattachAfter)
-	for _, name := range c.table.DetachedAgents() {
+	for _, name := range c.table.AgentsToAttach(now) {
 		agent, known := c.agents[name]
 		if !known || now.Before(c.nextAttachAt[name]) {
 			continue
@@ -137,11 +137,11 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	acked, generation, stale := c.table.HandleReport(now, report)
-	if stale {
-		return connect.NewResponse(&relay.ReportReply{Stale: true}), nil
+	answer := c.table.HandleReport(now, report)
+	if answer.Stale {
+		return connect.NewResponse(&relay.ReportReply{Stale: true, Released: answer.Released}), nil
 	}
-	reply := &relay.ReportReply{Acked: acked, AckedLife: generation}
+	reply := &relay.ReportReply{Acked: answer.Acked, AckedLife: answer.Generation, Released: answer.Released}
 	if c.ownershipProven(now) {
 		reply.Owned = link.EpochsToWire(c.table.OwnedShards())
 	}
--- a/coord/control.go
+++ b/coord/control.go
@@ -100,11 +100,12 @@
 			c.handleAgentAddress(*r.Agent)
 		case r.Coordinator != nil:
 			c.coordinators[r.Coordinator.Name] = *r.Coordinator
-			c.table.SetCoordinatorCount(len(c.coordinators))
+			c.membersChanged = true
 		case r.Claim != nil:
 			c.handleClaim(*r.Claim)
 		case r.DeletedAgent != "":
 			delete(c.agents, r.DeletedAgent)
+			c.membersChanged = true
 			c.table.RemoveAgent(time.Now(), r.DeletedAgent)
 		}
 	}
@@ -114,7 +115,8 @@
 func (c *Coordinator) handleAgentAddress(a work.Address) {
 	old, known := c.agents[a.Name]
 	c.agents[a.Name] = a
-	c.table.AddAgent(a.Name)
+	c.table.AddAgent(a.Name, a.Domain, a.Endpoint)
+	c.membersChanged = true
 	if !known || old.Incarnation != a.Incarnation {
 		c.log.Info().Str("host", a.Name).Stringer("addr", a.Addr).Msg("agent found")
 		c.table.Detach(a.Name, c.table.FollowingAttachment(a.Name)-1)
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -13,6 +13,7 @@
 	"carobpulley/link"
 	"carobpulley/meter"
 	"carobpulley/runs"
+	"carobpulley/share"
 	"carobpulley/work"
 )
 
@@ -65,6 +66,11 @@
 	ownershipProof time.Time
 	agents         map[string]work.Address
 	coordinators   map[string]work.Address
+	// picker computes this coordinator's share of the agents, after a change of the members
+	// and not before nextShareAt.
+	picker         *share.Picker
+	membersChanged bool
+	nextShareAt    time.Time
 	// claims, health and journals are keyed by shard number. There is a journal for each
 	// shard that this process owns.
 	claims   map[int]work.Claim
@@ -91,7 +97,7 @@
 
 // New returns a Coordinator. All its calls are cancelled when baseCtx ends.
 func New(baseCtx context.Context, cfg Config, log zerolog.Logger, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers) *Coordinator {
-	return &Coordinator{
+	c := &Coordinator{
 		cfg:          cfg,
 		log:          log,
 		store:        store,
@@ -113,7 +119,10 @@
 		waiters:          make(map[string][]chan waitResult),
 		nextAttachAt:     make(map[string]time.Time),
 		ownershipChanged: make(chan struct{}),
+		picker:           share.New(share.DefaultCoordinators, share.DefaultAgents),
 	}
+	c.table.SetShare(nil)
+	return c
 }
 
 // Run serves until ctx ends, the shards are handed over and all callers are
@@ -147,6 +156,7 @@
 		c.mu.Lock()
 		c.table.SetAuthority(now.Sub(c.ownershipProof) < AuthorityTTL)
 		c.table.Tick(now)
+		c.updateShare(now)
 		c.attachDetached(now)
 		c.flush()
 		c.mu.Unlock()
@@ -156,6 +166,7 @@
 // flush sends the table's dispatches, wakes the journals with changes, returns
 // results to waiting callers and logs decisions. The caller holds the lock.
 func (c *Coordinator) flush() {
+	c.growShare(time.Now())
 	for _, dispatch := range c.table.Dispatches() {
 		go c.sendDispatch(dispatch)
 	}
--- a/coord/ownership.go
+++ b/coord/ownership.go
@@ -18,6 +18,11 @@
 const (
 	// ownerCheckInterval is the interval at which owners are checked.
 	ownerCheckInterval = 120 * time.Millisecond
+	// watchers is the number of candidates that check an owner at each ownerCheckInterval;
+	// the others check it every backupChecks intervals, so that the pings at an owner don't
+	// grow with the number of coordinators.
+	watchers     = 4
+	backupChecks = 8
 	// pingTimeout bounds one ping of a coordinator.
 	pingTimeout = 350 * time.Millisecond
 	// ownerUnresponsiveAfter is how long an owner may leave pings unanswered before it is
@@ -52,7 +57,10 @@
 	reasonSince time.Time
 	nextClaimAt time.Time
 	pinging     bool
-	reason      string
+	// nextPingAt is the time of the next ping, and interval the time between two.
+	nextPingAt time.Time
+	interval   time.Duration
+	reason     string
 }
 
 // handleClaim applies a claim of the control topic: an owned shard is released, and a
@@ -203,8 +211,13 @@
 	} else {
 		h.reasonSince = time.Time{}
 	}
-	if known && !h.pinging && !c.claimedBySelf(claim) {
+	if known && !h.pinging && !c.claimedBySelf(claim) && !now.Before(h.nextPingAt) {
 		h.pinging = true
+		h.interval = ownerCheckInterval
+		if c.claimRank(number) >= watchers {
+			h.interval *= backupChecks
+		}
+		h.nextPingAt = now.Add(h.interval - ownerCheckInterval/2)
 		go c.pingOwner(number, claim, h)
 	}
 }
@@ -223,7 +236,7 @@
 		return h.reason
 	case h.refusedPings >= maxRefusedPings:
 		return "nothing listens at its owner's address"
-	case now.Sub(h.healthyAt) > ownerUnresponsiveAfter:
+	case now.Sub(h.healthyAt) > ownerUnresponsiveAfter+h.interval-min(h.interval, ownerCheckInterval):
 		return "its owner is silent"
 	}
 	return ""
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -51,11 +51,13 @@
 	Log      zerolog.Logger
 }
 
-// Process is one coordinator or agent of a fleet. Coordinator is nil for an agent.
+// Process is one coordinator or agent of a fleet: one of Coordinator and Agent is nil.
 type Process struct {
+	Name        string
 	Addr        netip.Addr
 	Store       *View
 	Coordinator *coord.Coordinator
+	Agent       *guard.Agent
 	stop        context.CancelFunc
 	kill        context.CancelFunc
 	server      *http.Server
@@ -186,6 +188,7 @@
 func (f *Fleet) StartCoordinator(n int) {
 	p, ctx, baseCtx, self := f.newProcess(CoordinatorAddr(n))
 	self.Name = fmt.Sprintf("coordinator-%d", n)
+	p.Name = self.Name
 	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: shardCount, DrainTimeout: drainTimeout, Meter: meter.New()},
 		f.spec.Log.With().Str("process", self.Name).Logger(), p.Store, f, p.peers)
 	mux := http.NewServeMux()
@@ -211,16 +214,17 @@
 	f.lastToken += 1000
 	token := f.lastToken
 	f.mu.Unlock()
-	agent := guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: shardCount, DrainTimeout: drainTimeout, Meter: meter.New()},
+	p.Name = self.Name
+	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: shardCount, DrainTimeout: drainTimeout, Meter: meter.New()},
 		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, p.peers, token)
 	mux := http.NewServeMux()
-	mux.Handle(relay.NewAgentServiceHandler(agent))
+	mux.Handle(relay.NewAgentServiceHandler(p.Agent))
 	f.Agents[n] = p
-	f.serve(p, mux, func() error { return agent.Run(ctx, baseCtx) })
+	f.serve(p, mux, func() error { return p.Agent.Run(ctx, baseCtx) })
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
-		f.sendHeartbeats(baseCtx, agent, n, time.Duration(self.Incarnation)*heartbeatStagger%heartbeatInterval)
+		f.sendHeartbeats(baseCtx, p.Agent, n, time.Duration(self.Incarnation)*heartbeatStagger%heartbeatInterval)
 	}()
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -48,6 +48,9 @@
 	reportTimeout = 350 * time.Millisecond
 	// tickInterval is the interval between checks of the deadlines.
 	tickInterval = 40 * time.Millisecond
+	// announceDelay is how long the first append of the agent's address waits for a heartbeat of
+	// the endpoint, so that one record also holds the endpoint's capacity.
+	announceDelay = 1700 * time.Millisecond
 	// announceTimeout bounds the append of the agent's address to the store.
 	announceTimeout = time.Second
 	// announceRetryInterval is the pause after a failed append.
@@ -90,6 +93,10 @@
 	lastReport  map[string]time.Time
 	draining    bool
 	lastContact time.Time
+	// announced is the endpoint's capacity in the last appended address.
+	announced *work.EndpointCapacity
+	// heartbeats gets a value when a heartbeat changes what is known of the endpoint.
+	heartbeats chan struct{}
 }
 
 // New returns an Agent. token is the first fencing token.
@@ -105,6 +112,7 @@
 		reporting:   make(map[string]bool),
 		lastReport:  make(map[string]time.Time),
 		lastContact: now,
+		heartbeats:  make(chan struct{}, 1),
 		controller: runs.New(runs.Config{
 			Agent:       cfg.Self.Name,
 			Incarnation: cfg.Self.Incarnation,
@@ -164,6 +172,18 @@
 	return nil
 }
 
+// Coordinators returns the names of the attached coordinators.
+func (a *Agent) Coordinators() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	coordinators := a.controller.Coordinators()
+	names := make([]string, 0, len(coordinators))
+	for _, to := range coordinators {
+		names = append(names, to.Name)
+	}
+	return names
+}
+
 // reportToAll requests reports to all coordinators.
 func (a *Agent) reportToAll() {
 	a.mu.Lock()
@@ -186,6 +206,10 @@
 	changed := a.controller.HandleHeartbeat(time.Now(), hb)
 	a.mu.Unlock()
 	if changed {
+		select {
+		case a.heartbeats <- struct{}{}:
+		default:
+		}
 		a.log.Info().Str("instance", hb.Instance).Int64("life", hb.Generation).Bool("draining", hb.Draining).Msg("runner")
 		a.reportToAll()
 	}
@@ -201,35 +225,3 @@
 		a.reportToAll()
 	}
 }
-
-// announceLoop appends the agent's address to the store until a coordinator has attached, and again
-// after reannounceAfter without contact with one.
-func (a *Agent) announceLoop(ctx context.Context) error {
-	value, err := work.EncodeControl(a.cfg.Self)
-	if err != nil {
-		return err
-	}
-	records := []carobpulley.KeyedRecord{{Key: work.AgentKey(a.cfg.Self.Name), Value: value}}
-	pause := time.Duration(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
-		}
-		pause = reannounceAfter
-		a.mu.Lock()
-		noContact := time.Since(a.lastContact) >= reannounceAfter || a.lastContact.IsZero() || len(a.controller.Coordinators()) == 0
-		a.mu.Unlock()
-		if !noContact {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := a.store.Append(call, carobpulley.Partition{Topic: carobpulley.TopicControl}, records)
-		cancel()
-		if err != nil {
-			a.log.Warn().Err(err).Msg("agent address not appended to the store")
-			pause = announceRetryInterval
-		}
-	}
-}
--- a/guard/report.go
+++ b/guard/report.go
@@ -90,10 +90,14 @@
 		a.log.Warn().Err(err).Str("coordinator", to.Name).Int("ends", len(sent.Ends)).Msg("report failed")
 		return err
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if reply.Msg.GetStale() {
+		if reply.Msg.GetReleased() {
+			a.controller.Release(to.Name)
+		}
 		return nil
 	}
-	a.mu.Lock()
 	a.lastContact = time.Now()
 	a.controller.HandleReportReply(time.Now(), to.Name, sent, runs.ReportReply{
 		Epochs: link.EpochsFromWire(reply.Msg.GetOwned()),
@@ -101,7 +105,9 @@
 
 		AckedGeneration: reply.Msg.GetAckedLife(),
 	})
-	a.mu.Unlock()
+	if reply.Msg.GetReleased() {
+		a.controller.Release(to.Name)
+	}
 	return nil
 }
 
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -37,6 +37,13 @@
 	endpoint     work.EndpointState
 	attached     bool
 	lastReportAt time.Time
+	// member is set for an agent of this coordinator's share, and extraUntil for one that
+	// was added for more capacity.
+	member     bool
+	extraUntil time.Time
+	// released is set while the agent is attached but no longer wanted: it gets no tasks and
+	// is told to end the attachment.
+	released bool
 	// echo is the highest clock reading that the agent has sent; dispatches return it.
 	echo int64
 	// free is the endpoint's capacity without that of all placed tasks and other
@@ -102,14 +109,21 @@
 const bestEffortShard = -1
 
 // AddAgent adds an agent that was found in the store. Shards acquired later wait for
-// it before tasks of older jobs are placed.
-func (t *Table) AddAgent(name string) {
-	if t.agents[name] == nil {
-		t.agents[name] = &agentState{
+// it before tasks of older jobs are placed. The capacity of its endpoint may be nil; it holds
+// until the agent reports.
+func (t *Table) AddAgent(name, domain string, c *work.EndpointCapacity) {
+	a := t.agents[name]
+	if a == nil {
+		a = &agentState{
 			name: name, placed: make(map[*task]bool), failedJobs: make(map[string]bool),
 			unconfirmedEnds: make(map[int64]unconfirmedEnd),
 			runTimeRatio:    1, bias: t.biasFor(name),
 		}
+		t.agents[name] = a
+	}
+	if c != nil && !a.attached {
+		a.endpoint.Domain = domain
+		a.endpoint.Service, a.endpoint.Labels, a.endpoint.Capacity = c.Service, c.Labels, c.Capacity
 	}
 }
 
@@ -158,17 +172,6 @@
 	}
 }
 
-// DetachedAgents returns the names of the agents without an attachment.
-func (t *Table) DetachedAgents() []string {
-	var names []string
-	for name, a := range t.agents {
-		if !a.attached {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // HandleAttachment handles an agent's answer to an attachment. The epochs are those of
 // the shards that were owned when the attachment was requested. The agent lists all
 // its runs; any other run placed there is over, since the agent rejects dispatches of
@@ -180,7 +183,9 @@
 	}
 	a.attachment = r.Attachment
 	a.attached = true
+	a.released = false
 	a.dispatch = nil
+	t.refreshActive()
 	if a.incarnation != r.Incarnation {
 		a.incarnation = r.Incarnation
 		a.echo = 0
@@ -273,20 +278,31 @@
 	return sum
 }
 
-// HandleReport handles a report. It returns the numbers of the ends to acknowledge and
-// the endpoint generation that they belong to. stale is set if the report is not of
-// the current attachment, so that the agent has to be attached again.
-func (t *Table) HandleReport(now time.Time, r Report) (acked []int64, generation string, stale bool) {
+// ReportAnswer is the answer to a report.
+type ReportAnswer struct {
+	// Acked holds the numbers of the ends to acknowledge, and Generation the endpoint
+	// generation that they belong to.
+	Acked      []int64
+	Generation string
+	// Stale is set if the report is not of the current attachment, so that the agent has to
+	// be attached again.
+	Stale bool
+	// Released is set if the agent may end the attachment.
+	Released bool
+}
+
+// HandleReport handles a report.
+func (t *Table) HandleReport(now time.Time, r Report) ReportAnswer {
 	a := t.agents[r.Agent]
 	if a == nil || !a.attached || a.incarnation != r.Incarnation || a.attachment != r.Attachment {
-		return nil, "", true
+		return ReportAnswer{Stale: true, Released: a != nil && !t.wanted(now, a)}
 	}
 	t.updateAgent(now, a, r)
 	t.handleEnds(now, a, r.Ends)
 	t.PlaceReady(now)
-	acked = a.acked
+	acked := a.acked
 	a.acked = nil
-	return acked, a.generation, false
+	return ReportAnswer{Acked: acked, Generation: a.generation, Released: a.released}
 }
 
 // requeueIfUnresponsive requeues the tasks of an agent whose last report is so old
@@ -315,7 +331,7 @@
 // Dispatches returns and clears the pending dispatches of the attached agents.
 func (t *Table) Dispatches() []*Dispatch {
 	var dispatches []*Dispatch
-	for _, a := range t.agents {
+	for _, a := range t.active {
 		if a.dispatch == nil || !a.attached {
 			continue
 		}
@@ -370,7 +386,7 @@
 // DetachUnresponsive ends the attachments of agents without a report for longer than
 // a timeout, so that the coordinator attaches to them again.
 func (t *Table) DetachUnresponsive(now time.Time, timeout time.Duration) {
-	for _, a := range t.agents {
+	for _, a := range t.active {
 		if a.attached && now.Sub(a.lastReportAt) > timeout {
 			a.attached = false
 		}
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -73,7 +73,7 @@
 // ConfirmOwnership handles a read of the store that shows no newer owner of the owned
 // shards. It acknowledges the unconfirmed ends received before the read was sent.
 func (t *Table) ConfirmOwnership(sent time.Time) {
-	for _, a := range t.agents {
+	for _, a := range t.active {
 		for number, u := range a.unconfirmedEnds {
 			if !u.receivedAt.Before(sent) {
 				continue
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -154,19 +154,18 @@
 
 // availableAgents returns the agents that may get tasks now, sorted by name.
 func (t *Table) availableAgents(now time.Time) []*agentState {
-	agents := make([]*agentState, 0, len(t.agents))
-	for _, a := range t.agents {
+	agents := make([]*agentState, 0, len(t.active))
+	for _, a := range t.active {
 		if a.available(now) && !t.outOfService[a.endpoint.Domain] {
 			agents = append(agents, a)
 		}
 	}
-	sort.Slice(agents, func(i, j int) bool { return agents[i].name < agents[j].name })
 	return agents
 }
 
 // available reports whether tasks can be placed at the agent now.
 func (a *agentState) available(now time.Time) bool {
-	if !a.attached || !a.endpoint.Ready || a.echo == 0 || now.Before(a.pausedUntil) || now.Before(a.unhealthyUntil) {
+	if !a.attached || a.released || !a.endpoint.Ready || a.echo == 0 || now.Before(a.pausedUntil) || now.Before(a.unhealthyUntil) {
 		return false
 	}
 	return !a.probing || len(a.placed) == 0
@@ -285,6 +284,7 @@
 func (t *Table) startTask(now time.Time, tk *task, a *agentState) {
 	tk.run = max(tk.run, tk.job.runBase) + 1
 	t.assign(now, tk, a)
+	t.foundCapacity(now, a)
 	s := tk.start()
 	latest := tk.job.due.Add(-estimateOf(tk))
 	s.SlackMS = latest.Sub(now).Milliseconds()
@@ -309,15 +309,28 @@
 }
 
 // refusalReason returns why a new job is refused, or an empty string if it is
-// accepted.
+// accepted. The job is expected to wait behind the queued tasks of this coordinator that have
+// to start no later, and as many at each coordinator that shares its endpoints.
 func (t *Table) refusalReason(now time.Time, spec *work.Job) string {
 	service := spec.Queue.Service
 	var cores int64
-	for _, a := range t.agents {
+	for _, a := range t.active {
 		if a.attached && a.endpoint.Ready && a.endpoint.Service == service && !t.outOfService[a.endpoint.Domain] {
 			cores += a.endpoint.Capacity.CPU
 		}
 	}
+	free := t.freeCPU(service)
+	ahead := t.cpuAhead(now.Add(spec.Objective() - spec.CriticalPath()))
+	peers := int64(max(t.coordinators, 1))
+	if ahead*peers+spec.CPU() > free {
+		moreCores, moreFree := t.extraCapacity(now, service, spec)
+		cores += moreCores
+		free += moreFree
+		if moreCores > 0 {
+			// The waiting work is this coordinator's own as long as others may have capacity.
+			peers = 1
+		}
+	}
 	if cores == 0 {
 		return "no endpoint is in service"
 	}
@@ -328,23 +341,28 @@
 	}
 	slack := spec.Objective() - spec.CriticalPath()
 	maxWait := time.Duration(maxWaitShare*float64(slack)) - messageTime
-	if wait := t.expectedWait(service, spec, now.Add(slack), cores); wait > maxWait {
+	wait := time.Duration(float64(max(ahead*peers+spec.CPU()-free, 0)) / float64(cores) * float64(turnoverTime))
+	if wait > maxWait {
 		return fmt.Sprintf("overload: a wait of %d ms is expected, %d ms are bearable, %d cores are in service",
 			wait.Milliseconds(), maxWait.Milliseconds(), cores/1000)
 	}
 	return ""
 }
 
-// expectedWait estimates how long the tasks of a new job wait for capacity. It counts
-// these tasks, the queued tasks of this coordinator whose latest start is no later, and as
-// many at each of its peers.
-func (t *Table) expectedWait(service string, spec *work.Job, latest time.Time, cores int64) time.Duration {
+// freeCPU returns the free CPU capacity of a service's endpoints.
+func (t *Table) freeCPU(service string) int64 {
 	free := int64(0)
-	for _, a := range t.agents {
+	for _, a := range t.active {
 		if a.attached && a.endpoint.Ready && a.endpoint.Service == service && !t.outOfService[a.endpoint.Domain] {
 			free += max(a.free.CPU, 0)
 		}
 	}
+	return free
+}
+
+// cpuAhead returns the CPU capacity that the queued tasks need whose latest start is no later
+// than the given time.
+func (t *Table) cpuAhead(latest time.Time) int64 {
 	ahead := int64(0)
 	for _, g := range t.ready {
 		if g.latestStart.After(latest) {
@@ -352,23 +370,18 @@
 		}
 		ahead += g.cpu()
 	}
-	ahead *= int64(max(t.coordinators, 1))
-	for i := range spec.Steps {
-		ahead += int64(spec.Steps[i].Count) * spec.Steps[i].Resources.CPU
-	}
-	if ahead <= free {
-		return 0
-	}
-	return time.Duration(float64(ahead-free) / float64(cores) * float64(turnoverTime))
+	return ahead
 }
 
 // feasible reports whether any known endpoint could ever run the step.
 func (t *Table) feasible(service string, step *work.Step) bool {
-	for _, a := range t.agents {
-		if a.endpoint.Service != service || !step.Resources.Fits(a.endpoint.Capacity) {
-			continue
+	for _, a := range t.active {
+		if a.canRun(service, step) {
+			return true
 		}
-		if step.Label == "" || slices.Contains(a.endpoint.Labels, step.Label) {
+	}
+	for _, a := range t.agents {
+		if a.canRun(service, step) {
 			return true
 		}
 	}
@@ -378,7 +391,7 @@
 // stopOverdue stops runs that take far longer than expected, so that they can run at
 // another endpoint.
 func (t *Table) stopOverdue(now time.Time) {
-	for _, a := range t.agents {
+	for _, a := range t.active {
 		for tk := range a.placed {
 			if tk.stopping || now.Before(tk.overdueAt) || !a.attached {
 				continue
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -50,6 +50,17 @@
 	shards       map[int]*shard
 	jobs         map[string]*job
 	agents       map[string]*agentState
+	// active holds the agents that are attached or have tasks placed, in the order of their
+	// names.
+	active []*agentState
+	// shared is set once the coordinator works with a share of the agents.
+	shared bool
+	// growAt is the time of the next extension of the share, and growPause the pause before
+	// the last one.
+	growAt    time.Time
+	growPause time.Duration
+	// growCPU is the CPU capacity that waiting tasks needed at the last extension.
+	growCPU int64
 	// ready holds the tasks that wait for capacity, ordered by latestStart.
 	ready []*taskGroup
 	// coordinators is the number of coordinators, including this one.
@@ -106,8 +117,8 @@
 
 func (t *Table) logDecision(d Decision) { t.decisions = append(t.decisions, d) }
 
-// SetCoordinatorCount sets the number of coordinators that share the endpoints,
-// including this one.
+// SetCoordinatorCount sets the number of coordinators that share an endpoint, including this
+// one.
 func (t *Table) SetCoordinatorCount(n int) { t.coordinators = n }
 
 // SetConfig sets the configuration in force.
@@ -272,7 +283,8 @@
 // overdue runs, abandons best-effort jobs that did not start in time and drops
 // expired states. It is called periodically.
 func (t *Table) Tick(now time.Time) {
-	for _, a := range t.agents {
+	t.refreshActive()
+	for _, a := range t.active {
 		t.requeueIfUnresponsive(now, a)
 	}
 	for number, s := range t.shards {
--- a/jobs/table_test.go
+++ b/jobs/table_test.go
@@ -42,7 +42,7 @@
 	for n := range agents {
 		name := fmt.Sprint("h", n)
 		f.agents = append(f.agents, name)
-		f.table.AddAgent(name)
+		f.table.AddAgent(name, "z"+name, nil)
 	}
 	return f
 }
@@ -70,12 +70,12 @@
 // acknowledged ends.
 func (f *fixture) report(name string, ends ...work.End) []int64 {
 	f.t.Helper()
-	acked, _, stale := f.table.HandleReport(f.now, f.newReport(name, f.table.FollowingAttachment(name)-1, ends...))
-	if stale {
+	answer := f.table.HandleReport(f.now, f.newReport(name, f.table.FollowingAttachment(name)-1, ends...))
+	if answer.Stale {
 		f.t.Fatalf("report of %s is stale", name)
 	}
 	f.takeDispatches()
-	return acked
+	return answer.Acked
 }
 
 // takeDispatches records the pending dispatches.
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -91,6 +91,9 @@
 	addr        string
 	attachment  uint64
 	incarnation uint64
+	// released is set once the coordinator has ended its attachment. Its number is retained,
+	// so that a delayed message of the attachment is still rejected.
+	released bool
 	// proof is the latest time at which the coordinator is known to have been alive.
 	proof time.Time
 }
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -60,6 +60,15 @@
 	co.addr = a.Addr
 	co.attachment = a.Attachment
 	co.incarnation = a.Incarnation
+	co.released = false
+}
+
+// Release ends the attachment of a coordinator that no longer works with this agent, unless the
+// agent holds runs or ends of it.
+func (c *Controller) Release(coordinator string) {
+	if co := c.coordinators[coordinator]; co != nil && !c.HasRunsOrEnds(coordinator) {
+		co.released = true
+	}
 }
 
 func (c *Controller) recordShardOwner(number int, epoch uint64, coordinator string) {
@@ -86,7 +95,9 @@
 func (c *Controller) Coordinators() []CoordinatorAddress {
 	out := make([]CoordinatorAddress, 0, len(c.coordinators))
 	for name, co := range c.coordinators {
-		out = append(out, CoordinatorAddress{name, co.addr, co.attachment})
+		if !co.released {
+			out = append(out, CoordinatorAddress{name, co.addr, co.attachment})
+		}
 	}
 	return out
 }
@@ -114,7 +125,7 @@
 // HandleDispatch handles a dispatch. stale is set if all of it is rejected.
 func (c *Controller) HandleDispatch(now time.Time, d Dispatch) (refused []RefusedStart, stale bool) {
 	sender := c.coordinators[d.Coordinator]
-	if sender == nil || sender.attachment != d.Attachment || sender.incarnation != d.Incarnation {
+	if sender == nil || sender.released || sender.attachment != d.Attachment || sender.incarnation != d.Incarnation {
 		return nil, true
 	}
 	if d.Echo <= 0 || now.Sub(c.decodeTime(d.Echo)) > MaxEchoAge {
--- a/work/control.go
+++ b/work/control.go
@@ -22,6 +22,16 @@
 	Domain      string         `json:"domain,omitempty"`
 	// Share is the fraction of a CPU core that a coordinator may use.
 	Share float64 `json:"share,omitempty"`
+	// Endpoint is what an agent knows of its endpoint; nil before the first heartbeat.
+	Endpoint *EndpointCapacity `json:"endpoint,omitempty"`
+}
+
+// EndpointCapacity is what an endpoint can run. Coordinators that are not attached to its agent
+// decide with it whether any endpoint can run a job.
+type EndpointCapacity struct {
+	Service  string    `json:"service"`
+	Labels   []string  `json:"labels,omitempty"`
+	Capacity Resources `json:"capacity"`
 }
 
 // Claim records the owner of a shard.
--- a/work/job.go
+++ b/work/job.go
@@ -126,6 +126,15 @@
 	return n
 }
 
+// CPU returns the CPU capacity that all tasks need together, in millicores.
+func (j *Job) CPU() int64 {
+	var sum int64
+	for i := range j.Steps {
+		sum += int64(j.Steps[i].Count) * j.Steps[i].Resources.CPU
+	}
+	return sum
+}
+
 // TaskName returns the name of a task at endpoints, for a job without repeated
 // occurrences: the part after the job id, the occurrence, is 0.
 func TaskName(job string, step, index int) string {
