placement: endpoints that fill up cost more; load played without a network

Every coordinator filled the fastest endpoints first, in an order that differed little from the others', on reports up to 400 ms old.

Change: an endpoint that a task fills up costs a part of the turnover time, a start beside another in the same dispatch costs less, and the fixed preference is a tie-break. The turnover time, 160 ms so far, is measured from ended runs.

New: package load plays patterns against the tables of several coordinators and the agents' controllers in virtual time.

entry: awaitStart fails with the answer of a request that was answered without a start.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -64,7 +64,9 @@
 	byTask    map[string][]start
 	byPayload map[string]int
 	// closed counts the requests that were closed early, by job and task.
-	closed  map[string]int
+	closed map[string]int
+	// answers holds the answers to requests by payload, as awaitStart reports them.
+	answers map[string]error
 	release chan struct{}
 }
 
@@ -130,6 +132,33 @@
 	return s.byPayload[payload]
 }
 
+// addAnswer records the answer to a request.
+func (s *startRecorder) addAnswer(payload string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[payload] = err
+}
+
+// answer returns the answer to a request, if it has got one.
+func (s *startRecorder) answer(payload string) (err error, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err, answered = s.answers[payload]
+	return err, answered
+}
+
+// anyStart reports whether a payload with the prefix has started.
+func (s *startRecorder) anyStart(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for payload := range s.byPayload {
+		if strings.HasPrefix(payload, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkNoRepeats fails the test for every task that started more than once.
 func (s *startRecorder) checkNoRepeats(t testing.TB) {
 	t.Helper()
@@ -197,6 +226,7 @@
 			byTask:    make(map[string][]start),
 			byPayload: make(map[string]int),
 			closed:    make(map[string]int),
+			answers:   make(map[string]error),
 			release:   make(chan struct{}),
 		},
 		entries: make(map[string]*node),
--- a/entry/logfault_test.go
+++ b/entry/logfault_test.go
@@ -210,10 +210,14 @@
 	}
 }
 
-// awaitStart waits until a payload has started.
+// awaitStart waits until a payload has started. A request that is answered without a start fails
+// the test with its answer.
 func (c *cluster) awaitStart(payload string) {
 	c.t.Helper()
 	for c.starts.payloadStarts(payload) == 0 {
+		if err, answered := c.starts.answer(payload); answered && c.starts.payloadStarts(payload) == 0 {
+			c.t.Fatalf("%s did not start, it was answered: %v", payload, err)
+		}
 		if c.ctx.Err() != nil {
 			c.t.Fatalf("%s did not start", payload)
 		}
@@ -221,6 +225,18 @@
 	}
 }
 
+// awaitAnyStart waits until a payload with the prefix has started. Single requests may be refused
+// before their start while the endpoints are busy.
+func (c *cluster) awaitAnyStart(prefix string) {
+	c.t.Helper()
+	for !c.starts.anyStart(prefix) {
+		if c.ctx.Err() != nil {
+			c.t.Fatalf("no request %s started", prefix)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
 // holdSpec returns a job whose tasks the endpoints hold until they are released.
 func holdSpec(key string, tasks int) carobpulley.JobSpec {
 	s := spec(key, tasks)
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -117,6 +117,9 @@
 func (t *Table) handleTaskDone(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
 	a.recordSuccess(tk, e)
+	if e.ElapsedMS > 0 {
+		t.recordTurnover(tk.resources().CPU, time.Duration(e.ElapsedMS)*time.Millisecond)
+	}
 	tk.phase = taskDone
 	j.remaining[tk.step]--
 	t.ackAfterStore(a, j, e)
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -25,16 +25,17 @@
 	agentQueueShare = 0.25
 	// defaultEstimate replaces a missing run time estimate.
 	defaultEstimate = time.Second
-	// turnoverTime is the time in which the whole capacity of a busy endpoint becomes
-	// free once: the mean of the workloads' run times, weighted by the capacity that
-	// they use.
-	turnoverTime = 160 * time.Millisecond
+	// turnoverEnds is the number of ended runs over which the turnover time is measured.
+	turnoverEnds = 500
 	// maxWaitShare is the fraction of a job's slack that its estimated wait may use; the
 	// rest covers bad estimates.
 	maxWaitShare = 0.7
 	// messageTime is the transit time of a dispatch and of the report of an end
 	// together.
 	messageTime = 15 * time.Millisecond
+	// crowdingShare is the part of the turnover time that a task is expected to wait at an
+	// endpoint that it fills up, since other coordinators start runs there too.
+	crowdingShare = 0.5
 )
 
 // taskGroup holds the tasks of a step that wait for capacity.
@@ -203,6 +204,7 @@
 	var best *agentState
 	var least float64
 	step := &tk.job.spec.Steps[tk.step]
+	turnover := t.turnover(estimateOf(tk))
 	onTime := tk.job.due.Add(-estimateOf(tk)).After(now)
 	for _, a := range agents {
 		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) {
@@ -214,7 +216,7 @@
 		if step.MaxPerEndpoint > 0 && a.placedOfStep(tk) >= step.MaxPerEndpoint {
 			continue
 		}
-		cost := a.cost(tk, step)
+		cost := a.cost(tk, step, turnover)
 		if best == nil || cost < least {
 			best, least = a, cost
 		}
@@ -231,7 +233,7 @@
 	// maxBias is the largest fraction by which a coordinator raises the cost of one of two
 	// equal agents over the other. The preferences differ between coordinators, so that
 	// they seldom dispatch to the same agent at the same time.
-	maxBias = 0.15
+	maxBias = 0.03
 )
 
 // biasFor returns this coordinator's cost factor for an agent, from 1 up to 1+maxBias.
@@ -242,7 +244,11 @@
 
 // cost returns the expected run time of a task at the agent, scaled by this
 // coordinator's preferences, plus the expected wait.
-func (a *agentState) cost(tk *task, step *work.Step) float64 {
+//
+// Answers the patterns of endpoints of unequal speed, and of several coordinators that start
+// runs at the same endpoints and see each other's runs late: those that all fill the fastest
+// endpoints first refuse each other's starts there while others are free.
+func (a *agentState) cost(tk *task, step *work.Step, turnover time.Duration) float64 {
 	cost := a.runTimeRatio * a.bias
 	if step.Rack != "" && !slices.Contains(a.endpoint.Labels, step.Rack) {
 		cost *= remoteDataFactor
@@ -251,8 +257,32 @@
 		cost *= avoidFactor
 	}
 	capacity := float64(max(a.endpoint.Capacity.CPU, 1))
-	wait := max(0, float64(tk.resources().CPU-a.free.CPU)) / capacity * float64(turnoverTime)
-	return cost*float64(estimateOf(tk)) + wait
+	left := float64(a.free.CPU-tk.resources().CPU) / capacity
+	wait := max(-left, 0) * float64(turnover)
+	used := min(max(1-left, 0), 1)
+	crowding := crowdingShare * used * used * used * float64(turnover)
+	if a.dispatch != nil && len(a.dispatch.Starts) > 0 {
+		// One dispatch carries both starts.
+		crowding -= float64(messageTime) / 2
+	}
+	return cost*float64(estimateOf(tk)) + wait + crowding
+}
+
+// turnover returns the time in which the whole capacity of a busy endpoint becomes free once:
+// the mean time of the latest runs, weighted by the capacity that they used. Before the first
+// end it is the given estimate.
+func (t *Table) turnover(estimate time.Duration) time.Duration {
+	if t.endedCPU <= 0 {
+		return estimate
+	}
+	return time.Duration(t.endedCPUTime / t.endedCPU)
+}
+
+// recordTurnover takes an ended run into the turnover time.
+func (t *Table) recordTurnover(cpu int64, took time.Duration) {
+	const keep = 1 - 1.0/turnoverEnds
+	t.endedCPU = t.endedCPU*keep + float64(cpu)
+	t.endedCPUTime = t.endedCPUTime*keep + float64(cpu)*float64(took)
 }
 
 // hasCapacity reports whether a task can start at the agent or, if wait is set, wait
@@ -341,7 +371,8 @@
 	}
 	slack := spec.Objective() - spec.CriticalPath()
 	maxWait := time.Duration(maxWaitShare*float64(slack)) - messageTime
-	wait := time.Duration(float64(max(ahead*peers+spec.CPU()-free, 0)) / float64(cores) * float64(turnoverTime))
+	turnover := t.turnover(time.Duration(spec.Steps[0].EstimateMS) * time.Millisecond)
+	wait := time.Duration(float64(max(ahead*peers+spec.CPU()-free, 0)) / float64(cores) * float64(turnover))
 	if wait > maxWait {
 		return fmt.Sprintf("overload: a wait of %d ms is expected, %d ms are bearable, %d cores are in service",
 			wait.Milliseconds(), maxWait.Milliseconds(), cores/1000)
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -70,7 +70,11 @@
 	// recent holds ended best-effort jobs in the order of their ends.
 	recent []*job
 	// results holds the outcomes of best-effort jobs that Results has not returned.
-	results   []BestEffortResult
+	results []BestEffortResult
+	// endedCPU and endedCPUTime sum the CPU capacity of the latest ended runs, and its product
+	// with their times.
+	endedCPU, endedCPUTime float64
+
 	decisions []Decision
 }
 
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,417 @@
+// Package load plays patterns of load against the decisions of coordinators and agents
+// (packages jobs and runs) in virtual time, without a network, and measures which jobs are done in
+// time. Coordinators see the endpoints as in a fleet: through reports that are up to
+// 400 ms old, and beside others that use the same endpoints.
+package load
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"carobpulley"
+	"carobpulley/jobs"
+	"carobpulley/runs"
+	"carobpulley/work"
+)
+
+const (
+	// messageDelay is the transit time of a message between a coordinator and an agent.
+	messageDelay = time.Millisecond
+	// startDelay is the time in which an endpoint confirms a start.
+	startDelay = time.Millisecond
+	// tickInterval, idleReport and busyReport are the intervals of the processes' own loops.
+	tickInterval = 40 * time.Millisecond
+	busyReport   = 240 * time.Millisecond
+	idleReport   = 400 * time.Millisecond
+	maxLease     = time.Second
+	queueName    = "q"
+	serviceName  = "s"
+	incarnation  = 1
+	// A job is in time if it takes at most stretch times its longest task, on an endpoint of
+	// speed 1, and target.
+	stretch = 1.6
+	target  = 60 * time.Millisecond
+)
+
+// Class is a kind of job.
+type Class struct {
+	// PerSecond is the number of jobs at each coordinator.
+	PerSecond float64
+	Tasks     int
+	CPU       int64
+	// Mean is the mean run time of a task on an endpoint of speed 1, and Spread its
+	// coefficient of variation. Callers' estimates of a job vary as much.
+	Mean   time.Duration
+	Spread float64
+}
+
+// Pattern is a load on a fleet.
+type Pattern struct {
+	Coordinators int
+	// Speeds holds an endpoint each: run times are divided by its speed.
+	Speeds   []float64
+	Capacity work.Resources
+	Classes  []Class
+	// Factor returns the multiple of the arrivals at a time since the start; nil stands for 1.
+	Factor func(since time.Duration) float64
+	// Lost returns whether an endpoint is lost from a time since the start on; nil stands for
+	// none.
+	Lost   func(endpoint int, since time.Duration) bool
+	Length time.Duration
+	Seed   uint64
+}
+
+// Window counts the jobs that arrived in one window of time.
+type Window struct {
+	Asked, InTime, Late, Refused int
+}
+
+// Result is the outcome of a pattern.
+type Result struct {
+	Window
+	// Windows holds windows of WindowLength, Classes the pattern's classes.
+	Windows []Window
+	Classes []Window
+	// Starts counts dispatched starts, RefusedStarts those that an agent refused, and
+	// Dispatches the messages that carried them.
+	Starts, RefusedStarts, Dispatches int
+}
+
+// WindowLength is the length of a Window.
+const WindowLength = 2 * time.Second
+
+// event is a change at a time.
+type event struct {
+	at    time.Time
+	order int
+	do    func(now time.Time)
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulation is the state of one play.
+type simulation struct {
+	pattern      Pattern
+	random       *rand.Rand
+	begin        time.Time
+	queue        events
+	orders       int
+	coordinators []*coordinator
+	agents       []*agent
+	result       Result
+	jobs         int
+	// runTimes holds the run time of each task on an endpoint of speed 1.
+	runTimes map[string]time.Duration
+}
+
+// Play plays a pattern. The same pattern gives the same result.
+func Play(p Pattern) Result {
+	s := &simulation{
+		pattern: p, random: rand.New(rand.NewPCG(p.Seed, 1)),
+		begin:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		runTimes: make(map[string]time.Duration),
+	}
+	s.result.Classes = make([]Window, len(p.Classes))
+	s.result.Windows = make([]Window, int((p.Length+WindowLength-1)/WindowLength))
+	for n := range p.Speeds {
+		s.addAgent(n)
+	}
+	for n := range p.Coordinators {
+		s.addCoordinator(n)
+	}
+	// Jobs that arrive last get the time to end.
+	const settle = 6 * time.Second
+	for until := s.begin.Add(p.Length + settle); len(s.queue) > 0 && s.queue[0].at.Before(until); {
+		e, _ := heap.Pop(&s.queue).(*event)
+		e.do(e.at)
+	}
+	for _, w := range s.result.Windows {
+		s.result.Asked += w.Asked
+		s.result.InTime += w.InTime
+		s.result.Late += w.Late
+		s.result.Refused += w.Refused
+	}
+	return s.result
+}
+
+func (s *simulation) at(t time.Time, do func(now time.Time)) {
+	s.orders++
+	heap.Push(&s.queue, &event{at: t, order: s.orders, do: do})
+}
+
+// every calls do at an interval, for the first time at the given time.
+func (s *simulation) every(first time.Time, interval time.Duration, do func(now time.Time)) {
+	s.at(first, func(now time.Time) {
+		do(now)
+		s.every(now.Add(interval), interval, do)
+	})
+}
+
+// count applies a change to the counts of a job's window and class.
+func (s *simulation) count(a arrival, change func(w *Window)) {
+	n := int(a.at.Sub(s.begin) / WindowLength)
+	change(&s.result.Windows[min(n, len(s.result.Windows)-1)])
+	change(&s.result.Classes[a.class])
+}
+
+// runTime draws the run time of a task on an endpoint of speed 1.
+func (s *simulation) runTime(c *Class) time.Duration {
+	// A log-normal distribution with the given mean and coefficient of variation.
+	sigma := math.Sqrt(math.Log(1 + c.Spread*c.Spread))
+	return time.Duration(float64(c.Mean) * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2))
+}
+
+// arrive schedules the next job of a class at a coordinator.
+func (s *simulation) arrive(co *coordinator, class int, last time.Time) {
+	c := &s.pattern.Classes[class]
+	factor := 1.0
+	if s.pattern.Factor != nil {
+		factor = s.pattern.Factor(last.Sub(s.begin))
+	}
+	next := last.Add(time.Duration(s.random.ExpFloat64() / (c.PerSecond * factor) * float64(time.Second)))
+	if !next.Before(s.begin.Add(s.pattern.Length)) {
+		return
+	}
+	s.at(next, func(now time.Time) {
+		s.jobs++
+		j := &work.Job{
+			ID: fmt.Sprintf("%016x", s.jobs), BestEffort: true,
+			Queue: work.Queue{Name: queueName, Service: serviceName, MaxAttempts: 4, Stretch: stretch, TargetMS: target.Milliseconds()},
+			Steps: []work.Step{{Count: c.Tasks, Resources: work.Resources{CPU: c.CPU}, EstimateMS: max(s.runTime(c).Milliseconds(), 1)}},
+		}
+		longest := time.Duration(0)
+		for task := range c.Tasks {
+			took := s.runTime(c)
+			s.runTimes[work.TaskName(j.ID, 0, task)] = took
+			longest = max(longest, took)
+		}
+		co.submit(now, j, arrival{at: now, due: now.Add(time.Duration(stretch*float64(longest)) + target), class: class})
+		s.arrive(co, class, now)
+	})
+}
+
+// coordinator plays one coordinator.
+type coordinator struct {
+	s        *simulation
+	name     string
+	table    *jobs.Table
+	arrivals map[string]arrival
+}
+
+// arrival is a job that has arrived, and the time by which it is in time.
+type arrival struct {
+	at    time.Time
+	due   time.Time
+	class int
+}
+
+func (s *simulation) addCoordinator(n int) {
+	co := &coordinator{s: s, name: fmt.Sprintf("c-%d", n), arrivals: make(map[string]arrival)}
+	co.table = jobs.New(jobs.Config{Name: co.name, AgentTimeout: 1323 * time.Millisecond, Shards: 1})
+	co.table.SetCoordinatorCount(s.pattern.Coordinators)
+	s.coordinators = append(s.coordinators, co)
+	for _, a := range s.agents {
+		co.table.AddAgent(a.name, a.name, nil)
+		a.attach(s.begin, co)
+	}
+	stagger := tickInterval * time.Duration(n) / time.Duration(s.pattern.Coordinators)
+	s.every(s.begin.Add(stagger), tickInterval, func(now time.Time) {
+		co.table.Tick(now)
+		co.flush(now)
+	})
+	for class := range s.pattern.Classes {
+		s.arrive(co, class, s.begin)
+	}
+}
+
+func (co *coordinator) submit(now time.Time, j *work.Job, a arrival) {
+	co.s.count(a, func(w *Window) { w.Asked++ })
+	status, _ := co.table.Submit(now, j)
+	if status == jobs.SubmitRefused {
+		co.s.count(a, func(w *Window) { w.Refused++ })
+		return
+	}
+	co.arrivals[j.ID] = a
+	co.flush(now)
+}
+
+// flush sends the table's dispatches and records the ends of jobs.
+func (co *coordinator) flush(now time.Time) {
+	for _, d := range co.table.Dispatches() {
+		co.s.result.Starts += len(d.Starts)
+		if len(d.Starts) > 0 {
+			co.s.result.Dispatches++
+		}
+		co.s.at(now.Add(messageDelay), func(now time.Time) { co.s.agentNamed(d.Agent).order(now, co, d) })
+	}
+	for _, r := range co.table.Results() {
+		a := co.arrivals[r.Job]
+		delete(co.arrivals, r.Job)
+		co.s.count(a, func(w *Window) {
+			switch {
+			case r.State == work.StateCancelled:
+				w.Refused++
+			case r.State == work.StateCompleted && !now.After(a.due):
+				w.InTime++
+			default:
+				w.Late++
+			}
+		})
+	}
+	co.table.Decisions()
+}
+
+// agent plays the agent beside one endpoint, and the endpoint.
+type agent struct {
+	s          *simulation
+	n          int
+	name       string
+	controller *runs.Controller
+	running    []carobpulley.ListedRun
+	ends       int64
+	reported   map[string]time.Time
+}
+
+func (s *simulation) agentNamed(name string) *agent {
+	for _, a := range s.agents {
+		if a.name == name {
+			return a
+		}
+	}
+	return nil
+}
+
+func (s *simulation) addAgent(n int) {
+	a := &agent{s: s, n: n, name: fmt.Sprintf("a-%d", n), reported: make(map[string]time.Time)}
+	a.controller = runs.New(runs.Config{Agent: a.name, Incarnation: incarnation, Token: 1, MaxLease: maxLease, Shards: 1}, s.begin)
+	a.controller.HandleHeartbeat(s.begin, carobpulley.Heartbeat{
+		Instance: a.name, Generation: 1, Sequence: 1, Service: serviceName, Domain: a.name, Capacity: s.pattern.Capacity,
+	})
+	a.poll(s.begin, nil)
+	s.agents = append(s.agents, a)
+	stagger := tickInterval * time.Duration(n) / time.Duration(len(s.pattern.Speeds))
+	s.every(s.begin.Add(stagger), tickInterval, func(now time.Time) {
+		if a.lost(now) {
+			return
+		}
+		a.controller.Tick(now)
+		a.poll(now, nil)
+	})
+}
+
+func (a *agent) lost(now time.Time) bool {
+	return a.s.pattern.Lost != nil && a.s.pattern.Lost(a.n, now.Sub(a.s.begin))
+}
+
+func (a *agent) attach(now time.Time, co *coordinator) {
+	attachment := co.table.NextAttachment(a.name)
+	a.controller.HandleAttach(now, runs.AttachRequest{Coordinator: co.name, Incarnation: incarnation, Addr: co.name, Attachment: attachment})
+	full := a.controller.FullReport(now, co.name)
+	co.table.HandleAttachment(now, a.convert(full), nil)
+	a.controller.HandleReportReply(now, co.name, full, runs.ReportReply{})
+}
+
+func (a *agent) convert(r runs.Report) jobs.Report {
+	return jobs.Report{Agent: a.name, Incarnation: incarnation, Attachment: r.Attachment, SentAt: r.SentAt, State: r.State, Ends: r.Ends, Running: r.Running}
+}
+
+// order handles a dispatch and sends the reply.
+func (a *agent) order(now time.Time, co *coordinator, d *jobs.Dispatch) {
+	if a.lost(now) {
+		return
+	}
+	refused, stale := a.controller.HandleDispatch(now, runs.Dispatch{
+		Coordinator: co.name, Incarnation: incarnation, Attachment: d.Attachment, Echo: d.Echo, Starts: d.Starts, Stops: d.Stops,
+	})
+	a.execute(now)
+	state := a.controller.State(co.name)
+	a.s.at(now.Add(messageDelay), func(now time.Time) {
+		if stale {
+			a.attach(now, co)
+			co.flush(now)
+			return
+		}
+		co.table.HandleDispatchReply(d, state)
+		for _, r := range refused {
+			a.s.result.RefusedStarts++
+			co.table.HandleRefusedStarts(now, d, []work.Run{r.Run}, r.Reason)
+		}
+		co.flush(now)
+	})
+}
+
+// execute carries out the controller's commands at the endpoint.
+func (a *agent) execute(now time.Time) {
+	for _, c := range a.controller.Commands() {
+		if c.Start == nil {
+			a.end(now, c.Stop, work.OutcomeStopped)
+			continue
+		}
+		start := *c.Start
+		a.running = append(a.running, carobpulley.ListedRun{Run: start.Run})
+		lease := a.controller.Lease(now)
+		a.s.at(now.Add(startDelay), func(now time.Time) {
+			a.controller.HandleStartReply(now, start.Run, lease, carobpulley.StartAnswer{}, nil)
+			a.execute(now)
+		})
+		took := time.Duration(float64(a.s.runTimes[start.Run.Task]) / a.s.pattern.Speeds[a.n])
+		a.s.at(now.Add(startDelay+took), func(now time.Time) { a.end(now, start.Run, work.OutcomeDone) })
+	}
+}
+
+// end ends a run at the endpoint, unless it has ended.
+func (a *agent) end(now time.Time, run work.Run, outcome work.Outcome) {
+	for i := range a.running {
+		if a.running[i].Run == run && !a.lost(now) {
+			a.running = append(a.running[:i], a.running[i+1:]...)
+			a.ends++
+			a.poll(now, []work.End{{Sequence: a.ends, Run: run, Outcome: outcome}})
+			return
+		}
+	}
+}
+
+// poll shows the endpoint's lists to the controller and sends the reports that are due.
+func (a *agent) poll(now time.Time, ended []work.End) {
+	a.controller.HandlePoll(now, a.controller.BeginPoll(now.Add(-1)), carobpulley.RunLists{
+		Clock: now.Sub(a.s.begin).Milliseconds() + 1, Generation: 1, Running: a.running, Finished: ended,
+	})
+	a.execute(now)
+	for _, co := range a.s.coordinators {
+		interval := idleReport
+		if a.controller.HasRunsOrEnds(co.name) {
+			interval = busyReport
+		}
+		if a.controller.HasUnreportedEnds(co.name) || now.Sub(a.reported[co.name]) >= interval {
+			a.report(now, co)
+		}
+	}
+}
+
+func (a *agent) report(now time.Time, co *coordinator) {
+	a.reported[co.name] = now
+	r := a.controller.Report(now, co.name)
+	// The ends count as reported at once: this network loses nothing.
+	a.controller.HandleReportReply(now, co.name, r, runs.ReportReply{})
+	a.s.at(now.Add(messageDelay), func(now time.Time) {
+		if answer := co.table.HandleReport(now, a.convert(r)); answer.Stale {
+			a.attach(now, co)
+		}
+		co.flush(now)
+	})
+}
