coord: jobs at the start of a coordinator wait for its attachments

An agent's address record that came after the attachment to its new process ended that attachment.

Change: such a job waits while attachments are under way, at most 400 ms each; a waiting job that no endpoint can run any more is refused at once, not at three times its objective. A record of the process that is attached already changes nothing. The share is computed right after the control topic is read, and one line is logged for all agents found.

Coordinators pause 100 ms after a read that returned records.

Tests: TestJobWaitsForTheFirstAttachments, TestJobsAtTheStartOfACoordinatorAreServed.

--- a/coord/control.go
+++ b/coord/control.go
@@ -13,6 +13,9 @@
 	// controlTailWait is how long a read of the control topic waits for new records.
 	// Two of them and the time of an answer stay below AuthorityTTL.
 	controlTailWait = 800 * time.Millisecond
+	// controlReadPause is the pause after a read of the control topic that returned records. When
+	// many agents start, one read returns the records of all that came meanwhile.
+	controlReadPause = 100 * time.Millisecond
 	// configTailWait is the same for the operators' topic. A read may miss a record until
 	// its wait is over, and operators expect a change to take effect within 2 s.
 	configTailWait = 800 * time.Millisecond
@@ -32,17 +35,21 @@
 	needSnapshot := true
 	for ctx.Err() == nil {
 		sent := time.Now()
+		records := 0
 		var err error
 		if needSnapshot {
 			err = c.readControlSnapshot(ctx, sent)
 			needSnapshot = err != nil
 		} else {
-			err = c.readControlTail(ctx, sent)
+			records, err = c.readControlTail(ctx, sent)
 			needSnapshot = err != nil && carobpulley.KindOf(err) == carobpulley.KindExpired
 		}
-		if err != nil {
+		switch {
+		case err != nil:
 			c.recordStoreError("control", err)
 			sleep(ctx, readRetryInterval)
+		case records > 0:
+			sleep(ctx, controlReadPause)
 		}
 	}
 	return nil
@@ -62,16 +69,21 @@
 	c.ownershipProof = sent
 	c.table.ConfirmOwnership(sent)
 	c.notifyOwnershipChange()
+	now := time.Now()
+	c.updateShare(now)
+	c.attachDetached(now)
+	c.flush()
 	return nil
 }
 
-func (c *Coordinator) readControlTail(ctx context.Context, sent time.Time) error {
+// readControlTail applies the next records and returns their number.
+func (c *Coordinator) readControlTail(ctx context.Context, sent time.Time) (int, error) {
 	c.mu.Lock()
 	from := c.controlOffset
 	c.mu.Unlock()
 	records, next, err := c.store.Tail(ctx, controlPartition, from, controlTailWait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -84,11 +96,12 @@
 	if len(records) > 0 {
 		c.notifyOwnershipChange()
 	}
-	return nil
+	return len(records), nil
 }
 
 // applyControlRecords applies records of the control topic. The caller holds the lock.
 func (c *Coordinator) applyControlRecords(records []carobpulley.KeyedRecord) {
+	agents := len(c.agents)
 	for i := range records {
 		r, err := work.DecodeControl(records[i].Key, records[i].Value)
 		if err != nil {
@@ -109,6 +122,9 @@
 			c.table.RemoveAgent(time.Now(), r.DeletedAgent)
 		}
 	}
+	if len(c.agents) != agents {
+		c.log.Info().Int("agents", len(c.agents)).Int("before", agents).Msg("agents found")
+	}
 	c.flush()
 }
 
@@ -117,8 +133,9 @@
 	c.agents[a.Name] = a
 	c.table.AddAgent(a.Name, a.Domain, a.Endpoint)
 	c.membersChanged = true
-	if !known || old.Incarnation != a.Incarnation {
-		c.log.Info().Str("host", a.Name).Stringer("addr", a.Addr).Msg("agent found")
+	// The record of an agent that has restarted may come after the attachment to its new process.
+	if known && old.Incarnation != a.Incarnation && c.table.Incarnation(a.Name) != a.Incarnation {
+		c.log.Info().Str("host", a.Name).Stringer("addr", a.Addr).Msg("agent restarted")
 		c.table.Detach(a.Name, c.table.FollowingAttachment(a.Name)-1)
 		delete(c.nextAttachAt, a.Name)
 	}
--- a/emul/share_test.go
+++ b/emul/share_test.go
@@ -71,3 +71,25 @@
 		}
 	})
 }
+
+// Answers callers that come back together after a loss of power: a coordinator that has just
+// started must hold their jobs until it is attached, instead of sending them away for a second.
+func TestJobsAtTheStartOfACoordinatorAreServed(t *testing.T) {
+	runFleet(t, testSpec(), func(t *testing.T, f *Fleet) {
+		for n := range f.Coordinators {
+			f.Coordinators[n].Kill()
+		}
+		for n := range f.Coordinators {
+			f.StartCoordinator(n)
+		}
+		answers := make(chan carobpulley.JobAnswer, len(f.Coordinators))
+		for n := range f.Coordinators {
+			go func() { answers <- submit(f, n, testJob(n, true, 3)) }()
+		}
+		for range f.Coordinators {
+			if a := <-answers; a.Code != carobpulley.AnswerOK || a.State != work.StateCompleted {
+				t.Errorf("answer %+v", a)
+			}
+		}
+	})
+}
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -41,6 +41,8 @@
 	// was added for more capacity.
 	member     bool
 	extraUntil time.Time
+	// soughtSince is the time since which the coordinator tries to attach to the agent.
+	soughtSince time.Time
 	// released is set while the agent is attached but no longer wanted: it gets no tasks and
 	// is told to end the attachment.
 	released bool
@@ -164,6 +166,15 @@
 	return a.requestedAttachment
 }
 
+// Incarnation returns the incarnation of the agent's process to which the coordinator is
+// attached; 0 if there is none.
+func (t *Table) Incarnation(name string) uint64 {
+	if a := t.agents[name]; a != nil && a.attached {
+		return a.incarnation
+	}
+	return 0
+}
+
 // Detach ends an attachment, so that the coordinator attaches to the agent again. It
 // does nothing if the attachment is not the agent's current one.
 func (t *Table) Detach(name string, attachment uint64) {
@@ -184,6 +195,7 @@
 	a.attachment = r.Attachment
 	a.attached = true
 	a.released = false
+	a.soughtSince = time.Time{}
 	a.dispatch = nil
 	t.refreshActive()
 	if a.incarnation != r.Incarnation {
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -87,20 +87,42 @@
 }
 
 // abandonUnstarted cancels best-effort jobs that have not started by the time from
-// which their answer has no value, so that their callers are answered at once.
+// which their answer has no value, or while no endpoint can run them, so that their callers are
+// answered at once.
 func (t *Table) abandonUnstarted(now time.Time) {
 	for n := 0; n < len(t.ready); n++ {
-		j := t.ready[n].job
-		if j.durable() || j.started || !now.After(j.abandonAt) {
+		g := t.ready[n]
+		if g.job.durable() || g.job.started {
 			continue
 		}
-		t.results = append(t.results, BestEffortResult{Job: j.id, State: work.StateCancelled, Unstarted: true, Reason: "no room in time"})
-		t.logDecision(Decision{Job: j.id, Event: "given up", Reason: "no room in time"})
-		t.finishJob(now, j, work.StateCancelled)
+		reason := t.hopeless(now, g)
+		if reason == "" {
+			continue
+		}
+		t.results = append(t.results, BestEffortResult{Job: g.job.id, State: work.StateCancelled, Unstarted: true, Reason: reason})
+		t.logDecision(Decision{Job: g.job.id, Event: "given up", Reason: reason})
+		t.finishJob(now, g.job, work.StateCancelled)
 		n = -1
 	}
 }
 
+// hopeless returns why the tasks of a waiting group can't start in time; empty if they can.
+func (t *Table) hopeless(now time.Time, g *taskGroup) string {
+	if now.After(g.job.abandonAt) {
+		return "no room in time"
+	}
+	service, step := t.service(g.job), &g.job.spec.Steps[g.step]
+	for _, a := range t.active {
+		if a.attached && a.endpoint.Ready && a.canRun(service, step) && !t.outOfService[a.endpoint.Domain] {
+			return ""
+		}
+	}
+	if t.starting(now, service, step) || t.canGrow(now, g.cpu()) && len(t.extraAgents(now, service, step, g.cpu())) > 0 {
+		return ""
+	}
+	return reasonNoEndpoint
+}
+
 // Withdraw removes a submission that is not in a batch yet. It reports false if the
 // job is stored or may be.
 func (t *Table) Withdraw(id string) bool {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -338,6 +338,9 @@
 	a.free = a.free.Sub(tk.resources())
 }
 
+// reasonNoEndpoint is why a job is refused while no endpoint can run it.
+const reasonNoEndpoint = "no endpoint is in service"
+
 // refusalReason returns why a new job is refused, or an empty string if it is
 // accepted. The job is expected to wait behind the queued tasks of this coordinator that have
 // to start no later, and as many at each coordinator that shares its endpoints.
@@ -362,7 +365,10 @@
 		}
 	}
 	if cores == 0 {
-		return "no endpoint is in service"
+		if t.starting(now, service, &spec.Steps[0]) {
+			return ""
+		}
+		return reasonNoEndpoint
 	}
 	for i := range spec.Steps {
 		if !t.feasible(service, &spec.Steps[i]) {
--- a/jobs/share.go
+++ b/jobs/share.go
@@ -22,9 +22,8 @@
 	// extraRetention is how long an agent outside the share stays attached after its last
 	// start.
 	extraRetention = 3 * time.Second
-	// attachAllowance is how long an agent that was just added counts as capacity before it is
-	// attached.
-	attachAllowance = 100 * time.Millisecond
+	// attachAllowance is how long an agent that is not attached yet counts as capacity.
+	attachAllowance = 400 * time.Millisecond
 )
 
 // SetShare sets the agents that this coordinator works with. Before the first call it works
@@ -34,6 +33,7 @@
 // exchange reports: the number of messages then grows with the product of the two.
 func (t *Table) SetShare(names map[string]bool) {
 	t.shared = true
+	t.shareKnown = names != nil
 	for name, a := range t.agents {
 		a.member = names[name]
 	}
@@ -68,12 +68,42 @@
 			a.attached = false
 		}
 		if !a.attached {
+			if a.soughtSince.IsZero() {
+				a.soughtSince = now
+			}
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
+// pending reports whether the coordinator is about to attach to an agent, which answers within
+// milliseconds if it is alive.
+func (t *Table) pending(now time.Time, a *agentState) bool {
+	if a.attached || !t.wanted(now, a) {
+		return false
+	}
+	return a.soughtSince.IsZero() || now.Sub(a.soughtSince) < attachAllowance
+}
+
+// starting reports whether endpoints that can run a step may be found within milliseconds: the
+// share isn't known yet, or agents are about to be attached.
+//
+// Answers the pattern of callers that come back together after a loss of power: those that
+// reach a process within its first moments must wait for its attachments instead of being sent
+// away for a second.
+func (t *Table) starting(now time.Time, service string, step *work.Step) bool {
+	if t.shared && !t.shareKnown {
+		return true
+	}
+	for _, a := range t.agents {
+		if a.canRun(service, step) && !t.outOfService[a.endpoint.Domain] && t.pending(now, a) {
+			return true
+		}
+	}
+	return false
+}
+
 // Grow extends the share by agents whose endpoints can run the first task that waits for
 // capacity. It reports whether it added any.
 //
@@ -139,7 +169,7 @@
 // part of it as of the share's endpoints.
 func (t *Table) extraCapacity(now time.Time, service string, spec *work.Job) (cores, free int64) {
 	for _, a := range t.agents {
-		if !a.attached && a.extraUntil.Sub(now) > extraRetention-attachAllowance && a.canRun(service, &spec.Steps[0]) {
+		if t.pending(now, a) && a.canRun(service, &spec.Steps[0]) && !t.outOfService[a.endpoint.Domain] {
 			cores += a.endpoint.Capacity.CPU
 		}
 	}
--- a/jobs/share_test.go
+++ b/jobs/share_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"carobpulley/work"
 )
 
@@ -137,3 +139,36 @@
 		t.Errorf("a job larger than every endpoint: status %v, want a refusal", status)
 	}
 }
+
+// Answers callers that come back together after a loss of power: a job that reaches a
+// coordinator before its attachments waits for them, and is refused at once when they fail.
+func TestJobWaitsForTheFirstAttachments(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		f := newFixture(t, 0)
+		f.table.SetShare(nil)
+		if status, reason := f.table.Submit(f.now, testJob(1, 2, true)); status != SubmitPending {
+			t.Fatalf("status %v before the share is known: %s", status, reason)
+		}
+		f.table.AddAgent("h0", "zh0", &work.EndpointCapacity{Service: testService, Capacity: work.Resources{CPU: 64_000, MemMB: 1000}})
+		f.table.SetShare(map[string]bool{"h0": true})
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.table.AgentsToAttach(f.now)
+		f.table.Tick(f.now)
+		if r := f.table.Results(); len(r) != 0 {
+			t.Fatalf("results %+v while the attachment is under way", r)
+		}
+		if alive {
+			f.attachWanted()
+			if got := f.startCount(); got != 2 {
+				t.Errorf("%d starts after the attachment, want 2", got)
+			}
+			continue
+		}
+		f.now = f.now.Add(attachAllowance)
+		f.table.Tick(f.now)
+		want := []BestEffortResult{{Job: testJob(1, 2, true).ID, State: work.StateCancelled, Unstarted: true, Reason: reasonNoEndpoint}}
+		if diff := cmp.Diff(want, f.table.Results()); diff != "" {
+			t.Errorf("results after the attachment failed (-want +got):\n%s", diff)
+		}
+	}
+}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -55,6 +55,8 @@
 	active []*agentState
 	// shared is set once the coordinator works with a share of the agents.
 	shared bool
+	// shareKnown is set once the share was computed from the members in the store.
+	shareKnown bool
 	// growAt is the time of the next extension of the share, and growPause the pause before
 	// the last one.
 	growAt    time.Time
