placement: a start that meets a full endpoint tries another one sooner

Cause: a start that was placed where room was believed waited at the agent for up to 150 ms when other coordinators had filled the endpoint meanwhile, beside free endpoints elsewhere.

Change: such a start waits at most messageTime; one that is placed at a full endpoint by choice waits as before.

--- a/jobs/place.go
+++ b/jobs/place.go
@@ -313,6 +313,7 @@
 // startTask places a task at an agent and adds its start to the agent's next dispatch.
 func (t *Table) startTask(now time.Time, tk *task, a *agentState) {
 	tk.run = max(tk.run, tk.job.runBase) + 1
+	fits := tk.resources().Fits(a.free)
 	t.assign(now, tk, a)
 	t.foundCapacity(now, a)
 	s := tk.start()
@@ -320,6 +321,10 @@
 	s.SlackMS = latest.Sub(now).Milliseconds()
 	if latest.After(now) {
 		s.WaitMS = min(s.SlackMS, maxAgentWait.Milliseconds())
+		if fits {
+			// If the endpoint is full after all, another one may have room.
+			s.WaitMS = min(s.WaitMS, messageTime.Milliseconds())
+		}
 	}
 	d := t.pendingDispatch(a)
 	d.Starts = append(d.Starts, s)
