--- a/coord/attach.go
+++ b/coord/attach.go
@@ -76,6 +76,7 @@
 		Int("ends", len(report.Ends)).Bool("ready", report.State.Ready).Msg("attached")
 	c.table.HandleAttachment(now, report, epochs)
 	c.flush()
+	c.confirmOwnership()
 }
 
 // attachRetryDelay returns the pause after a failed attach call. The caller holds the
@@ -146,5 +147,6 @@
 		reply.Owned = link.EpochsToWire(c.table.OwnedShards())
 	}
 	c.flush()
+	c.confirmOwnership()
 	return connect.NewResponse(reply), nil
 }
--- a/coord/control.go
+++ b/coord/control.go
@@ -16,6 +16,8 @@
 	// controlReadPause is the pause after a read of the control topic that returned records. When
 	// many agents start, one read returns the records of all that came meanwhile.
 	controlReadPause = 100 * time.Millisecond
+	// confirmInterval is the least time between two reads that confirm the ownership.
+	confirmInterval = 100 * time.Millisecond
 	// configTailWait is the same for the operators' topic. A read may miss a record until
 	// its wait is over, and operators expect a change to take effect within 2 s.
 	configTailWait = 800 * time.Millisecond
@@ -41,7 +43,7 @@
 			err = c.readControlSnapshot(ctx, sent)
 			needSnapshot = err != nil
 		} else {
-			records, err = c.readControlTail(ctx, sent)
+			records, err = c.readControlTail(ctx, sent, controlTailWait)
 			needSnapshot = err != nil && carobpulley.KindOf(err) == carobpulley.KindExpired
 		}
 		switch {
@@ -77,18 +79,18 @@
 }
 
 // readControlTail applies the next records and returns their number.
-func (c *Coordinator) readControlTail(ctx context.Context, sent time.Time) (int, error) {
+func (c *Coordinator) readControlTail(ctx context.Context, sent time.Time, wait time.Duration) (int, error) {
 	c.mu.Lock()
 	from := c.controlOffset
 	c.mu.Unlock()
-	records, next, err := c.store.Tail(ctx, controlPartition, from, controlTailWait)
+	records, next, err := c.store.Tail(ctx, controlPartition, from, wait)
 	if err != nil {
 		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applyControlRecords(records)
-	c.controlOffset = next
+	c.controlOffset = max(c.controlOffset, next)
 	if sent.After(c.ownershipProof) {
 		c.ownershipProof = sent
 		c.table.ConfirmOwnership(sent)
@@ -99,6 +101,26 @@
 	return len(records), nil
 }
 
+// confirmOwnership reads the control topic at once, beside the waiting read, if ends wait for a
+// confirmation of the ownership: their endpoints take no starts meanwhile. The caller holds the
+// lock.
+func (c *Coordinator) confirmOwnership() {
+	now := time.Now()
+	if now.Before(c.nextConfirmAt) || !c.table.HasUnconfirmedEnds() {
+		return
+	}
+	c.nextConfirmAt = now.Add(confirmInterval)
+	go func() {
+		if _, err := c.readControlTail(c.baseCtx, time.Now(), 0); err != nil {
+			c.recordStoreError("confirm", err)
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.flush()
+	}()
+}
+
 // applyControlRecords applies records of the control topic. The caller holds the lock.
 func (c *Coordinator) applyControlRecords(records []carobpulley.KeyedRecord) {
 	agents := len(c.agents)
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -61,6 +61,9 @@
 	routing *work.RoutingConfig
 	// controlOffset is the offset up to which the control topic has been read.
 	controlOffset int64
+	// nextConfirmAt is the earliest time of the next read that confirms the ownership for ends
+	// that wait for it.
+	nextConfirmAt time.Time
 	// ownershipProof is the time at which the last successful read of the control
 	// topic was sent.
 	ownershipProof time.Time
@@ -159,6 +162,7 @@
 		c.updateShare(now)
 		c.attachDetached(now)
 		c.flush()
+		c.confirmOwnership()
 		c.mu.Unlock()
 	}
 }
--- a/coord/ownership.go
+++ b/coord/ownership.go
@@ -40,6 +40,8 @@
 	// claimRetryInterval is the pause before another claim while the topic shows no
 	// success of the last one.
 	claimRetryInterval = 300 * time.Millisecond
+	// maxClaimTries bounds the tries of one claim at the end of the topic.
+	maxClaimTries = 12
 	// loadGrace is the time in which a new owner has to load its shards.
 	loadGrace = 4 * time.Second
 	// stallThreshold is the gap between two checks from which this process itself counts
@@ -243,13 +245,16 @@
 }
 
 // claimInTurn claims a shard once the delay for this process's rank among the candidates
-// is over, if its own ownership proof is younger than freshProofAge. The caller holds the
-// lock.
+// is over, if its own ownership proof is younger than freshProofAge. A process that replaces the
+// owner on its host claims at once. The caller holds the lock.
 func (c *Coordinator) claimInTurn(now time.Time, number int, h *ownerHealth, reason string) {
 	if h.reasonSince.IsZero() {
 		h.reasonSince = now
 	}
 	delay := time.Duration(c.claimRank(number)) * claimRankDelay
+	if c.claims[number].Owner.Name == c.cfg.Self.Name {
+		delay = 0
+	}
 	if now.Sub(h.reasonSince) < delay || now.Before(h.nextClaimAt) || now.Sub(c.ownershipProof) > freshProofAge {
 		return
 	}
@@ -281,8 +286,10 @@
 	return len(names)
 }
 
-// appendClaim appends a claim if the control topic still ends at the given offset.
-// Whether it succeeded is read from the topic, not from the answer.
+// appendClaim appends a claim if the control topic still ends at the given offset. After a
+// conflict it reads the topic and tries again at its new end, unless that holds a newer claim:
+// many processes announce themselves there when a fleet starts. Whether it succeeded is read from
+// the topic, not from the answer.
 func (c *Coordinator) appendClaim(number int, offset int64, epoch uint64, reason string) {
 	value, err := work.EncodeControl(work.Claim{Shard: number, Epoch: epoch, Owner: c.cfg.Self})
 	if err != nil {
@@ -291,7 +298,24 @@
 	}
 	call, cancel := context.WithTimeout(c.baseCtx, appendTimeout)
 	defer cancel()
-	_, err = c.store.AppendAt(call, controlPartition, offset, []carobpulley.KeyedRecord{{Key: work.ClaimKey(number), Value: value}})
+	records := []carobpulley.KeyedRecord{{Key: work.ClaimKey(number), Value: value}}
+	for range maxClaimTries {
+		_, err = c.store.AppendAt(call, controlPartition, offset, records)
+		if err == nil || carobpulley.KindOf(err) != carobpulley.KindConflict {
+			break
+		}
+		if _, readErr := c.readControlTail(call, time.Now(), 0); readErr != nil {
+			err = readErr
+			break
+		}
+		c.mu.Lock()
+		offset = c.controlOffset
+		newer := c.claims[number].Epoch >= epoch
+		c.mu.Unlock()
+		if newer {
+			break
+		}
+	}
 	c.log.Info().Err(err).Int("shard", number).Uint64("epoch", epoch).Str("why", reason).Msg("claim")
 }
 
--- a/guard/announce.go
+++ b/guard/announce.go
@@ -72,7 +72,7 @@
 	if a.controller.Instance() == "" {
 		return nil
 	}
-	s := a.controller.State("")
+	s := a.controller.State(time.Now(), "")
 	return &work.EndpointCapacity{Service: s.Service, Labels: s.Labels, Capacity: s.Capacity}
 }
 
--- a/guard/report.go
+++ b/guard/report.go
@@ -142,9 +142,10 @@
 func (a *Agent) Order(ctx context.Context, r *connect.Request[relay.OrderRequest]) (*connect.Response[relay.OrderReply], error) {
 	dispatch := link.DispatchFromWire(r.Msg)
 	a.mu.Lock()
-	refused, stale := a.controller.HandleDispatch(time.Now(), dispatch)
+	now := time.Now()
+	refused, stale := a.controller.HandleDispatch(now, dispatch)
 	commands := a.controller.Commands()
-	state := a.controller.State(dispatch.Coordinator)
+	state := a.controller.State(now, dispatch.Coordinator)
 	a.mu.Unlock()
 	a.execute(context.WithoutCancel(ctx), commands)
 	if stale || len(refused) > 0 {
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -81,11 +81,23 @@
 			delete(a.unconfirmedEnds, number)
 			if t.shards[u.shard] != nil {
 				a.acked = append(a.acked, number)
+				// The endpoint takes no starts until the end is acknowledged.
+				t.pendingDispatch(a)
 			}
 		}
 	}
 }
 
+// HasUnconfirmedEnds reports whether an end waits for a confirmation of the ownership.
+func (t *Table) HasUnconfirmedEnds() bool {
+	for _, a := range t.active {
+		if len(a.unconfirmedEnds) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ackIgnored acknowledges an end that changes nothing. It may repeat an end that is
 // not stored yet, so it is acknowledged only after the job's pending changes are
 // stored.
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -72,3 +73,21 @@
 		t.Errorf("attempt after an attachment has number %d, the attachment %d", third, second)
 	}
 }
+
+// Guards against an endpoint that stays idle because its agent learns of an acknowledgement with
+// its next report only.
+func TestConfirmedEndIsAcknowledgedAtOnce(t *testing.T) {
+	f := newOwner(t, 1)
+	f.report("h0", work.End{Sequence: 5, Run: work.Run{Task: "00000000000000aa.0.0.0", Number: 1}, Outcome: work.OutcomeDone})
+	if !f.table.HasUnconfirmedEnds() {
+		t.Fatal("the end of an unknown job needs no confirmation")
+	}
+	f.table.ConfirmOwnership(f.now.Add(time.Millisecond))
+	dispatches := f.table.Dispatches()
+	if len(dispatches) != 1 || !slices.Equal(dispatches[0].Acked, []int64{5}) {
+		t.Errorf("dispatches %+v, want one that acknowledges 5", dispatches)
+	}
+	if f.table.HasUnconfirmedEnds() {
+		t.Error("the end still waits for a confirmation")
+	}
+}
--- a/jobs/hostile_test.go
+++ b/jobs/hostile_test.go
@@ -62,7 +62,9 @@
 	case 4:
 		f.table.ReleaseShard(0)
 		f.table.AcquireShard(f.now, 0, uint64(2+random.IntN(3)), []carobpulley.KeyedRecord{
-			{Key: "", Value: []byte("x")}, {Key: "j", Value: []byte("{")}, {Key: "s1", Value: []byte(`{"done":[[9,9],[-1,0]],"failed":[[0,-1,5]]}`)},
+			{Key: "", Value: []byte("x")},
+			{Key: "j", Value: []byte("{")},
+			{Key: "s1", Value: []byte(`{"done":[[9,9],[-1,0]],"failed":[[0,-1,5]]}`)},
 			{Key: work.KeyJob + "0000000000000001", Value: fmt.Appendf(nil, `{"id":"0000000000000001","steps":[{"count":%d,"need":{}}]}`, number())},
 			{Key: work.KeyProgress + "0000000000000001", Value: []byte(`{"state":"?","done":[[0,0]]}`)},
 		})
--- a/load/load.go
+++ b/load/load.go
@@ -339,7 +339,7 @@
 		Coordinator: co.name, Incarnation: incarnation, Attachment: d.Attachment, Echo: d.Echo, Starts: d.Starts, Stops: d.Stops,
 	})
 	a.execute(now)
-	state := a.controller.State(co.name)
+	state := a.controller.State(now, co.name)
 	a.s.at(now.Add(messageDelay), func(now time.Time) {
 		if stale {
 			a.attach(now, co)
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -257,7 +257,9 @@
 
 // newEnd returns an end that belongs to its run's coordinator.
 func newEnd(e work.End, r *run) *end {
-	out := &end{End: e}
+	// Only an end by the run itself counts for a durable job: its owner has to store it before the
+	// endpoint drops it. A task whose run was stopped runs again in any case.
+	out := &end{End: e, acked: e.Outcome != work.OutcomeDone && e.Outcome != work.OutcomeFailed}
 	if r != nil && !r.start.Durable {
 		out.coordinator = r.coordinator
 		out.incarnation = r.incarnation
--- a/runs/controller_test.go
+++ b/runs/controller_test.go
@@ -356,3 +356,28 @@
 		t.Error("no lease after the earlier one has expired")
 	}
 }
+
+// Answers a restart of everything: a new agent stops what its endpoint runs. Until the owner of
+// the shard has stored an end that counts, the endpoint takes no starts and must say so; the ends
+// of stopped runs count for nothing and must not keep it idle.
+func TestEndpointIsUsableAfterItsAgentHasRestarted(t *testing.T) {
+	for _, outcome := range []work.Outcome{work.OutcomeStopped, work.OutcomeLeaseExpired, work.OutcomeDone, work.OutcomeFailed} {
+		f := newFixture(t)
+		f.poll(carobpulley.RunLists{Finished: []work.End{{Sequence: 1, Run: newRun(1), Outcome: outcome}}})
+		counts := outcome == work.OutcomeDone || outcome == work.OutcomeFailed
+		if got := f.controller.State(f.now, "c").Ready; got == counts {
+			t.Errorf("%s: ready %v", outcome, got)
+		}
+		refused := f.dispatch("c", newStart(2, 100))
+		if got := len(refused) > 0; got != counts {
+			t.Errorf("%s: start refused %v", outcome, got)
+		}
+		if got := f.controller.BeginPoll(f.now).AckedUpTo; (got == 0) != counts {
+			t.Errorf("%s: ends up to %d are acknowledged to the endpoint", outcome, got)
+		}
+		f.controller.HandleAcks(f.controller.EndpointGeneration(), []int64{1})
+		if !f.controller.State(f.now, "c").Ready {
+			t.Errorf("%s: not ready after the end was stored", outcome)
+		}
+	}
+}
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -63,8 +63,14 @@
 		return false
 	}
 	c.markExpiredEnds(now)
+	return !c.leaseBlocked(now)
+}
+
+// leaseBlocked reports whether no lease can be given now: the proof of a run, or of an end that is
+// not stored yet, has expired.
+func (c *Controller) leaseBlocked(now time.Time) bool {
 	limit, limited := c.earliestProofExpiry()
-	return !limited || limit.After(now)
+	return limited && !limit.After(now)
 }
 
 // earliestProofExpiry returns the earliest time at which the proof of a launched run expires. An
--- a/runs/report.go
+++ b/runs/report.go
@@ -35,7 +35,7 @@
 // Report returns the endpoint's state, the unreported ends of the coordinator, and those that are
 // due to be reported again.
 func (c *Controller) Report(now time.Time, coordinator string) Report {
-	r := Report{SentAt: c.encodeTime(now), State: c.State(coordinator)}
+	r := Report{SentAt: c.encodeTime(now), State: c.State(now, coordinator)}
 	if co := c.coordinators[coordinator]; co != nil {
 		r.Attachment = co.attachment
 	}
--- a/runs/state.go
+++ b/runs/state.go
@@ -1,6 +1,10 @@
 package runs
 
-import "carobpulley/work"
+import (
+	"time"
+
+	"carobpulley/work"
+)
 
 // hasUnknownRuns reports whether the endpoint runs something that this process didn't start. Its
 // resources are unknown, so nothing starts beside it.
@@ -14,7 +18,7 @@
 }
 
 // State returns the endpoint's state as reported to a coordinator.
-func (c *Controller) State(coordinator string) work.EndpointState {
+func (c *Controller) State(now time.Time, coordinator string) work.EndpointState {
 	return work.EndpointState{
 		Instance: c.EndpointGeneration(),
 		Service:  c.heartbeat.Service,
@@ -22,7 +26,7 @@
 		Labels:   c.heartbeat.Labels,
 		Capacity: c.heartbeat.Capacity,
 		Used:     c.reservedByOthers(coordinator),
-		Ready:    c.Usable(),
+		Ready:    c.Usable() && !c.leaseBlocked(now),
 	}
 }
 
