emul, soak: a violation names the runs of its task

Each violation of a task now carries the starts and ends of its runs with times, endpoints and the lease in force. The check itself is as it was.

--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,24 +30,58 @@
 	violations   []string
 	// runCount is the number of runs that have started.
 	runCount int
+	// histories holds the starts and ends of each task's runs, for the text of a violation.
+	histories map[string][]runEvent
+	endpoints int
+}
+
+// runEvent is the start or the end of a run.
+type runEvent struct {
+	at       time.Time
+	what     string
+	run      int64
+	endpoint int
+	// lease is the time at which the endpoint's lease expires.
+	lease time.Time
+}
+
+// history returns a task's events as text. The caller holds the lock.
+func (c *Checker) history(task string) string {
+	var b strings.Builder
+	for _, e := range c.histories[task] {
+		fmt.Fprintf(&b, "; %s run %d %s at endpoint %d, lease until %s", e.at.Format("15:04:05.000"), e.run, e.what, e.endpoint, e.lease.Format("15:04:05.000"))
+	}
+	return b.String()
 }
 
 // NewChecker returns a checker without recorded runs.
 func NewChecker() *Checker {
-	return &Checker{running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool)}
+	return &Checker{
+		running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool),
+		histories: make(map[string][]runEvent),
+	}
 }
 
-func (c *Checker) recordStart(task string) {
+// addEndpoint returns the number of a new endpoint.
+func (c *Checker) addEndpoint() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endpoints++
+	return c.endpoints - 1
+}
+
+func (c *Checker) recordStart(e runEvent, task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.histories[task] = append(c.histories[task], e)
 	c.runCount++
 	c.starts[task]++
 	c.running[task]++
 	if c.running[task] > 1 {
-		c.violations = append(c.violations, "two runs of "+task+" at a time")
+		c.violations = append(c.violations, "two runs of "+task+" at a time"+c.history(task))
 	}
 	if c.acknowledged[task] {
-		c.violations = append(c.violations, task+" started after its end was acknowledged")
+		c.violations = append(c.violations, task+" started after its end was acknowledged"+c.history(task))
 	}
 }
 
@@ -60,9 +96,10 @@
 	c.acknowledged[start.Run.Task] = true
 }
 
-func (c *Checker) recordStop(task string) {
+func (c *Checker) recordStop(e runEvent, task string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.histories[task] = append(c.histories[task], e)
 	c.running[task]--
 }
 
@@ -102,7 +139,9 @@
 // Endpoint emulates an endpoint beside an agent. Its clock counts milliseconds from its
 // start and is 2% slow.
 type Endpoint struct {
-	checker  *Checker
+	checker *Checker
+	// number is the endpoint's number in the checker's histories.
+	number   int
 	capacity work.Resources
 	// behavior returns the duration and the outcome of a run.
 	behavior func(work.Start) (time.Duration, work.Outcome)
@@ -131,7 +170,7 @@
 // NewEndpoint returns an endpoint without runs. behavior returns the duration and the outcome of
 // a run.
 func NewEndpoint(checker *Checker, capacity work.Resources, seed uint64, behavior func(work.Start) (time.Duration, work.Outcome)) *Endpoint {
-	e := &Endpoint{checker: checker, capacity: capacity, behavior: behavior, rng: rand.New(rand.NewPCG(seed, 1))}
+	e := &Endpoint{checker: checker, number: checker.addEndpoint(), capacity: capacity, behavior: behavior, rng: rand.New(rand.NewPCG(seed, 1))}
 	e.reset()
 	return e
 }
@@ -198,12 +237,17 @@
 	return time.Since(e.startedAt).Milliseconds()*98/100 + 1000
 }
 
+// runEvent returns an event of a run for the checker. The caller holds the lock.
+func (e *Endpoint) runEvent(what string, key work.Run) runEvent {
+	return runEvent{at: time.Now(), what: what, run: key.Number, endpoint: e.number, lease: e.deadline}
+}
+
 // removeRun removes a run without listing its end. The caller holds the lock.
 func (e *Endpoint) removeRun(key work.Run) {
 	run := e.running[key]
 	run.timer.Stop()
 	delete(e.running, key)
-	e.checker.recordStop(key.Task)
+	e.checker.recordStop(e.runEvent("ended", key), key.Task)
 }
 
 // endRun removes a run and lists its end. The caller holds the lock.
@@ -316,7 +360,7 @@
 		e.checker.AddViolation("start of " + start.Run.Task + " exceeds the capacity of its endpoint")
 	}
 	d, outcome := e.behavior(start)
-	e.checker.recordStart(start.Run.Task)
+	e.checker.recordStart(e.runEvent("started", start.Run), start.Run.Task)
 	key := start.Run
 	e.running[key] = &activeRun{start: start, timer: time.AfterFunc(d, func() {
 		e.mu.Lock()
