agents: a silence of 600 ms costs no run

Cause: an agent waited 350 ms for the answer to a report before it sent another, and stopped runs whose coordinator was unproved for 850 ms. A silence of 450 ms that began shortly after a report ended running work, which was started again elsewhere (TestSilenceKeepsRuns: 6 runs of 3 tasks).

Change: a report waits 150 ms for its answer; runs are stopped at 1,000 ms. The lease still ends 1,150 ms after the last proof, on a clock 2% slow, before a caller of a lost coordinator comes back.

Ruled out: a longer lease (two runs of a task at a time after 1.3 s).

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -35,17 +35,17 @@
 	// stopRetryInterval separates repeated stops of one run.
 	stopRetryInterval = 60 * time.Millisecond
 	// busyReportInterval is the longest time between two reports to a coordinator that has runs or
-	// ends here. Two of them and a reportTimeout fit into the time after which the runs of an
-	// unresponsive coordinator are stopped.
+	// ends here.
 	busyReportInterval = 240 * time.Millisecond
 	// idleReportInterval is the longest time between two reports to other coordinators, which get
 	// the free capacity and the echo of their next dispatch from them. An echo is valid for 700 ms.
 	idleReportInterval = 400 * time.Millisecond
 	// reportCheckInterval is the interval between checks for reports that are due.
 	reportCheckInterval = 40 * time.Millisecond
-	// reportTimeout bounds one report; two of them fit into the time after which the runs of an
-	// unresponsive coordinator are stopped.
-	reportTimeout = 350 * time.Millisecond
+	// reportTimeout bounds one report. A report that follows a silence of 600 ms, after a
+	// busyReportInterval before it and one more report that it swallows, comes within the time
+	// after which the runs of an unresponsive coordinator are stopped.
+	reportTimeout = 150 * time.Millisecond
 	// tickInterval is the interval between checks of the deadlines.
 	tickInterval = 40 * time.Millisecond
 	// announceDelay is how long the first append of the agent's address waits for a heartbeat of
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -14,8 +14,8 @@
 	// a caller without an answer resubmits a job to another coordinator.
 	ProofTTL = 1150 * time.Millisecond
 	// orphanTimeout is the age of that proof at which the run is stopped; the rest of ProofTTL is
-	// for the stop itself.
-	orphanTimeout = 850 * time.Millisecond
+	// for the stop itself. The lease ends with ProofTTL if the stop is lost.
+	orphanTimeout = time.Second
 	// MaxEchoAge is the greatest age of the echo in a dispatch. It leaves the runs that the dispatch
 	// starts time to get a newer proof.
 	MaxEchoAge = 700 * time.Millisecond
