coord: a process that was paused starts nothing for callers that may have left

Trace, from the runs' history and the logs: the task ran at endpoint 1 until 48.401; coordinator-1 was paused, its caller left and submitted the job at coordinator-2, which started run 1 at endpoint 0 at 50.073; coordinator-1 woke at 50.144, counted its agent as lost, placed run 2 at endpoint 0 at 50.147 on a report that had just come in, and saw 1 ms after its decision that the caller had left ('context canceled'). The permission that had run out is the caller's wait.

Change: whatever acts first after a gap of 400 ms in the ticks holds tasks of earlier best-effort jobs back for 250 ms, in which departures are seen; nothing of such a job starts once its caller's time limit has passed; a submission whose caller has left already is refused. TestNothingStartsForCallersThatMayHaveLeft failed to compile before and fails without the check in mayStart.

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -57,7 +57,7 @@
 		Shards:      link.EpochsToWire(epochs),
 	}))
 	now := time.Now()
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if err != nil {
 		err = peer.CallError("attach", err)
@@ -92,7 +92,7 @@
 // longer current.
 func (c *Coordinator) sendDispatch(d *jobs.Dispatch) {
 	for c.baseCtx.Err() == nil {
-		c.mu.Lock()
+		c.lock()
 		agent, known := c.agents[d.Agent]
 		current := known && c.table.RefreshEcho(d)
 		c.mu.Unlock()
@@ -116,7 +116,7 @@
 }
 
 func (c *Coordinator) handleDispatchReply(d *jobs.Dispatch, reply *relay.OrderReply) {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if reply.GetStale() {
 		c.table.Detach(d.Agent, d.Attachment)
@@ -136,7 +136,7 @@
 func (c *Coordinator) Report(_ context.Context, r *connect.Request[relay.ReportRequest]) (*connect.Response[relay.ReportReply], error) {
 	report := link.ReportFromWire(r.Msg)
 	now := time.Now()
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	answer := c.table.HandleReport(now, report)
 	if answer.Stale {
--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -24,8 +24,15 @@
 }
 
 func (c *Coordinator) awaitBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
-	c.mu.Lock()
+	c.lock()
+	if err := ctx.Err(); err != nil {
+		c.mu.Unlock()
+		return refusedAnswer("the caller has left: " + err.Error())
+	}
 	now := time.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		j.AnswerBy = deadline
+	}
 	status, reason := c.table.Submit(now, j)
 	if status == jobs.SubmitRefused {
 		c.mu.Unlock()
@@ -65,7 +72,7 @@
 
 // abandon removes a waiting caller and abandons the job if no other caller waits for it.
 func (c *Coordinator) abandon(id string, ch chan waitResult, reason string) carobpulley.JobAnswer {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	select {
 	case w := <-ch:
--- a/coord/calls.go
+++ b/coord/calls.go
@@ -30,14 +30,14 @@
 
 // Config implements carobpulley.JobService.
 func (c *Coordinator) Config() *work.RoutingConfig {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	return c.routing
 }
 
 // Ready implements carobpulley.JobService.
 func (c *Coordinator) Ready() bool {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if c.routing == nil || c.draining {
 		return false
@@ -60,7 +60,7 @@
 
 // Draining implements carobpulley.JobService.
 func (c *Coordinator) Draining() bool {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	return c.draining
 }
@@ -133,7 +133,7 @@
 // Pending implements carobpulley.JobService. It sums the counts of this process and of the
 // owners of all other shards.
 func (c *Coordinator) Pending(ctx context.Context, queue string) (int, error) {
-	c.mu.Lock()
+	c.lock()
 	n := c.table.PendingCount(queue)
 	owners := make(map[netip.AddrPort]bool)
 	for number := range c.cfg.Shards {
@@ -226,7 +226,7 @@
 // ownerOf returns the owner of a shard; a nil peer stands for this process. The
 // channel is closed when ownership changes.
 func (c *Coordinator) ownerOf(number int) (peer *link.Peer, known bool, changed chan struct{}) {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if c.journals[number] != nil {
 		return nil, true, c.ownershipChanged
@@ -242,7 +242,7 @@
 func (c *Coordinator) submitAsOwner(ctx context.Context, spec *work.Job) carobpulley.JobAnswer {
 	number := work.ShardOf(spec.ID, c.cfg.Shards)
 	now := time.Now()
-	c.mu.Lock()
+	c.lock()
 	j := c.journals[number]
 	if j == nil || c.handingOver(now) {
 		c.mu.Unlock()
@@ -307,7 +307,7 @@
 			if enough(w.stored) {
 				return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: w.stored.State}
 			}
-			c.mu.Lock()
+			c.lock()
 			ch = c.addWaiter(id)
 			c.mu.Unlock()
 		case <-timer.C:
@@ -319,7 +319,7 @@
 }
 
 func (c *Coordinator) withdrawSubmission(id string, ch chan waitResult) carobpulley.JobAnswer {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	c.removeWaiter(id, ch)
 	if c.table.Withdraw(id) {
@@ -329,7 +329,7 @@
 }
 
 func (c *Coordinator) stateAsOwner(queue, id string) carobpulley.JobAnswer {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(time.Now()) {
 		return carobpulley.JobAnswer{Code: notOwner}
@@ -342,7 +342,7 @@
 }
 
 func (c *Coordinator) cancelAsOwner(ctx context.Context, queue, id string) carobpulley.JobAnswer {
-	c.mu.Lock()
+	c.lock()
 	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(time.Now()) {
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: notOwner}
@@ -369,7 +369,7 @@
 			if w.stored.State.Ended() {
 				return carobpulley.JobAnswer{Code: carobpulley.AnswerOK}
 			}
-			c.mu.Lock()
+			c.lock()
 			ch = c.addWaiter(id)
 			c.mu.Unlock()
 		case <-timer.C:
--- a/coord/control.go
+++ b/coord/control.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	c.applyControlRecords(records)
 	c.controlOffset = end
@@ -80,14 +80,14 @@
 
 // readControlTail applies the next records and returns their number.
 func (c *Coordinator) readControlTail(ctx context.Context, sent time.Time, wait time.Duration) (int, error) {
-	c.mu.Lock()
+	c.lock()
 	from := c.controlOffset
 	c.mu.Unlock()
 	records, next, err := c.store.Tail(ctx, controlPartition, from, wait)
 	if err != nil {
 		return 0, err
 	}
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	c.applyControlRecords(records)
 	c.controlOffset = max(c.controlOffset, next)
@@ -115,7 +115,7 @@
 			c.recordStoreError("confirm", err)
 			return
 		}
-		c.mu.Lock()
+		c.lock()
 		defer c.mu.Unlock()
 		c.flush()
 	}()
@@ -189,7 +189,7 @@
 	if err != nil {
 		return -1, err
 	}
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	c.table.ClearDomainsOutOfService()
 	c.applyConfigRecords(records)
@@ -209,7 +209,7 @@
 		return from, err
 	}
 	if len(records) > 0 {
-		c.mu.Lock()
+		c.lock()
 		c.applyConfigRecords(records)
 		c.mu.Unlock()
 	}
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -82,9 +82,11 @@
 	// waiters holds the channels of the callers that wait for a job, by job id.
 	waiters map[string][]chan waitResult
 	// nextAttachAt holds, for each agent, the earliest time of the next attach call.
-	nextAttachAt     map[string]time.Time
-	draining         bool
-	drainSince       time.Time
+	nextAttachAt map[string]time.Time
+	draining     bool
+	drainSince   time.Time
+	// lastTick is the time of the last tick, by which a pause of this process is found.
+	lastTick         time.Time
 	ownershipChanged chan struct{}
 }
 
@@ -155,8 +157,9 @@
 			return nil
 		case <-tick.C:
 		}
+		c.lock()
 		now := time.Now()
-		c.mu.Lock()
+		c.lastTick = now
 		c.table.SetAuthority(now.Sub(c.ownershipProof) < AuthorityTTL)
 		c.table.Tick(now)
 		c.updateShare(now)
--- a/coord/drain.go
+++ b/coord/drain.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	now := time.Now()
-	c.mu.Lock()
+	c.lock()
 	c.draining = true
 	c.drainSince = now
 	c.mu.Unlock()
@@ -57,7 +57,7 @@
 // abandonWaitingJobs ends the waits of all callers and abandons their best-effort jobs,
 // so that the callers get an answer before the process ends.
 func (c *Coordinator) abandonWaitingJobs() {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	for id := range c.waiters {
 		unstarted := c.table.Abandon(time.Now(), id, "the process ends")
@@ -75,7 +75,7 @@
 // handOver asks another coordinator to claim the owned shards once all changes are
 // stored. It reports whether this process still owns a shard.
 func (c *Coordinator) handOver(ctx context.Context) bool {
-	c.mu.Lock()
+	c.lock()
 	owned := c.table.OwnedShards()
 	busy := false
 	for number, j := range c.journals {
--- a/coord/journal.go
+++ b/coord/journal.go
@@ -79,7 +79,7 @@
 // owned.
 func (j *journal) appendNext() bool {
 	c := j.c
-	c.mu.Lock()
+	c.lock()
 	b, err := c.table.NextBatch(j.partition.Number)
 	j.appending = b != nil
 	c.mu.Unlock()
@@ -137,7 +137,7 @@
 
 func (j *journal) handleCommit(now time.Time, b *jobs.Batch) {
 	c := j.c
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	j.writer.Sequence++
 	j.failingSince = time.Time{}
@@ -156,7 +156,7 @@
 func (j *journal) handleRejected(now time.Time, b *jobs.Batch) {
 	j.recordFailure(now)
 	c := j.c
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	j.appending = false
 	if c.journals[j.partition.Number] == j {
@@ -165,7 +165,7 @@
 }
 
 func (j *journal) recordFailure(now time.Time) {
-	j.c.mu.Lock()
+	j.c.lock()
 	defer j.c.mu.Unlock()
 	if j.failingSince.IsZero() {
 		j.failingSince = now
@@ -185,7 +185,7 @@
 // this process may claim the shard again under a new epoch.
 func (j *journal) releaseShard(err error) {
 	c := j.c
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if c.journals[j.partition.Number] != j {
 		return
--- a/coord/ownership.go
+++ b/coord/ownership.go
@@ -125,7 +125,7 @@
 			return
 		}
 		c.recordStoreError("load", err)
-		c.mu.Lock()
+		c.lock()
 		current := c.claims[claim.Shard].Epoch == claim.Epoch
 		c.mu.Unlock()
 		if !current || carobpulley.KindOf(err) == carobpulley.KindStaleEpoch {
@@ -152,7 +152,7 @@
 }
 
 func (c *Coordinator) acquireShard(claim work.Claim, partition carobpulley.Partition, records []carobpulley.KeyedRecord) {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if c.claims[claim.Shard].Epoch != claim.Epoch || c.journals[claim.Shard] != nil {
 		return
@@ -179,7 +179,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, ownerCheckInterval)
 		now := time.Now()
-		c.mu.Lock()
+		c.lock()
 		if now.Sub(last) > stallThreshold {
 			for _, h := range c.health {
 				h.healthyAt = now
@@ -308,7 +308,7 @@
 			err = readErr
 			break
 		}
-		c.mu.Lock()
+		c.lock()
 		offset = c.controlOffset
 		newer := c.claims[number].Epoch >= epoch
 		c.mu.Unlock()
@@ -323,7 +323,7 @@
 func (c *Coordinator) pingOwner(number int, claim work.Claim, h *ownerHealth) {
 	reply, err := c.ping(claim.Owner.Addr)
 	now := time.Now()
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	h.pinging = false
 	if err != nil {
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -67,7 +67,7 @@
 
 // Pending implements relay.CoordinatorServiceHandler.
 func (s server) Pending(_ context.Context, r *connect.Request[relay.PendingRequest]) (*connect.Response[relay.PendingReply], error) {
-	s.c.mu.Lock()
+	s.c.lock()
 	defer s.c.mu.Unlock()
 	return connect.NewResponse(&relay.PendingReply{Pending: int64(s.c.table.PendingCount(r.Msg.GetQueue()))}), nil
 }
@@ -96,7 +96,7 @@
 func (c *Coordinator) Handler() relay.CoordinatorServiceHandler { return server{c} }
 
 func (c *Coordinator) pingReply() *relay.PingReply {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	return &relay.PingReply{
 		Name:        c.cfg.Self.Name,
@@ -110,7 +110,7 @@
 // claimHandedOver claims shards that a draining owner hands over, unless this process
 // drains too or a newer claim exists.
 func (c *Coordinator) claimHandedOver(epochs map[int]uint64) {
-	c.mu.Lock()
+	c.lock()
 	defer c.mu.Unlock()
 	if c.draining {
 		return
--- /dev/null
+++ b/coord/stall.go
@@ -0,0 +1,26 @@
+package coord
+
+import "time"
+
+const (
+	// pauseThreshold is the time without a tick from which this process counts as paused.
+	pauseThreshold = 400 * time.Millisecond
+	// wakeAllowance is how long nothing of earlier best-effort jobs starts after a pause: the
+	// departure of their callers has to be seen first.
+	wakeAllowance = 250 * time.Millisecond
+)
+
+// lock acquires the lock. Whatever acts first after this process was paused finds the pause here,
+// before it can place a task.
+func (c *Coordinator) lock() {
+	c.mu.Lock()
+	now := time.Now()
+	pause := now.Sub(c.lastTick)
+	if c.lastTick.IsZero() || pause < pauseThreshold {
+		return
+	}
+	c.table.HoldBestEffort(now, now.Add(wakeAllowance))
+	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, earlier best-effort jobs wait")
+	c.cfg.Meter.Add("pauses", 1)
+	c.lastTick = now
+}
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -51,6 +51,9 @@
 		if j.state.Ended() {
 			return SubmitComplete, ""
 		}
+		// The caller is back and waits anew.
+		j.acceptedAt = now
+		j.answerBy = spec.AnswerBy
 		return SubmitPending, ""
 	}
 	if reason := t.refusalReason(now, spec); reason != "" {
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -91,3 +91,36 @@
 		t.Error("the end still waits for a confirmation")
 	}
 }
+
+// Guards against a coordinator that wakes after a pause and starts tasks of callers that have
+// submitted their jobs elsewhere meanwhile: two runs of one task at a time (soak seed 306).
+func TestNothingStartsForCallersThatMayHaveLeft(t *testing.T) {
+	f := newFixture(t, 1).attach()
+	f.table.Detach("h0", f.table.FollowingAttachment("h0")-1)
+	f.submit(testJob(1, 2, true))
+	limited := testJob(2, 2, true)
+	limited.AnswerBy = f.now.Add(2 * time.Second)
+	f.submit(limited)
+	paused := f.now
+	f.now = f.now.Add(3 * time.Second)
+	f.table.HoldBestEffort(paused, f.now.Add(time.Second))
+	f.attach()
+	if got := f.startCount(); got != 0 {
+		t.Fatalf("%d starts right after the pause", got)
+	}
+	if f.submit(testJob(3, 2, true)); f.startCount() != 2 {
+		t.Errorf("%d starts of a job that was submitted after the pause, want 2", f.startCount())
+	}
+	f.now = f.now.Add(time.Second)
+	f.report("h0")
+	if got := f.startCount(); got != 4 {
+		t.Errorf("%d starts, want 4: those of the job whose caller still waits as well", got)
+	}
+	again := testJob(2, 2, true)
+	again.AnswerBy = f.now.Add(2 * time.Second)
+	f.submit(again)
+	f.report("h0")
+	if got := f.startCount(); got != 6 {
+		t.Errorf("%d starts, want 6 after the last caller has come back", got)
+	}
+}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -79,7 +79,12 @@
 	// which its answer has no value.
 	due       time.Time
 	abandonAt time.Time
-	endedAt   time.Time
+	// acceptedAt is the time of the submission, or of the latest one of a best-effort job.
+	// Nothing of a best-effort job starts from answerBy on, since its caller may have
+	// submitted it elsewhere.
+	acceptedAt time.Time
+	answerBy   time.Time
+	endedAt    time.Time
 }
 
 // durable reports whether the job is stored, in contrast to a best-effort job.
@@ -92,6 +97,8 @@
 func newJob(spec *work.Job, shard int, accepted time.Time) *job {
 	j := &job{id: spec.ID, queue: spec.Queue.Name, spec: spec, shard: shard, state: work.StateQueued}
 	objective := spec.Objective()
+	j.acceptedAt = accepted
+	j.answerBy = spec.AnswerBy
 	j.due = accepted.Add(objective)
 	j.abandonAt = accepted.Add(abandonFactor * objective)
 	j.tasks = make([][]task, len(spec.Steps))
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -140,7 +140,7 @@
 	remaining := make([]*taskGroup, 0, len(t.ready))
 	for _, late := range []bool{false, true} {
 		for _, g := range t.ready {
-			if g.latestStart.Before(now) == late && len(g.tasks) > 0 && (t.authority || !g.job.durable()) {
+			if g.latestStart.Before(now) == late && len(g.tasks) > 0 && t.mayStart(now, g.job) {
 				t.placeGroup(now, g, agents)
 			}
 		}
@@ -153,6 +153,27 @@
 	t.ready = remaining
 }
 
+// mayStart reports whether tasks of a job may start: the ownership of a durable job is proved, or
+// the caller of a best-effort job is taken to wait for its answer.
+func (t *Table) mayStart(now time.Time, j *job) bool {
+	if j.durable() {
+		return t.authority
+	}
+	if !j.answerBy.IsZero() && !now.Before(j.answerBy) {
+		return false
+	}
+	return !now.Before(t.heldUntil) || j.acceptedAt.After(t.heldBefore)
+}
+
+// HoldBestEffort keeps tasks of best-effort jobs that were accepted before a time from starting
+// for a while.
+//
+// Answers a process that wakes after a pause: callers that left meanwhile have submitted their
+// jobs elsewhere, and a start here would be a second run of the same task.
+func (t *Table) HoldBestEffort(acceptedBefore, until time.Time) {
+	t.heldBefore, t.heldUntil = acceptedBefore, until
+}
+
 // availableAgents returns the agents that may get tasks now, sorted by name.
 func (t *Table) availableAgents(now time.Time) []*agentState {
 	agents := make([]*agentState, 0, len(t.active))
--- a/jobs/share.go
+++ b/jobs/share.go
@@ -116,7 +116,7 @@
 	var waiting *taskGroup
 	var cpu int64
 	for _, g := range t.ready {
-		if len(g.tasks) == 0 || g.latestStart.Before(now) || !t.authority && g.job.durable() {
+		if len(g.tasks) == 0 || g.latestStart.Before(now) || !t.mayStart(now, g.job) {
 			continue
 		}
 		if waiting == nil {
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -57,6 +57,9 @@
 	shared bool
 	// shareKnown is set once the share was computed from the members in the store.
 	shareKnown bool
+	// heldUntil is the time until which tasks of best-effort jobs accepted before heldBefore
+	// don't start.
+	heldBefore, heldUntil time.Time
 	// growAt is the time of the next extension of the share, and growPause the pause before
 	// the last one.
 	growAt    time.Time
--- a/work/job.go
+++ b/work/job.go
@@ -91,6 +91,8 @@
 	Epoch uint64 `json:"epoch,omitempty"`
 	// AcceptedMS is when the owner accepted the job, in milliseconds of Unix time.
 	AcceptedMS int64 `json:"accepted_ms,omitempty"`
+	// AnswerBy is the time until which the caller of a best-effort job waits; zero if unknown.
+	AnswerBy time.Time `json:"-"`
 }
 
 // CriticalPath returns the longest sum of estimates along the dependencies of the
