emul: lost answers and restarts beside a domain that is out

TestLostAnswersRunNothingAgain passes without the agent's record of ended runs too, as the endpoint refuses an old run.

--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -35,6 +35,12 @@
 	endpoints int
 }
 
+// eventStarted and eventEnded are the kinds of a runEvent.
+const (
+	eventStarted = "started"
+	eventEnded   = "ended"
+)
+
 // runEvent is the start or the end of a run.
 type runEvent struct {
 	at       time.Time
@@ -117,6 +123,21 @@
 	return c.starts[task]
 }
 
+// StartsAt returns the number of runs that have started at an endpoint.
+func (c *Checker) StartsAt(endpoint int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, events := range c.histories {
+		for i := range events {
+			if events[i].endpoint == endpoint && events[i].what == eventStarted {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // RunCount returns the number of runs that have started.
 func (c *Checker) RunCount() int {
 	c.mu.Lock()
@@ -247,7 +268,7 @@
 	run := e.running[key]
 	run.timer.Stop()
 	delete(e.running, key)
-	e.checker.recordStop(e.runEvent("ended", key), key.Task)
+	e.checker.recordStop(e.runEvent(eventEnded, key), key.Task)
 }
 
 // endRun removes a run and lists its end. The caller holds the lock.
@@ -360,7 +381,7 @@
 		e.checker.AddViolation("start of " + start.Run.Task + " exceeds the capacity of its endpoint")
 	}
 	d, outcome := e.behavior(start)
-	e.checker.recordStart(e.runEvent("started", start.Run), start.Run.Task)
+	e.checker.recordStart(e.runEvent(eventStarted, start.Run), start.Run.Task)
 	key := start.Run
 	e.running[key] = &activeRun{start: start, timer: time.AfterFunc(d, func() {
 		e.mu.Lock()
--- a/emul/silent_test.go
+++ b/emul/silent_test.go
@@ -49,3 +49,78 @@
 		f.Net.SetBlocked(from, to, on)
 	}
 }
+
+// Guards against work that runs again, or is said not to have run, because the answer to a dispatch
+// or to the report of its end was lost.
+func TestLostAnswersRunNothingAgain(t *testing.T) {
+	for _, bestEffort := range []bool{true, false} {
+		for phase := time.Duration(0); phase < 240*time.Millisecond; phase += 30 * time.Millisecond {
+			for _, inbound := range []bool{false, true} {
+				spec := testSpec()
+				spec.Endpoints = 1
+				runFleet(t, spec, func(t *testing.T, f *Fleet) {
+					const silence = 300 * time.Millisecond
+					time.AfterFunc(phase, func() {
+						f.silence(0, inbound, true)
+						time.AfterFunc(silence, func() { f.silence(0, inbound, false) })
+					})
+					j := testJob(1, bestEffort, 3)
+					a := submit(f, 1, j)
+					if a.Code != carobpulley.AnswerOK {
+						t.Errorf("durable %v, after %s, inbound %v: answer %+v", !bestEffort, phase, inbound, a)
+					}
+					if !bestEffort {
+						awaitEnd(t, f, 1, 1, 5*time.Second)
+					}
+					if got := f.Checker.RunCount(); got != 3 {
+						t.Errorf("durable %v, after %s, inbound %v: %d runs of 3 tasks", !bestEffort, phase, inbound, got)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a failure domain that was taken out and is in use again after the processes have
+// restarted, with or without the store's history.
+func TestDomainStaysOutAcrossRestarts(t *testing.T) {
+	for _, forget := range []bool{false, true} {
+		runFleet(t, testSpec(), func(t *testing.T, f *Fleet) {
+			f.SetDomain("domain-1", true)
+			time.Sleep(2 * time.Second)
+			if forget {
+				f.Store.Compact(operatorsPartition)
+			}
+			for n := range f.Agents {
+				f.Agents[n].Kill()
+				f.StartAgent(n)
+			}
+			for n := range f.Coordinators {
+				f.Coordinators[n].Kill()
+				f.StartCoordinator(n)
+			}
+			const count = 30
+			answers := make(chan carobpulley.JobAnswer, count)
+			for n := range count {
+				go func() {
+					time.Sleep(time.Duration(n) * 100 * time.Millisecond)
+					answers <- submit(f, n%len(f.Coordinators), testJob(n, true, 4))
+				}()
+			}
+			served := 0
+			for range count {
+				if a := <-answers; a.Code == carobpulley.AnswerOK {
+					served++
+				}
+			}
+			if served < count/2 {
+				t.Errorf("%d of %d jobs served after the restart", served, count)
+			}
+			for n := range f.Endpoints {
+				if out := n%3 == 1; out && f.Checker.StartsAt(n) > 0 {
+					t.Errorf("history forgotten %v: %d starts in the domain that is out", forget, f.Checker.StartsAt(n))
+				}
+			}
+		})
+	}
+}
