--- /dev/null
+++ b/emul/checker.go
@@ -0,0 +1,143 @@
+package emul
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"carobpulley/work"
+)
+
+// Checker records the runs at the endpoints and collects violations of the rules.
+type Checker struct {
+	mu      sync.Mutex
+	running map[string]int
+	starts  map[string]int
+	// acknowledged holds the tasks of durable jobs whose successful end an agent has
+	// acknowledged to an endpoint.
+	acknowledged map[string]bool
+	violations   []string
+	// runCount is the number of runs that have started.
+	runCount int
+	// histories holds the starts and ends of each task's runs, for the text of a violation.
+	histories map[string][]runEvent
+	endpoints int
+}
+
+// eventStarted and eventEnded are the kinds of a runEvent.
+const (
+	eventStarted = "started"
+	eventEnded   = "ended"
+)
+
+// runEvent is the start or the end of a run.
+type runEvent struct {
+	at       time.Time
+	what     string
+	run      int64
+	endpoint int
+	// lease is the time at which the endpoint's lease expires.
+	lease time.Time
+}
+
+// history returns a task's events as text. The caller holds the lock.
+func (c *Checker) history(task string) string {
+	var b strings.Builder
+	for _, e := range c.histories[task] {
+		fmt.Fprintf(&b, "; %s run %d %s at endpoint %d, lease until %s", e.at.Format("15:04:05.000"), e.run, e.what, e.endpoint, e.lease.Format("15:04:05.000"))
+	}
+	return b.String()
+}
+
+// NewChecker returns a checker without recorded runs.
+func NewChecker() *Checker {
+	return &Checker{
+		running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool),
+		histories: make(map[string][]runEvent),
+	}
+}
+
+// addEndpoint returns the number of a new endpoint.
+func (c *Checker) addEndpoint() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endpoints++
+	return c.endpoints - 1
+}
+
+func (c *Checker) recordStart(e runEvent, task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.histories[task] = append(c.histories[task], e)
+	c.runCount++
+	c.starts[task]++
+	c.running[task]++
+	if c.running[task] > 1 {
+		c.violations = append(c.violations, "two runs of "+task+" at a time"+c.history(task))
+	}
+	if c.acknowledged[task] {
+		c.violations = append(c.violations, task+" started after its end was acknowledged"+c.history(task))
+	}
+}
+
+// recordAck records that an agent acknowledged an end to an endpoint. Only successful ends of
+// durable jobs count.
+func (c *Checker) recordAck(start work.Start, outcome work.Outcome) {
+	if !start.Durable || outcome != work.OutcomeDone {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.acknowledged[start.Run.Task] = true
+}
+
+func (c *Checker) recordStop(e runEvent, task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.histories[task] = append(c.histories[task], e)
+	c.running[task]--
+}
+
+// AddViolation records a violation of a rule, or a failure of the emulation.
+func (c *Checker) AddViolation(violation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, violation)
+}
+
+// StartCount returns the number of runs of a task that have started.
+func (c *Checker) StartCount(task string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts[task]
+}
+
+// StartsAt returns the number of runs that have started at an endpoint.
+func (c *Checker) StartsAt(endpoint int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, events := range c.histories {
+		for i := range events {
+			if events[i].endpoint == endpoint && events[i].what == eventStarted {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// RunCount returns the number of runs that have started.
+func (c *Checker) RunCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runCount
+}
+
+// Violations returns the violations recorded so far.
+func (c *Checker) Violations() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.violations...)
+}
--- a/load/load.go
+++ b/load/load.go
@@ -11,9 +11,7 @@
 	"math/rand/v2"
 	"time"
 
-	"carobpulley"
 	"carobpulley/jobs"
-	"carobpulley/runs"
 	"carobpulley/work"
 )
 
@@ -93,11 +91,15 @@
 type events []*event
 
 func (e events) Len() int { return len(e) }
+
 func (e events) Less(i, j int) bool {
 	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
 }
+
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+
+func (e *events) Push(x any) { *e = append(*e, x.(*event)) }
+
 func (e *events) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
@@ -275,143 +277,3 @@
 	}
 	co.table.Decisions()
 }
-
-// agent plays the agent beside one endpoint, and the endpoint.
-type agent struct {
-	s          *simulation
-	n          int
-	name       string
-	controller *runs.Controller
-	running    []carobpulley.ListedRun
-	ends       int64
-	reported   map[string]time.Time
-}
-
-func (s *simulation) agentNamed(name string) *agent {
-	for _, a := range s.agents {
-		if a.name == name {
-			return a
-		}
-	}
-	return nil
-}
-
-func (s *simulation) addAgent(n int) {
-	a := &agent{s: s, n: n, name: fmt.Sprintf("a-%d", n), reported: make(map[string]time.Time)}
-	a.controller = runs.New(runs.Config{Agent: a.name, Incarnation: incarnation, Token: 1, MaxLease: maxLease, Shards: 1}, s.begin)
-	a.controller.HandleHeartbeat(s.begin, carobpulley.Heartbeat{
-		Instance: a.name, Generation: 1, Sequence: 1, Service: serviceName, Domain: a.name, Capacity: s.pattern.Capacity,
-	})
-	a.poll(s.begin, nil)
-	s.agents = append(s.agents, a)
-	stagger := tickInterval * time.Duration(n) / time.Duration(len(s.pattern.Speeds))
-	s.every(s.begin.Add(stagger), tickInterval, func(now time.Time) {
-		if a.lost(now) {
-			return
-		}
-		a.controller.Tick(now)
-		a.poll(now, nil)
-	})
-}
-
-func (a *agent) lost(now time.Time) bool {
-	return a.s.pattern.Lost != nil && a.s.pattern.Lost(a.n, now.Sub(a.s.begin))
-}
-
-func (a *agent) attach(now time.Time, co *coordinator) {
-	attachment := co.table.NextAttachment(a.name)
-	a.controller.HandleAttach(now, runs.AttachRequest{Coordinator: co.name, Incarnation: incarnation, Addr: co.name, Attachment: attachment})
-	full := a.controller.FullReport(now, co.name)
-	co.table.HandleAttachment(now, a.convert(full), nil)
-	a.controller.HandleReportReply(now, co.name, full, runs.ReportReply{})
-}
-
-func (a *agent) convert(r runs.Report) jobs.Report {
-	return jobs.Report{Agent: a.name, Incarnation: incarnation, Attachment: r.Attachment, SentAt: r.SentAt, State: r.State, Ends: r.Ends, Running: r.Running}
-}
-
-// order handles a dispatch and sends the reply.
-func (a *agent) order(now time.Time, co *coordinator, d *jobs.Dispatch) {
-	if a.lost(now) {
-		return
-	}
-	refused, stale := a.controller.HandleDispatch(now, runs.Dispatch{
-		Coordinator: co.name, Incarnation: incarnation, Attachment: d.Attachment, Echo: d.Echo, Starts: d.Starts, Stops: d.Stops,
-	})
-	a.execute(now)
-	state := a.controller.State(now, co.name)
-	a.s.at(now.Add(messageDelay), func(now time.Time) {
-		if stale {
-			a.attach(now, co)
-			co.flush(now)
-			return
-		}
-		co.table.HandleDispatchReply(d, state)
-		for _, r := range refused {
-			a.s.result.RefusedStarts++
-			co.table.HandleRefusedStarts(now, d, []work.Run{r.Run}, r.Reason)
-		}
-		co.flush(now)
-	})
-}
-
-// execute carries out the controller's commands at the endpoint.
-func (a *agent) execute(now time.Time) {
-	for _, c := range a.controller.Commands() {
-		if c.Start == nil {
-			a.end(now, c.Stop, work.OutcomeStopped)
-			continue
-		}
-		start := *c.Start
-		a.running = append(a.running, carobpulley.ListedRun{Run: start.Run})
-		lease := a.controller.Lease(now)
-		a.s.at(now.Add(startDelay), func(now time.Time) {
-			a.controller.HandleStartReply(now, start.Run, lease, carobpulley.StartAnswer{}, nil)
-			a.execute(now)
-		})
-		took := time.Duration(float64(a.s.runTimes[start.Run.Task]) / a.s.pattern.Speeds[a.n])
-		a.s.at(now.Add(startDelay+took), func(now time.Time) { a.end(now, start.Run, work.OutcomeDone) })
-	}
-}
-
-// end ends a run at the endpoint, unless it has ended.
-func (a *agent) end(now time.Time, run work.Run, outcome work.Outcome) {
-	for i := range a.running {
-		if a.running[i].Run == run && !a.lost(now) {
-			a.running = append(a.running[:i], a.running[i+1:]...)
-			a.ends++
-			a.poll(now, []work.End{{Sequence: a.ends, Run: run, Outcome: outcome}})
-			return
-		}
-	}
-}
-
-// poll shows the endpoint's lists to the controller and sends the reports that are due.
-func (a *agent) poll(now time.Time, ended []work.End) {
-	a.controller.HandlePoll(now, a.controller.BeginPoll(now.Add(-1)), carobpulley.RunLists{
-		Clock: now.Sub(a.s.begin).Milliseconds() + 1, Generation: 1, Running: a.running, Finished: ended,
-	})
-	a.execute(now)
-	for _, co := range a.s.coordinators {
-		interval := idleReport
-		if a.controller.HasRunsOrEnds(co.name) {
-			interval = busyReport
-		}
-		if a.controller.HasUnreportedEnds(co.name) || now.Sub(a.reported[co.name]) >= interval {
-			a.report(now, co)
-		}
-	}
-}
-
-func (a *agent) report(now time.Time, co *coordinator) {
-	a.reported[co.name] = now
-	r := a.controller.Report(now, co.name)
-	// The ends count as reported at once: this network loses nothing.
-	a.controller.HandleReportReply(now, co.name, r, runs.ReportReply{})
-	a.s.at(now.Add(messageDelay), func(now time.Time) {
-		if answer := co.table.HandleReport(now, a.convert(r)); answer.Stale {
-			a.attach(now, co)
-		}
-		co.flush(now)
-	})
-}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// Answers members that come and go: one of 55 coordinators or of 240 agents must not move most
+// Answers a changing membership: one of 55 coordinators or of 240 agents must not move most
 // of the pairs.
 func TestFewPairsMoveWithOneMember(t *testing.T) {
 	const domains = 5
