share: the owner of a shard attaches once to each agent that has restarted

Found while reading the share's code against the rule that ends are acknowledged: an agent that restarts doesn't know whose runs its endpoint ran, so their ends go to the owner of the shard. Since the share, the owner was not attached to nine agents in ten; nobody acknowledged such an end, and as an endpoint lists all ends from the first unacknowledged one on, nor any later one. TestRestartedAgentsOutsideTheShareAreAsked failed (six of twelve endpoints still listed 4 to 10 ends after 8 s) and passes.

Change: an announcement of a process that the owner was never attached to makes it attach once; the agent is released after that.

--- a/coord/control.go
+++ b/coord/control.go
@@ -154,6 +154,7 @@
 	old, known := c.agents[a.Name]
 	c.agents[a.Name] = a
 	c.table.AddAgent(a.Name, a.Domain, a.Endpoint)
+	c.table.ExpectAgent(a.Name, a.Incarnation)
 	c.membersChanged = true
 	// The record of an agent that has restarted may come after the attachment to its new process.
 	if known && old.Incarnation != a.Incarnation && c.table.Incarnation(a.Name) != a.Incarnation {
--- a/emul/share_test.go
+++ b/emul/share_test.go
@@ -93,3 +93,39 @@
 		}
 	})
 }
+
+// unacknowledged returns the number of ends that the endpoint still lists.
+func (e *Endpoint) unacknowledged() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.finished)
+}
+
+// Guards against ends that nobody acknowledges: an agent that has restarted doesn't know whose runs
+// its endpoint ran, and the owner of the shard has to ask it even outside its share. An endpoint
+// lists such an end, and all later ones, for ever.
+func TestRestartedAgentsOutsideTheShareAreAsked(t *testing.T) {
+	spec := testSpec()
+	spec.Coordinators, spec.Endpoints = 16, 64
+	spec.Behavior = func(work.Start) (time.Duration, work.Outcome) { return 400 * time.Millisecond, work.OutcomeDone }
+	runFleet(t, spec, func(t *testing.T, f *Fleet) {
+		for n := range spec.Coordinators {
+			go submit(f, n, testJob(n, true, 20))
+		}
+		time.Sleep(200 * time.Millisecond)
+		const restarted = 12
+		for n := range restarted {
+			f.Agents[n].Kill()
+		}
+		time.Sleep(600 * time.Millisecond)
+		for n := range restarted {
+			f.StartAgent(n)
+		}
+		time.Sleep(8 * time.Second)
+		for n := range restarted {
+			if got := f.Endpoints[n].unacknowledged(); got != 0 {
+				t.Errorf("endpoint %d still lists %d ends", n, got)
+			}
+		}
+	})
+}
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -41,6 +41,10 @@
 	// was added for more capacity.
 	member     bool
 	extraUntil time.Time
+	// unseen is set for a process of the agent that this coordinator was never attached to. The
+	// owner of a shard attaches to it once, since its endpoint may list ends of runs that an
+	// earlier process started.
+	unseen bool
 	// soughtSince is the time since which the coordinator tries to attach to the agent.
 	soughtSince time.Time
 	// released is set while the agent is attached but no longer wanted: it gets no tasks and
@@ -153,6 +157,13 @@
 	return a.requestedAttachment
 }
 
+// ExpectAgent handles the announcement of a process of an agent.
+func (t *Table) ExpectAgent(name string, incarnation uint64) {
+	if a := t.agents[name]; a != nil && a.incarnation != incarnation {
+		a.unseen = true
+	}
+}
+
 // Incarnation returns the incarnation of the agent's process to which the coordinator is
 // attached; 0 if there is none.
 func (t *Table) Incarnation(name string) uint64 {
@@ -183,6 +194,7 @@
 	a.attached = true
 	a.released = false
 	a.soughtSince = time.Time{}
+	a.unseen = false
 	a.dispatch = nil
 	t.refreshActive()
 	if a.incarnation != r.Incarnation {
--- a/jobs/share.go
+++ b/jobs/share.go
@@ -40,9 +40,10 @@
 }
 
 // wanted reports whether an agent is to be attached: it is in the share, was added for more
-// capacity, has tasks placed, or its runs are awaited after a takeover.
+// capacity, has tasks placed, its runs are awaited after a takeover, or it has restarted and this
+// coordinator owns a shard.
 func (t *Table) wanted(now time.Time, a *agentState) bool {
-	if !t.shared || a.member || len(a.placed) > 0 || now.Before(a.extraUntil) {
+	if !t.shared || a.member || len(a.placed) > 0 || now.Before(a.extraUntil) || a.unseen && len(t.shards) > 0 {
 		return true
 	}
 	for _, s := range t.shards {
