jobs: a job that was given up avoids the endpoint that held it

Trace: in each try, of 3.94 s, its tasks stood still at agent-2 until they were stopped as overdue; when its caller submitted it again, the coordinator sent it there first again, and the run numbers, which began at 1 again, were refused as old by every endpoint that had ended a run of the task, a round trip each.

TestResubmittedJobAvoidsTheEndpointThatHeldIt failed (started at h0 again, run 1 follows run 1).

--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -60,6 +60,7 @@
 		return SubmitRefused, reason
 	}
 	j := newJob(spec, bestEffortShard, now)
+	t.recallAbandoned(j)
 	j.phase = phaseActive
 	t.jobs[spec.ID] = j
 	t.enqueueJob(j)
@@ -85,6 +86,7 @@
 	}
 	unstarted = !j.started
 	t.logDecision(Decision{Job: id, Event: "given up", Reason: reason})
+	t.rememberAbandoned(now, j)
 	t.finishJob(now, j, work.StateCancelled)
 	return unstarted
 }
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -124,3 +124,37 @@
 		t.Errorf("%d starts, want 6 after the last caller has come back", got)
 	}
 }
+
+// Answers an endpoint at which tasks stand still: a job that was given up there and is submitted
+// again must not go there first again, and its runs must not have numbers that endpoints refuse as
+// old (soak seeds 46 and 317: no answer in five tries).
+func TestResubmittedJobAvoidsTheEndpointThatHeldIt(t *testing.T) {
+	f := newFixture(t, 2).attach()
+	f.submit(testJob(1, 1, true))
+	held := ""
+	for name, starts := range f.started {
+		if len(starts) == 1 {
+			held = name
+		}
+	}
+	f.advance(time.Second)
+	f.table.Abandon(f.now, testJob(1, 1, true).ID, "context deadline exceeded")
+	f.takeDispatches()
+	first := f.started[held][0].Run.Number
+	f.report(held, work.End{Sequence: 1, Run: f.started[held][0].Run, Outcome: work.OutcomeStopped})
+	f.started = map[string][]work.Start{}
+	f.submit(testJob(1, 1, true))
+	for name, starts := range f.started {
+		if name == held && len(starts) > 0 {
+			t.Errorf("started at %s again", name)
+		}
+		for _, s := range starts {
+			if s.Run.Number <= first {
+				t.Errorf("run %d follows run %d", s.Run.Number, first)
+			}
+		}
+	}
+	if f.startCount() != 1 {
+		t.Errorf("%d starts, want 1", f.startCount())
+	}
+}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -72,6 +72,8 @@
 	coordinators int
 	// ended holds ended durable jobs until StatusRetention has passed.
 	ended []*job
+	// abandoned holds what is remembered of best-effort jobs that were given up, by job id.
+	abandoned map[string]*abandonedJob
 	// recent holds ended best-effort jobs in the order of their ends.
 	recent []*job
 	// results holds the outcomes of best-effort jobs that Results has not returned.
@@ -114,6 +116,7 @@
 		shards:       make(map[int]*shard),
 		jobs:         make(map[string]*job),
 		agents:       make(map[string]*agentState),
+		abandoned:    make(map[string]*abandonedJob),
 	}
 }
 
@@ -332,4 +335,9 @@
 		n++
 	}
 	t.recent = t.recent[n:]
+	for id, a := range t.abandoned {
+		if now.Sub(a.at) > recentRetention {
+			delete(t.abandoned, id)
+		}
+	}
 }
