--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -198,6 +198,9 @@
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
+	for !c.starts.anyIn("d1") && c.ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
 	c.publish("out", 1, fmt.Sprintf(document, false))
 	accepted := time.Now()
 	time.Sleep(4 * time.Second)
--- a/entry/starts_test.go
+++ b/entry/starts_test.go
@@ -100,6 +100,20 @@
 	return err, answered
 }
 
+// anyIn reports whether a task has started in a domain.
+func (s *startRecorder) anyIn(domain string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, list := range s.byTask {
+		for i := range list {
+			if list[i].domain == domain {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // anyStart reports whether a payload with the prefix has started.
 func (s *startRecorder) anyStart(prefix string) bool {
 	s.mu.Lock()
