runs: a start that was refused stays refused when its dispatch arrives again

If the second copy was refused, the coordinator placed the task elsewhere under the next run number; the delayed first copy then started it here as well, as long as its echo was younger than 700 ms.

Ruled out: the proofs; in each violation the older run started after the newer one within the echo's age.

Change: the agent keeps refused starts by run and coordinator's process for 3 s and refuses their copies. TestRefusedStartStaysRefused failed first.

TestSameRunOfAnotherCoordinator asked that a start refused to a coordinator be accepted from the same one later, which is this fault; it now asks for the refusal, and for the start of a third coordinator in its place.

memnet: added delay between two hosts; data of a connection stays in order.

--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -81,6 +82,8 @@
 	targetLocks [targetCount]chan struct{}
 
 	mu              sync.Mutex
+	repeatRate      float64
+	repeatRNG       *rand.Rand
 	lastToken       int64
 	lastIncarnation uint64
 	ctx             context.Context
@@ -94,7 +97,7 @@
 // New starts a fleet.
 func New(spec Spec) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{spec: spec, Net: memnet.New(networkDelay), Store: NewStore(), Checker: NewChecker(), ctx: ctx, cancel: cancel, lastToken: 1000}
+	f := &Fleet{spec: spec, Net: memnet.New(networkDelay), Store: NewStore(), Checker: NewChecker(), repeatRNG: rand.New(rand.NewPCG(spec.Seed, 4)), ctx: ctx, cancel: cancel, lastToken: 1000}
 	f.Store.mu.Lock()
 	f.Store.partition(operatorsPartition).append([]carobpulley.KeyedRecord{{Key: configKey, Value: []byte("1")}})
 	f.Store.mu.Unlock()
@@ -158,7 +161,7 @@
 
 // serve starts the server and the main loop of a process.
 func (f *Fleet) serve(p *Process, handler http.Handler, run func() error) {
-	p.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	p.server = &http.Server{Handler: f.repeated(handler), ReadHeaderTimeout: time.Minute}
 	ln := f.Net.Listen(netip.AddrPortFrom(p.Addr, innerPort))
 	f.wg.Add(2)
 	go func() {
--- a/emul/fleet_test.go
+++ b/emul/fleet_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"carobpulley"
@@ -52,8 +51,8 @@
 		defer f.Close()
 		time.Sleep(4 * time.Second)
 		test(t, f)
-		if diff := cmp.Diff([]string(nil), f.Checker.Violations()); diff != "" {
-			t.Errorf("violations (-want +got):\n%s", diff)
+		for _, v := range f.Checker.Violations() {
+			t.Errorf("violation: %s", v)
 		}
 	})
 }
--- a/emul/random_test.go
+++ b/emul/random_test.go
@@ -152,7 +152,7 @@
 			spec := testSpec()
 			spec.Seed = seed
 			spec.Behavior = randomBehavior(seed)
-			runFleet(t, spec, func(t *testing.T, f *Fleet) { runSeed(t, f, seed) })
+			runFleet(t, spec, func(t *testing.T, f *Fleet) { runSeed(t, f, seed, faultActions()) })
 		})
 	}
 }
@@ -172,13 +172,13 @@
 	}
 }
 
-func runSeed(t *testing.T, f *Fleet, seed uint64) {
+func runSeed(t *testing.T, f *Fleet, seed uint64, actions []faultAction) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	began := time.Now()
 	var faults, jobs sync.WaitGroup
 	for range 2 {
 		faultRNG := rand.New(rand.NewPCG(seed, rng.Uint64()))
-		faults.Go(func() { injectFaults(t, f, faultRNG, began) })
+		faults.Go(func() { injectFaults(t, f, faultRNG, actions, began) })
 	}
 	var mu sync.Mutex
 	var durable []int
@@ -207,11 +207,10 @@
 
 // injectFaults injects one fault after the other. Two calls run concurrently, so that faults
 // overlap; faults on one target exclude each other.
-func injectFaults(t *testing.T, f *Fleet, rng *rand.Rand, began time.Time) {
-	all := faultActions()
+func injectFaults(t *testing.T, f *Fleet, rng *rand.Rand, actions []faultAction, began time.Time) {
 	for time.Since(began) < loadDuration {
 		time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond)
-		fault := all[rng.IntN(len(all))]
+		fault := actions[rng.IntN(len(actions))]
 		t.Logf("%s %s", time.Since(began), fault.name)
 		f.targetLocks[fault.target] <- struct{}{}
 		fault.inject(f, rng)
--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -106,7 +106,7 @@
 	return n, time.Time{}, nil, nil
 }
 
-// put appends data that arrives at a time.
+// put appends data that arrives at a time, or after the data before it.
 func (s *stream) put(p []byte, at time.Time) (until time.Time, changed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,6 +120,9 @@
 	case s.bytes > 0 && s.bytes+len(p) > windowBytes:
 		return s.writeBy, s.changed, errWait
 	}
+	if n := len(s.chunks); n > 0 && at.Before(s.chunks[n-1].at) {
+		at = s.chunks[n-1].at
+	}
 	s.chunks = append(s.chunks, chunk{at: at, data: append([]byte(nil), p...)})
 	s.bytes += len(p)
 	s.notify()
@@ -156,7 +159,7 @@
 		return len(p), nil
 	}
 	for {
-		until, changed, err := c.out.put(p, time.Now().Add(c.net.delay))
+		until, changed, err := c.out.put(p, time.Now().Add(c.net.delayBetween(c.local.Addr(), c.remote.Addr())))
 		if err == nil {
 			return len(p), nil
 		}
--- a/memnet/net.go
+++ b/memnet/net.go
@@ -23,6 +23,7 @@
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*listener
 	blocked   map[[2]netip.Addr]bool
+	delays    map[[2]netip.Addr]time.Duration
 	nextPort  uint16
 }
 
@@ -32,6 +33,7 @@
 		delay:     delay,
 		listeners: make(map[netip.AddrPort]*listener),
 		blocked:   make(map[[2]netip.Addr]bool),
+		delays:    make(map[[2]netip.Addr]time.Duration),
 		nextPort:  firstPort,
 	}
 }
@@ -49,6 +51,19 @@
 	return n.blocked[[2]netip.Addr{from, to}]
 }
 
+// SetDelay adds a delay to all data sent from one host to another. Data on the way is not affected.
+func (n *Net) SetDelay(from, to netip.Addr, added time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays[[2]netip.Addr{from, to}] = added
+}
+
+func (n *Net) delayBetween(from, to netip.Addr) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay + n.delays[[2]netip.Addr{from, to}]
+}
+
 type listener struct {
 	net   *Net
 	addr  netip.AddrPort
@@ -113,7 +128,7 @@
 		select {
 		case <-ctx.Done():
 			return nil, fail(ctx.Err())
-		case <-time.After(2 * n.delay):
+		case <-time.After(n.delayBetween(from, to.Addr()) + n.delayBetween(to.Addr(), from)):
 		}
 		n.mu.Lock()
 		l := n.listeners[to]
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -156,7 +156,17 @@
 	// a dispatch that is sent again starts neither.
 	earlyStops map[work.Run]time.Time
 	endedRuns  map[work.Run]endedRun
-	commands   []Command
+	// refusedStarts holds the starts that were refused to a coordinator, which places the tasks
+	// elsewhere: a copy of the dispatch that arrives later does not start them either.
+	refusedStarts map[startKey]time.Time
+	commands      []Command
+}
+
+// startKey identifies a start by its run and the coordinator's process that dispatched it.
+type startKey struct {
+	run         work.Run
+	coordinator string
+	incarnation uint64
 }
 
 // Command is a request that the caller sends to the endpoint.
@@ -177,6 +187,8 @@
 		coordinators: make(map[string]*attachedCoordinator),
 		earlyStops:   make(map[work.Run]time.Time),
 		endedRuns:    make(map[work.Run]endedRun),
+
+		refusedStarts: make(map[startKey]time.Time),
 	}
 }
 
--- a/runs/controller_test.go
+++ b/runs/controller_test.go
@@ -246,7 +246,11 @@
 	f.advance(time.Millisecond)
 	f.poll(carobpulley.RunLists{Finished: []work.End{{Sequence: 1, Run: newRun(1), Outcome: work.OutcomeStopped}}})
 	f.report("d", nil)
-	if refused := f.dispatch("d", newStart(1, 100)); len(refused) != 0 {
+	if refused := f.dispatch("d", newStart(1, 100)); len(refused) != 1 {
+		t.Errorf("a start that was refused to its coordinator is accepted when it arrives again: %v", refused)
+	}
+	f.attach("e", 1, nil)
+	if refused := f.dispatch("e", newStart(1, 100)); len(refused) != 0 {
 		t.Errorf("refused after the other run ended: %v", refused)
 	}
 	if got := f.confirmStarts(); got != 1 {
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -136,8 +136,15 @@
 		c.stop(now, key)
 	}
 	for i := range d.Starts {
-		if reason := c.start(now, d.Coordinator, &d.Starts[i]); reason != "" {
-			refused = append(refused, RefusedStart{d.Starts[i].Run, reason})
+		run := d.Starts[i].Run
+		key := startKey{run, d.Coordinator, d.Incarnation}
+		reason := ReasonStopped
+		if _, again := c.refusedStarts[key]; !again {
+			reason = c.start(now, d.Coordinator, &d.Starts[i])
+		}
+		if reason != "" {
+			c.refusedStarts[key] = now
+			refused = append(refused, RefusedStart{run, reason})
 		}
 	}
 	c.HandleAcks(d.AckedGeneration, d.Acked)
--- a/runs/hostile_test.go
+++ b/runs/hostile_test.go
@@ -46,6 +46,29 @@
 	}
 }
 
+// Guards against an order that goes out twice: a dispatch was sent again while its first copy was
+// delayed, the second copy was refused, and the coordinator has placed the task elsewhere when the
+// first one arrives.
+func TestRefusedStartStaysRefused(t *testing.T) {
+	f := newFixture(t)
+	big := newStart(1, 100)
+	big.Resources = f.controller.heartbeat.Capacity
+	f.dispatch("c", big)
+	if got := len(f.controller.Commands()); got != 1 {
+		t.Fatalf("%d commands, want one start", got)
+	}
+	late := newStart(2, 100)
+	d := Dispatch{Coordinator: "c", Incarnation: 7, Attachment: 1, Echo: f.echo, Starts: []work.Start{late}}
+	if refused, _ := f.controller.HandleDispatch(f.now, d); len(refused) != 1 {
+		t.Fatalf("refused starts: %v, want one", refused)
+	}
+	f.controller.endRun(f.now, big.Run, f.controller.runs[big.Run], work.OutcomeDone)
+	f.advance(MaxEchoAge / 2)
+	if refused, _ := f.controller.HandleDispatch(f.now, d); len(refused) != 1 || f.controller.HasRun(late.Run) {
+		t.Errorf("the first copy of a refused dispatch started its run; refused: %v", refused)
+	}
+}
+
 // Guards against a message with wrong, missing or extreme fields that ends the process.
 func TestHostileMessagesDoNotPanic(t *testing.T) {
 	for seed := range uint64(300) {
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -166,6 +166,11 @@
 // Tick applies the time-outs. It ends the runs of an unresponsive endpoint as lost once its lease
 // has certainly expired. It reports whether a run ended.
 func (c *Controller) Tick(now time.Time) bool {
+	for key, at := range c.refusedStarts {
+		if now.Sub(at) > tombstoneTTL {
+			delete(c.refusedStarts, key)
+		}
+	}
 	for key, at := range c.earlyStops {
 		if now.Sub(at) > tombstoneTTL {
 			delete(c.earlyStops, key)
