coord: a batch whose append got no answer keeps its sequence number

The refusal was taken as proof that nothing was stored: the batch was taken apart and another one sent under the same sequence number. The store gave it the answer to the first one and stored nothing. Ends in it were acknowledged, so their tasks ran again under the next owner (8 s later in the emulator), and jobs accepted in it were lost.

Ruled out: the takeover (the shard was read whole, 21 records).

Change: after an attempt without an answer the same batch is repeated until the store answers it.

--- a/coord/journal.go
+++ b/coord/journal.go
@@ -94,10 +94,13 @@
 }
 
 // appendWithRetry repeats one append until its outcome is known. It reports false if the
-// shard is no longer owned.
+// shard is no longer owned. Once an attempt got no answer, a refusal of a later one does not
+// show that nothing is stored: another batch under the same sequence number would then get the
+// answer to this one, and be lost.
 func (j *journal) appendWithRetry(b *jobs.Batch) bool {
 	c := j.c
 	backoff := appendBackoff
+	unanswered := false
 	for {
 		sent := time.Now()
 		err := j.appendOnce(b)
@@ -111,13 +114,16 @@
 			return false
 		}
 		c.recordStoreError("append", err)
-		switch carobpulley.KindOf(err) {
-		case carobpulley.KindUnavailable, carobpulley.KindGone:
+		kind := carobpulley.KindOf(err)
+		rejected := kind == carobpulley.KindUnavailable || kind == carobpulley.KindGone
+		switch {
+		case rejected && !unanswered:
 			j.handleRejected(now, b)
 			sleep(j.ctx, backoff)
 			j.wake()
 			return j.ctx.Err() == nil
-		case carobpulley.KindUnknown:
+		case rejected || kind == carobpulley.KindUnknown:
+			unanswered = true
 			j.recordFailure(now)
 			sleep(j.ctx, backoff)
 			backoff = min(2*backoff, appendBackoffMax)
--- a/emul/random_test.go
+++ b/emul/random_test.go
@@ -119,6 +119,9 @@
 	// coordinator without its notice, acknowledged ends to endpoints that the new owner had
 	// not stored.
 	21, 27,
+	// A batch was lost: it was appended under the sequence number of one whose answer had been lost
+	// and whose repetition had been refused.
+	337, 395,
 }
 
 // seedRange returns the first seed and the number of seeds: the defaults, or the values of
