runs, jobs: a restarted coordinator keeps the runs of its shards

A restarted coordinator attaches before it owns its shards again. The agent listed their runs to it, as the owner's name was the same, and it stopped them as unknown. They ran again: 8 runs of 4 tasks, each time when it was killed 100 ms after the start. 2. An agent dropped the proof of the earlier owner when a new one attached, and stopped all runs of the shard if it looked before the first report was answered. 8 runs of 4 tasks in some runs at 30 ms. 3. An end received before the shard was acquired counted as received by its owner, and could be acknowledged before it was stored.

Change: the agent lists runs of a shard only to a coordinator that attaches with its epoch; the earlier proof holds until it expires; ends of shards that are not owned wait for the owner, and a confirmation counts for the epoch of receipt.

TestRunsAreListedToTheOwnerOfTheirShard was written with the change.

--- a/guard/report.go
+++ b/guard/report.go
@@ -120,19 +120,19 @@
 	if !a.controller.CanAttach(now) {
 		return connect.NewResponse(&relay.ReportRequest{Refusal: "the runner's lists are not read yet"}), nil
 	}
-	ok := a.controller.HandleAttach(now, runs.AttachRequest{
+	attach := runs.AttachRequest{
 		Coordinator: m.GetCoordinator(),
 		Incarnation: m.GetIncarnation(),
 		Addr:        m.GetAddr(),
 		Attachment:  m.GetAttachment(),
 		Epochs:      link.EpochsFromWire(m.GetShards()),
-	})
-	if !ok {
+	}
+	if !a.controller.HandleAttach(now, attach) {
 		return connect.NewResponse(&relay.ReportRequest{Refusal: "a newer owner or attachment is known"}), nil
 	}
 	a.log.Info().Str("coordinator", m.GetCoordinator()).Uint64("attachment", m.GetAttachment()).Msg("attached")
 	a.lastContact = now
-	full := a.controller.FullReport(now, m.GetCoordinator())
+	full := a.controller.FullReport(now, attach)
 	a.lastReport[m.GetCoordinator()] = time.Time{}
 	a.wakeReportLoop()
 	return connect.NewResponse(link.ReportToWire(a.cfg.Self.Name, a.cfg.Self.Incarnation, full)), nil
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -81,7 +81,9 @@
 // unconfirmedEnd is an end that is acknowledged only after an ownership proof newer
 // than its receipt.
 type unconfirmedEnd struct {
-	shard      int
+	shard int
+	// epoch is that of the shard when the end was received.
+	epoch      uint64
 	receivedAt time.Time
 }
 
@@ -93,8 +95,8 @@
 	SentAt      int64
 	State       work.EndpointState
 	Ends        []work.End
-	// Running lists all runs of the agent. It is set only in the answer to an
-	// attachment.
+	// Running lists the coordinator's runs of best-effort jobs, and the runs of the shards
+	// that it attached with. It is set only in the answer to an attachment.
 	Running []work.Run
 }
 
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -59,14 +59,17 @@
 }
 
 // ackAfterConfirmation acknowledges an end that changes nothing here once it is
-// confirmed that this coordinator owned the shard when it received the end. A newer
-// owner may still need the end.
+// confirmed that this coordinator owned the shard when it received the end. Otherwise
+// the shard's owner, or this coordinator once it has acquired the shard, may still need
+// the end; the agent reports it again.
 func (t *Table) ackAfterConfirmation(now time.Time, a *agentState, e *work.End) {
-	if e.Sequence <= 0 {
+	number := work.ShardOf(work.JobOfTask(e.Run.Task), t.cfg.Shards)
+	s := t.shards[number]
+	if e.Sequence <= 0 || s == nil {
 		return
 	}
-	if _, known := a.unconfirmedEnds[e.Sequence]; !known {
-		a.unconfirmedEnds[e.Sequence] = unconfirmedEnd{shard: work.ShardOf(work.JobOfTask(e.Run.Task), t.cfg.Shards), receivedAt: now}
+	if u, known := a.unconfirmedEnds[e.Sequence]; !known || u.epoch != s.epoch {
+		a.unconfirmedEnds[e.Sequence] = unconfirmedEnd{shard: number, epoch: s.epoch, receivedAt: now}
 	}
 }
 
@@ -79,7 +82,7 @@
 				continue
 			}
 			delete(a.unconfirmedEnds, number)
-			if t.shards[u.shard] != nil {
+			if s := t.shards[u.shard]; s != nil && s.epoch == u.epoch {
 				a.acked = append(a.acked, number)
 				// The endpoint takes no starts until the end is acknowledged.
 				t.pendingDispatch(a)
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// Guards against an end that is acknowledged before it is stored, because it was received before
+// the shard was acquired: with the coordinator it would be lost, and its task run again.
+func TestEndReceivedBeforeTheShardIsStoredFirst(t *testing.T) {
+	accepted := newOwner(t, 1)
+	accepted.submit(testJob(1, 1, false))
+	batch, err := accepted.table.NextBatch(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := work.Start{Run: work.Run{Task: work.TaskName(testJob(1, 1, false).ID, 0, 0), Number: 1}}
+
+	f := newFixture(t, 1).attach()
+	f.report("h0", end(run, 1, work.OutcomeDone))
+	f.table.AcquireShard(f.now, 0, 2, batch.Records)
+	f.table.HandleAttachment(f.now, f.newReport("h0", f.table.FollowingAttachment("h0"), end(run, 1, work.OutcomeDone)), f.table.OwnedShards())
+	f.table.ConfirmOwnership(f.now.Add(time.Millisecond))
+	if diff := cmp.Diff([]int64(nil), f.report("h0")); diff != "" {
+		t.Errorf("acknowledged before it is stored (-want +got):\n%s", diff)
+	}
+	f.commit()
+	if diff := cmp.Diff([]int64{1}, f.report("h0")); diff != "" {
+		t.Errorf("acknowledged after it is stored (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a stale owner that treats the end of a newer owner's run as a
 // repetition and acknowledges it at once.
 func TestEndOfAnotherRunWaitsForProof(t *testing.T) {
--- a/load/agent.go
+++ b/load/agent.go
@@ -53,9 +53,9 @@
 }
 
 func (a *agent) attach(now time.Time, co *coordinator) {
-	attachment := co.table.NextAttachment(a.name)
-	a.controller.HandleAttach(now, runs.AttachRequest{Coordinator: co.name, Incarnation: incarnation, Addr: co.name, Attachment: attachment})
-	full := a.controller.FullReport(now, co.name)
+	request := runs.AttachRequest{Coordinator: co.name, Incarnation: incarnation, Addr: co.name, Attachment: co.table.NextAttachment(a.name)}
+	a.controller.HandleAttach(now, request)
+	full := a.controller.FullReport(now, request)
 	co.table.HandleAttachment(now, a.convert(full), nil)
 	a.controller.HandleReportReply(now, co.name, full, runs.ReportReply{})
 }
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -71,15 +71,14 @@
 	}
 }
 
+// recordShardOwner records an owner of a shard. The proof of an earlier owner stays: until it
+// expires the runs of the shard go on, as the new owner expects.
 func (c *Controller) recordShardOwner(number int, epoch uint64, coordinator string) {
 	s := c.shards[number]
 	if s == nil {
 		s = &shard{}
 		c.shards[number] = s
 	}
-	if s.epoch != epoch || s.owner != coordinator {
-		s.proof = time.Time{}
-	}
 	s.epoch = epoch
 	s.owner = coordinator
 }
--- a/runs/hostile_test.go
+++ b/runs/hostile_test.go
@@ -69,6 +69,57 @@
 	}
 }
 
+// Guards against a coordinator that has restarted and stops the runs of its shards as unknown, since
+// it attaches before it owns them again: their tasks would be started again elsewhere.
+func TestRunsAreListedToTheOwnerOfTheirShard(t *testing.T) {
+	f := newFixture(t)
+	start := newStart(1, 100)
+	start.Durable = true
+	shard := f.controller.shardOf(start.Run.Task)
+	f.attach("owner", 1, map[int]uint64{shard: 3})
+	f.dispatch("owner", start)
+	f.confirmStarts()
+	for attachment, tt := range []struct {
+		epochs map[int]uint64
+		listed int
+	}{{nil, 0}, {map[int]uint64{shard: 4}, 1}} {
+		a := AttachRequest{Coordinator: "owner", Incarnation: 8, Addr: "127.0.0.1:1", Attachment: uint64(attachment) + 1, Epochs: tt.epochs}
+		if !f.controller.HandleAttach(f.now, a) {
+			t.Fatal("the attachment was refused")
+		}
+		if got := len(f.controller.FullReport(f.now, a).Running); got != tt.listed {
+			t.Errorf("attached with the shards %v: %d runs listed, want %d", tt.epochs, got, tt.listed)
+		}
+	}
+}
+
+// Guards against runs that are stopped when a new owner of their shard attaches, before its first
+// answer to a report proves it alive; without such an answer they are stopped when the proof of the
+// earlier owner has run out.
+func TestRunsGoOnWhenTheirShardGetsAnOwner(t *testing.T) {
+	f := newFixture(t)
+	start := newStart(1, 100)
+	start.Durable = true
+	shard := f.controller.shardOf(start.Run.Task)
+	f.attach("earlier", 1, map[int]uint64{shard: 3})
+	f.dispatch("earlier", start)
+	f.confirmStarts()
+	attach := AttachRequest{Coordinator: "later", Incarnation: 8, Addr: "127.0.0.1:1", Attachment: 1, Epochs: map[int]uint64{shard: 4}}
+	if !f.controller.HandleAttach(f.now, attach) {
+		t.Fatal("the attachment was refused")
+	}
+	for _, tt := range []struct {
+		after time.Duration
+		stops int
+	}{{orphanTimeout / 2, 0}, {orphanTimeout, 1}} {
+		f.advance(tt.after)
+		f.controller.Tick(f.now)
+		if got := len(f.controller.Commands()); got != tt.stops {
+			t.Errorf("%s later: %d stops, want %d", tt.after, got, tt.stops)
+		}
+	}
+}
+
 // Guards against a message with wrong, missing or extreme fields that ends the process.
 func TestHostileMessagesDoNotPanic(t *testing.T) {
 	for seed := range uint64(300) {
--- a/runs/report.go
+++ b/runs/report.go
@@ -48,25 +48,28 @@
 	return r
 }
 
-// FullReport returns the answer to an AttachRequest: a Report that also lists the coordinator's
-// runs.
-func (c *Controller) FullReport(now time.Time, coordinator string) Report {
-	r := c.Report(now, coordinator)
+// FullReport returns the answer to an AttachRequest: a Report that also lists the runs that the
+// coordinator's process answers for.
+func (c *Controller) FullReport(now time.Time, a AttachRequest) Report {
+	r := c.Report(now, a.Coordinator)
 	for key, run := range c.runs {
-		if c.coordinatorOf(run) == coordinator && c.ownIncarnation(run) {
+		if c.coordinatorOf(run) == a.Coordinator && c.answersFor(a, run) {
 			r.Running = append(r.Running, key)
 		}
 	}
 	return r
 }
 
-// ownIncarnation reports whether a run belongs to the current process of its coordinator.
-func (c *Controller) ownIncarnation(r *run) bool {
-	if r.start.Durable {
-		return true
+// answersFor reports whether a run belongs to the process of its coordinator that attaches. A
+// process that does not own the shard of a durable job yet would stop its run as unknown.
+func (c *Controller) answersFor(a AttachRequest, r *run) bool {
+	if !r.start.Durable {
+		return a.Incarnation == r.incarnation
 	}
-	co := c.coordinators[r.coordinator]
-	return co != nil && co.incarnation == r.incarnation
+	number := c.shardOf(r.start.Run.Task)
+	s := c.shards[number]
+	epoch, owned := a.Epochs[number]
+	return owned && s != nil && s.epoch == epoch
 }
 
 // CanAttach reports whether an AttachRequest can be answered: the endpoint's lists have been read,
