coord: agents that left stay out when the store is read again

A coordinator that had missed a deletion and whose place in the history had expired kept the agent. (2) A read that confirms the ownership runs beside the waiting one; the one that had begun earlier could be applied last, and an agent deleted meanwhile was back.

Change: agents without a record among the newest are removed; records that another read has applied are passed over.

emul: appends that the store carries out up to 3 s late, without an answer.

--- a/coord/control.go
+++ b/coord/control.go
@@ -67,6 +67,7 @@
 	c.lock()
 	defer c.mu.Unlock()
 	c.applyControlRecords(records)
+	c.removeAgentsWithout(records)
 	c.controlOffset = end
 	c.ownershipProof = sent
 	c.table.ConfirmOwnership(sent)
@@ -89,6 +90,11 @@
 	}
 	c.lock()
 	defer c.mu.Unlock()
+	// A read for a confirmation may have been faster than the waiting one: records that it has
+	// applied are older than what is known now.
+	for len(records) > 0 && records[0].Offset < c.controlOffset {
+		records = records[1:]
+	}
 	c.applyControlRecords(records)
 	c.controlOffset = max(c.controlOffset, next)
 	if sent.After(c.ownershipProof) {
@@ -139,9 +145,7 @@
 		case r.Claim != nil:
 			c.handleClaim(*r.Claim)
 		case r.DeletedAgent != "":
-			delete(c.agents, r.DeletedAgent)
-			c.membersChanged = true
-			c.table.RemoveAgent(time.Now(), r.DeletedAgent)
+			c.removeAgent(r.DeletedAgent)
 		}
 	}
 	if len(c.agents) != agents {
@@ -150,6 +154,27 @@
 	c.flush()
 }
 
+// removeAgentsWithout removes the agents without a record among the newest ones: the history with
+// their deletion may be gone. The caller holds the lock.
+func (c *Coordinator) removeAgentsWithout(records []carobpulley.KeyedRecord) {
+	listed := make(map[string]bool, len(records))
+	for i := range records {
+		listed[records[i].Key] = true
+	}
+	for name := range c.agents {
+		if !listed[work.AgentKey(name)] {
+			c.removeAgent(name)
+		}
+	}
+}
+
+// removeAgent removes an agent whose record was deleted. The caller holds the lock.
+func (c *Coordinator) removeAgent(name string) {
+	delete(c.agents, name)
+	c.membersChanged = true
+	c.table.RemoveAgent(time.Now(), name)
+}
+
 func (c *Coordinator) handleAgentAddress(a work.Address) {
 	old, known := c.agents[a.Name]
 	c.agents[a.Name] = a
--- a/emul/store.go
+++ b/emul/store.go
@@ -28,8 +28,13 @@
 	FaultUnresponsive
 	// FaultLostAnswers carries out appends without answering them.
 	FaultLostAnswers
+	// FaultLate carries out appends up to maxAppendDelay later, without answering them.
+	FaultLate
 )
 
+// maxAppendDelay bounds how late an append is carried out under FaultLate.
+const maxAppendDelay = 3 * time.Second
+
 // partition holds the records of one partition and its writer's epoch and sequence.
 type partition struct {
 	records      []carobpulley.KeyedRecord
@@ -152,14 +157,12 @@
 		<-ctx.Done()
 		return 0, storeError(carobpulley.KindUnknown, "no answer")
 	}
-	v.store.mu.Lock()
-	p := v.store.partition(part)
-	err := allow(p)
-	if err == nil {
-		p.append(records)
+	if fault == FaultLate {
+		time.AfterFunc(v.store.appendDelay(), func() { _, _ = v.store.append(part, records, allow) })
+		<-ctx.Done()
+		return 0, storeError(carobpulley.KindUnknown, "no answer yet")
 	}
-	end := p.endOffset()
-	v.store.mu.Unlock()
+	end, err := v.store.append(part, records, allow)
 	if fault == FaultLostAnswers {
 		<-ctx.Done()
 		return 0, storeError(carobpulley.KindUnknown, "the answer is lost")
@@ -167,6 +170,26 @@
 	return end, err
 }
 
+// appendDelay returns another delay for each call, spread over maxAppendDelay.
+func (s *Store) appendDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	const step = 7919 * time.Millisecond
+	return time.Duration(s.calls) * step % maxAppendDelay
+}
+
+// append carries out an append if allow returns nil, and returns the offset of the partition's end.
+func (s *Store) append(part carobpulley.Partition, records []carobpulley.KeyedRecord, allow func(*partition) error) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(part)
+	err := allow(p)
+	if err == nil {
+		p.append(records)
+	}
+	return p.endOffset(), err
+}
+
 func (p *partition) append(records []carobpulley.KeyedRecord) {
 	for _, r := range records {
 		r.Offset = p.endOffset()
@@ -250,7 +273,7 @@
 	case FaultUnresponsive:
 		<-ctx.Done()
 		return storeError(carobpulley.KindUnavailable, "no answer")
-	case FaultNone, FaultLostAnswers:
+	case FaultNone, FaultLostAnswers, FaultLate:
 	}
 	return sleep(ctx, readLatency)
 }
