coord: a copy of a forwarded submission is not carried out

Change: forwarded submissions are numbered by the process that forwards them, and an owner remembers the numbers for 10 s; a copy gets an unknown outcome. A caller's own resubmission after a refusal has a new number. Builds without numbers are served as before.

--- a/coord/calls.go
+++ b/coord/calls.go
@@ -87,7 +87,9 @@
 		if err != nil {
 			return nil, err
 		}
-		r, err := peer.Coordinator.Submit(ctx, connect.NewRequest(&relay.SubmitRequest{Id: j.ID, Job: body}))
+		r, err := peer.Coordinator.Submit(ctx, connect.NewRequest(&relay.SubmitRequest{
+			Id: j.ID, Job: body, Coordinator: c.cfg.Self.Name, Incarnation: c.cfg.Self.Incarnation, Number: c.lastAttempt.Add(1),
+		}))
 		if err != nil {
 			return nil, err
 		}
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -81,6 +82,10 @@
 	journals map[int]*journal
 	// waiters holds the channels of the callers that wait for a job, by job id.
 	waiters map[string][]chan waitResult
+	// attempts holds the submissions that other coordinators have forwarded here, and lastAttempt
+	// is the number of the last one that this process has forwarded.
+	attempts    attempts
+	lastAttempt atomic.Uint64
 	// nextAttachAt holds, for each agent, the earliest time of the next attach call.
 	nextAttachAt map[string]time.Time
 	draining     bool
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -52,9 +52,22 @@
 	if err != nil {
 		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
 	}
+	if !s.c.beginAttempt(r.Msg) {
+		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_UNKNOWN, Reason: "the submission arrived twice"}), nil
+	}
 	return connect.NewResponse(replyFromAnswer(s.c.submitAsOwner(ctx, j))), nil
 }
 
+// beginAttempt reports whether a forwarded submission arrives for the first time.
+func (c *Coordinator) beginAttempt(m *relay.SubmitRequest) bool {
+	if m.GetNumber() == 0 {
+		return true // the coordinator runs a build that does not number its messages
+	}
+	c.lock()
+	defer c.mu.Unlock()
+	return c.attempts.begin(time.Now(), attempt{m.GetCoordinator(), m.GetIncarnation(), m.GetNumber()})
+}
+
 // State implements relay.CoordinatorServiceHandler.
 func (s server) State(_ context.Context, r *connect.Request[relay.StateRequest]) (*connect.Response[relay.JobReply], error) {
 	return connect.NewResponse(replyFromAnswer(s.c.stateAsOwner(r.Msg.GetQueue(), r.Msg.GetId()))), nil
--- a/emul/random_test.go
+++ b/emul/random_test.go
@@ -143,7 +143,7 @@
 }
 
 // Guards against tasks that run twice at a time, starts that exceed an endpoint's capacity,
-// and durable jobs that are lost or never end, under pairs of random faults.
+// durable jobs that are lost or never end, and starts of refused jobs, under pairs of random faults.
 func TestRandomDays(t *testing.T) {
 	first, count := seedRange(t)
 	seeds := append([]uint64(nil), regressionSeeds...)
@@ -185,16 +185,20 @@
 	}
 	var mu sync.Mutex
 	var durable []int
+	refused := make(map[int]int)
 	for n := 0; time.Since(began) < loadDuration; n++ {
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * meanJobInterval))))
 		coordinator, bestEffort, tasks := rng.IntN(len(f.Coordinators)), rng.IntN(2) == 0, 1+rng.IntN(6)
 		jobs.Go(func() {
-			if submit(f, coordinator, testJob(n, bestEffort, tasks)).Code != carobpulley.AnswerOK || bestEffort {
-				return
-			}
+			answer := submit(f, coordinator, testJob(n, bestEffort, tasks)).Code
 			mu.Lock()
 			defer mu.Unlock()
-			durable = append(durable, n)
+			switch {
+			case answer == carobpulley.AnswerRefused:
+				refused[n] = tasks
+			case answer == carobpulley.AnswerOK && !bestEffort:
+				durable = append(durable, n)
+			}
 		})
 	}
 	faults.Wait()
@@ -203,6 +207,13 @@
 	for _, n := range durable {
 		awaitEnd(t, f, 0, n, time.Second)
 	}
+	for n, tasks := range refused {
+		for task := range tasks {
+			if got := f.Checker.StartCount(work.TaskName(testJob(n, true, tasks).ID, 0, task)); got > 0 {
+				t.Errorf("task %d of job %d was refused as not run and started %d times", task, n, got)
+			}
+		}
+	}
 	if len(durable) == 0 {
 		t.Error("no job was accepted")
 	}
