--- a/coord/control_test.go
+++ b/coord/control_test.go
@@ -60,7 +60,7 @@
 func (c *Coordinator) agentNames() []string {
 	c.lock()
 	defer c.mu.Unlock()
-	var names []string
+	names := make([]string, 0, len(c.agents))
 	for name := range c.agents {
 		names = append(names, name)
 	}
