--- a/emul/checker.go
+++ b/emul/checker.go
@@ -17,7 +17,9 @@
 	// acknowledged holds the tasks of durable jobs whose successful end an agent has
 	// acknowledged to an endpoint.
 	acknowledged map[string]bool
-	violations   []string
+	// done holds the tasks of which a run has ended successfully.
+	done       map[string]bool
+	violations []string
 	// runCount is the number of runs that have started.
 	runCount int
 	// histories holds the starts and ends of each task's runs, for the text of a violation.
@@ -54,7 +56,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool),
-		histories: make(map[string][]runEvent),
+		histories: make(map[string][]runEvent), done: make(map[string]bool),
 	}
 }
 
@@ -99,6 +101,27 @@
 	c.running[task]--
 }
 
+// recordDone records the successful end of a run.
+func (c *Checker) recordDone(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.done[task] = true
+}
+
+// CheckCompleted records a violation for each task of a job that was answered as completed although
+// no run of the task has ended successfully.
+func (c *Checker) CheckCompleted(j *work.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for step := range j.Steps {
+		for n := range j.Steps[step].Count {
+			if task := work.TaskName(j.ID, step, n); !c.done[task] {
+				c.violations = append(c.violations, task+" was answered as completed without such a run"+c.history(task))
+			}
+		}
+	}
+}
+
 // AddViolation records a violation of a rule, or a failure of the emulation.
 func (c *Checker) AddViolation(violation string) {
 	c.mu.Lock()
--- /dev/null
+++ b/emul/checker_test.go
@@ -0,0 +1,47 @@
+package emul
+
+import (
+	"testing"
+
+	"carobpulley/work"
+)
+
+// Guards against a checker that misses a violation of a rule.
+func TestCheckerFindsViolations(t *testing.T) {
+	j := testJob(1, true, 1)
+	task := work.TaskName(j.ID, 0, 0)
+	started := runEvent{what: eventStarted, run: 1}
+	tests := map[string]struct {
+		act  func(c *Checker)
+		want int
+	}{
+		"one run": {func(c *Checker) {
+			c.recordStart(started, task)
+			c.recordDone(task)
+			c.recordStop(started, task)
+			c.CheckCompleted(j)
+		}, 0},
+		"two runs at a time": {func(c *Checker) {
+			c.recordStart(started, task)
+			c.recordStart(started, task)
+		}, 1},
+		"a start after the end was acknowledged": {func(c *Checker) {
+			c.recordStart(started, task)
+			c.recordStop(started, task)
+			c.recordAck(work.Start{Run: work.Run{Task: task}, Durable: true}, work.OutcomeDone)
+			c.recordStart(started, task)
+		}, 1},
+		"completed without a successful run": {func(c *Checker) {
+			c.recordStart(started, task)
+			c.recordStop(started, task)
+			c.CheckCompleted(j)
+		}, 1},
+	}
+	for name, tt := range tests {
+		c := NewChecker()
+		tt.act(c)
+		if got := c.Violations(); len(got) != tt.want {
+			t.Errorf("%s: violations %q, want %d", name, got, tt.want)
+		}
+	}
+}
--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -143,6 +143,9 @@
 		return
 	}
 	e.removeRun(key)
+	if outcome == work.OutcomeDone {
+		e.checker.recordDone(key.Task)
+	}
 	e.acknowledgeable[key] = run.start
 	e.lastEnded[key.Task] = max(e.lastEnded[key.Task], key.Number)
 	e.endCount++
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -38,7 +38,6 @@
 	innerPort  = 7000
 	// targetCount is the number of targets of faults; faults on one target exclude each other.
 	targetCount = 5
-	shardCount  = 1
 )
 
 // Spec configures a fleet.
@@ -50,7 +49,9 @@
 	Seed         uint64
 	// Behavior returns the duration and the outcome of a run.
 	Behavior func(work.Start) (time.Duration, work.Outcome)
-	Log      zerolog.Logger
+	// Shards is the number of shards of durable jobs.
+	Shards int
+	Log    zerolog.Logger
 }
 
 // Process is one coordinator or agent of a fleet: one of Coordinator and Agent is nil.
@@ -193,7 +194,7 @@
 	p, ctx, baseCtx, self := f.newProcess(CoordinatorAddr(n))
 	self.Name = fmt.Sprintf("coordinator-%d", n)
 	p.Name = self.Name
-	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: shardCount, DrainTimeout: drainTimeout, Meter: meter.New()},
+	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()},
 		f.spec.Log.With().Str("process", self.Name).Logger(), p.Store, f, p.peers)
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewCoordinatorServiceHandler(p.Coordinator.Handler()))
@@ -219,7 +220,7 @@
 	token := f.lastToken
 	f.mu.Unlock()
 	p.Name = self.Name
-	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: shardCount, DrainTimeout: drainTimeout, Meter: meter.New()},
+	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()},
 		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, p.peers, token)
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewAgentServiceHandler(p.Agent))
--- a/emul/fleet_test.go
+++ b/emul/fleet_test.go
@@ -31,14 +31,17 @@
 		log = zerolog.New(os.Stdout).With().Timestamp().Logger()
 	}
 	return Spec{
-		Coordinators: 3, Endpoints: 4, Capacity: work.Resources{CPU: 64_000, MemMB: 100_000}, Config: testConfig(), Seed: 1, Log: log,
+		Coordinators: 3, Endpoints: 4, Shards: 1, Capacity: work.Resources{CPU: 64_000, MemMB: 100_000}, Config: testConfig(), Seed: 1, Log: log,
 		Behavior: func(work.Start) (time.Duration, work.Outcome) { return 200 * time.Millisecond, work.OutcomeDone },
 	}
 }
 
+// jobID returns the id of a test job.
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
 func testJob(n int, bestEffort bool, tasks int) *work.Job {
 	q, _ := testConfig().Queue(testQueue)
-	return &work.Job{ID: fmt.Sprintf("%016x", n), Queue: q, Spec: "x", BestEffort: bestEffort, Steps: []work.Step{
+	return &work.Job{ID: jobID(n), Queue: q, Spec: "x", BestEffort: bestEffort, Steps: []work.Step{
 		{Count: tasks, Resources: work.Resources{CPU: 6000, MemMB: 64}, EstimateMS: 200},
 	}}
 }
@@ -64,18 +67,18 @@
 }
 
 // awaitEnd polls one coordinator until a job has ended.
-func awaitEnd(t *testing.T, f *Fleet, at, n int, limit time.Duration) work.State {
+func awaitEnd(t *testing.T, f *Fleet, at int, id string, limit time.Duration) work.State {
 	t.Helper()
 	until := time.Now().Add(limit)
 	var last carobpulley.JobAnswer
 	for time.Now().Before(until) {
-		last = f.coordinator(at).Coordinator.State(f.ctx, testQueue, fmt.Sprintf("%016x", n))
+		last = f.coordinator(at).Coordinator.State(f.ctx, testQueue, id)
 		if last.Code == carobpulley.AnswerOK && last.State.Ended() {
 			return last.State
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	t.Errorf("job %d: no end within %s, last answer %+v", n, limit, last)
+	t.Errorf("job %s: no end within %s, last answer %+v", id, limit, last)
 	return last.State
 }
 
@@ -104,7 +107,7 @@
 			t.Fatalf("answer %+v", a)
 		}
 		for at := range f.Coordinators {
-			if got := awaitEnd(t, f, at, 1, 2*time.Second); got != work.StateCompleted {
+			if got := awaitEnd(t, f, at, jobID(1), 2*time.Second); got != work.StateCompleted {
 				t.Errorf("state at coordinator %d: %s", at, got)
 			}
 		}
@@ -133,7 +136,7 @@
 		time.Sleep(time.Second)
 		f.StartCoordinator(0)
 		for n := range 6 {
-			if got := awaitEnd(t, f, 1, n, 15*time.Second); got != work.StateCompleted {
+			if got := awaitEnd(t, f, 1, jobID(n), 15*time.Second); got != work.StateCompleted {
 				t.Errorf("job %d: %s", n, got)
 			}
 		}
@@ -159,7 +162,7 @@
 			f.StartAgent(n)
 		}
 		for n := range 6 {
-			if got := awaitEnd(t, f, 2, n, 12*time.Second); got != work.StateCompleted {
+			if got := awaitEnd(t, f, 2, jobID(n), 12*time.Second); got != work.StateCompleted {
 				t.Errorf("job %d: %s", n, got)
 			}
 		}
@@ -263,7 +266,7 @@
 					if n%2 == 0 && states[n] != work.StateCompleted {
 						t.Errorf("job %d: %q", n, states[n])
 					}
-					if n%2 == 1 && awaitEnd(t, f, 0, n, 12*time.Second) != work.StateCompleted {
+					if n%2 == 1 && awaitEnd(t, f, 0, jobID(n), 12*time.Second) != work.StateCompleted {
 						t.Errorf("job %d did not complete", n)
 					}
 				}
--- a/emul/late_test.go
+++ b/emul/late_test.go
@@ -69,6 +69,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			spec := testSpec()
 			spec.Seed = seed
+			spec.Shards = 1 + 3*int(seed%2)
 			spec.Behavior = randomBehavior(seed)
 			// Late messages are half of the faults.
 			actions := faultActions()
@@ -112,7 +113,7 @@
 						t.Errorf("%d answers lost after %s: last answer %+v", series, lostAfter, a)
 						return
 					}
-					awaitEnd(t, f, 1, 1, 10*time.Second)
+					awaitEnd(t, f, 1, jobID(1), 10*time.Second)
 					if got := f.Checker.RunCount(); got != tasks {
 						t.Errorf("%d answers lost after %s, killed %v: %d runs of %d tasks", series, lostAfter, kill, got, tasks)
 					}
@@ -137,7 +138,7 @@
 				time.Sleep(phase)
 				f.coordinator(0).Kill()
 				f.StartCoordinator(0)
-				awaitEnd(t, f, 1, 1, 10*time.Second)
+				awaitEnd(t, f, 1, jobID(1), 10*time.Second)
 				if got := f.Checker.RunCount(); got != tasks {
 					t.Errorf("restarted after %s of %s: %d runs of %d tasks", phase, runTime, got, tasks)
 				}
@@ -167,7 +168,7 @@
 			}
 			wg.Wait()
 			for n := range jobs {
-				awaitEnd(t, f, 1, n, 10*time.Second)
+				awaitEnd(t, f, 1, jobID(n), 10*time.Second)
 			}
 			for n := range f.Coordinators {
 				f.coordinator(n).Kill()
@@ -175,7 +176,7 @@
 			}
 			time.Sleep(5 * time.Second)
 			for n := range jobs {
-				if state := awaitEnd(t, f, 1, n, time.Second); state != work.StateCompleted {
+				if state := awaitEnd(t, f, 1, jobID(n), time.Second); state != work.StateCompleted {
 					t.Errorf("answers lost for %s: job %d is %s after the restart", lost, n, state)
 				}
 			}
--- a/emul/random_test.go
+++ b/emul/random_test.go
@@ -143,7 +143,8 @@
 }
 
 // Guards against tasks that run twice at a time, starts that exceed an endpoint's capacity,
-// durable jobs that are lost or never end, and starts of refused jobs, under pairs of random faults.
+// durable jobs that are lost or never end, starts of refused jobs, and completed jobs that did not
+// run, under pairs of random faults.
 func TestRandomDays(t *testing.T) {
 	first, count := seedRange(t)
 	seeds := append([]uint64(nil), regressionSeeds...)
@@ -184,33 +185,39 @@
 		faults.Go(func() { injectFaults(t, f, faultRNG, actions, began) })
 	}
 	var mu sync.Mutex
-	var durable []int
-	refused := make(map[int]int)
+	var durable []*work.Job
+	var refused []*work.Job
 	for n := 0; time.Since(began) < loadDuration; n++ {
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * meanJobInterval))))
 		coordinator, bestEffort, tasks := rng.IntN(len(f.Coordinators)), rng.IntN(2) == 0, 1+rng.IntN(6)
 		jobs.Go(func() {
-			answer := submit(f, coordinator, testJob(n, bestEffort, tasks)).Code
+			j := testJob(n, bestEffort, tasks)
+			answer := submit(f, coordinator, j)
+			if answer.Code == carobpulley.AnswerOK && answer.State == work.StateCompleted {
+				f.Checker.CheckCompleted(j)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
-			case answer == carobpulley.AnswerRefused:
-				refused[n] = tasks
-			case answer == carobpulley.AnswerOK && !bestEffort:
-				durable = append(durable, n)
+			case answer.Code == carobpulley.AnswerRefused:
+				refused = append(refused, j)
+			case answer.Code == carobpulley.AnswerOK && !bestEffort:
+				durable = append(durable, j)
 			}
 		})
 	}
 	faults.Wait()
 	jobs.Wait()
 	time.Sleep(recoveryBound)
-	for _, n := range durable {
-		awaitEnd(t, f, 0, n, time.Second)
+	for _, j := range durable {
+		if awaitEnd(t, f, 0, j.ID, time.Second) == work.StateCompleted {
+			f.Checker.CheckCompleted(j)
+		}
 	}
-	for n, tasks := range refused {
-		for task := range tasks {
-			if got := f.Checker.StartCount(work.TaskName(testJob(n, true, tasks).ID, 0, task)); got > 0 {
-				t.Errorf("task %d of job %d was refused as not run and started %d times", task, n, got)
+	for _, j := range refused {
+		for task := range j.Tasks() {
+			if got := f.Checker.StartCount(work.TaskName(j.ID, 0, task)); got > 0 {
+				t.Errorf("task %d of job %s was refused as not run and started %d times", task, j.ID, got)
 			}
 		}
 	}
--- a/emul/silent_test.go
+++ b/emul/silent_test.go
@@ -70,7 +70,7 @@
 						t.Errorf("durable %v, after %s, inbound %v: answer %+v", !bestEffort, phase, inbound, a)
 					}
 					if !bestEffort {
-						awaitEnd(t, f, 1, 1, 5*time.Second)
+						awaitEnd(t, f, 1, jobID(1), 5*time.Second)
 					}
 					if got := f.Checker.RunCount(); got != 3 {
 						t.Errorf("durable %v, after %s, inbound %v: %d runs of 3 tasks", !bestEffort, phase, inbound, got)
