coord, guard, jobs: a busy coordinator's calls; stops and repeated starts of callers that left

Change: another report goes beside an unanswered one (three at most, to coordinators with runs only), each for 450 ms; a coordinator's timeouts for attachments and dispatches are extended by the time in which it did not run.

Looked for by reading; two ways found, neither shown to be the one: a repeated dispatch carried its starts with a new echo after the job had been given up, longer than the agent remembers the stop (3 s); a stop that does not reach an agent left the run alive as long as its reports were answered. Change: starts no longer placed are left out of a repetition, and held ones wait; the answer to a report carries the stops that the agent has not answered. TestRepeatedDispatchLeavesOutStarts, TestStopReachesAnAgentByItsReports (3 runs 1.3 s after the caller left, before).

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -47,7 +47,7 @@
 // ends.
 func (c *Coordinator) attach(agent work.Address, attachment uint64, epochs map[int]uint64) {
 	peer := c.peers.At(agent.Addr)
-	call, cancel := context.WithTimeout(c.baseCtx, attachTimeout)
+	call, cancel := withTimeout(c.baseCtx, attachTimeout)
 	defer cancel()
 	reply, err := peer.Agent.Attach(call, connect.NewRequest(&relay.AttachRequest{
 		Coordinator: c.cfg.Self.Name,
@@ -91,16 +91,25 @@
 // sendDispatch repeats a dispatch until the agent answers it or its attachment is no
 // longer current.
 func (c *Coordinator) sendDispatch(d *jobs.Dispatch) {
+	defer c.removeUnanswered(d)
 	for c.baseCtx.Err() == nil {
 		c.lock()
 		agent, known := c.agents[d.Agent]
-		current := known && c.table.RefreshEcho(d)
+		sendable := jobs.SendNever
+		if known {
+			sendable = c.table.Refresh(time.Now(), d)
+		}
 		c.mu.Unlock()
-		if !current {
+		switch sendable {
+		case jobs.SendNever:
 			return
+		case jobs.SendLater:
+			sleep(c.baseCtx, dispatchRetryInterval)
+			continue
+		case jobs.SendNow:
 		}
 		peer := c.peers.At(agent.Addr)
-		call, cancel := context.WithTimeout(c.baseCtx, dispatchTimeout)
+		call, cancel := withTimeout(c.baseCtx, dispatchTimeout)
 		reply, err := peer.Agent.Order(call, connect.NewRequest(link.DispatchToWire(c.cfg.Self.Name, c.cfg.Self.Incarnation, d)))
 		cancel()
 		if err == nil {
@@ -115,6 +124,24 @@
 	}
 }
 
+func (c *Coordinator) removeUnanswered(d *jobs.Dispatch) {
+	c.lock()
+	defer c.mu.Unlock()
+	delete(c.unanswered[d.Agent], d)
+}
+
+// unansweredStops returns the stops of an attachment's dispatches that the agent has not answered.
+// The caller holds the lock.
+func (c *Coordinator) unansweredStops(agent string, attachment uint64) []work.Run {
+	var stops []work.Run
+	for d := range c.unanswered[agent] {
+		if d.Attachment == attachment {
+			stops = append(stops, d.Stops...)
+		}
+	}
+	return stops
+}
+
 func (c *Coordinator) handleDispatchReply(d *jobs.Dispatch, reply *relay.OrderReply) {
 	c.lock()
 	defer c.mu.Unlock()
@@ -143,6 +170,7 @@
 		return connect.NewResponse(&relay.ReportReply{Stale: true, Released: answer.Released}), nil
 	}
 	reply := &relay.ReportReply{Acked: answer.Acked, AckedLife: answer.Generation, Released: answer.Released}
+	reply.Stops = link.RunsToWire(c.unansweredStops(report.Agent, report.Attachment))
 	if c.ownershipProven(now) {
 		reply.Owned = link.EpochsToWire(c.table.OwnedShards())
 	}
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -86,6 +86,8 @@
 	// is the number of the last one that this process has forwarded.
 	attempts    attempts
 	lastAttempt atomic.Uint64
+	// unanswered holds, by agent, the dispatches with stops that are under way.
+	unanswered map[string]map[*jobs.Dispatch]bool
 	// nextAttachAt holds, for each agent, the earliest time of the next attach call.
 	nextAttachAt map[string]time.Time
 	draining     bool
@@ -127,6 +129,7 @@
 		health:           make(map[int]*ownerHealth),
 		journals:         make(map[int]*journal),
 		waiters:          make(map[string][]chan waitResult),
+		unanswered:       make(map[string]map[*jobs.Dispatch]bool),
 		nextAttachAt:     make(map[string]time.Time),
 		ownershipChanged: make(chan struct{}),
 		picker:           share.New(share.DefaultCoordinators, share.DefaultAgents),
@@ -180,6 +183,12 @@
 func (c *Coordinator) flush() {
 	c.growShare(time.Now())
 	for _, dispatch := range c.table.Dispatches() {
+		if len(dispatch.Stops) > 0 {
+			if c.unanswered[dispatch.Agent] == nil {
+				c.unanswered[dispatch.Agent] = make(map[*jobs.Dispatch]bool)
+			}
+			c.unanswered[dispatch.Agent][dispatch] = true
+		}
 		go c.sendDispatch(dispatch)
 	}
 	for number, j := range c.journals {
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -84,6 +84,7 @@
 
 	mu              sync.Mutex
 	repeatRate      float64
+	heldOrders      map[string]bool
 	repeatRNG       *rand.Rand
 	lastToken       int64
 	lastIncarnation uint64
@@ -98,7 +99,7 @@
 // New starts a fleet.
 func New(spec Spec) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{spec: spec, Net: memnet.New(networkDelay), Store: NewStore(), Checker: NewChecker(), repeatRNG: rand.New(rand.NewPCG(spec.Seed, 4)), ctx: ctx, cancel: cancel, lastToken: 1000}
+	f := &Fleet{spec: spec, Net: memnet.New(networkDelay), Store: NewStore(), Checker: NewChecker(), heldOrders: make(map[string]bool), repeatRNG: rand.New(rand.NewPCG(spec.Seed, 4)), ctx: ctx, cancel: cancel, lastToken: 1000}
 	f.Store.mu.Lock()
 	f.Store.partition(operatorsPartition).append([]carobpulley.KeyedRecord{{Key: configKey, Value: []byte("1")}})
 	f.Store.mu.Unlock()
@@ -223,7 +224,7 @@
 	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()},
 		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, p.peers, token)
 	mux := http.NewServeMux()
-	mux.Handle(relay.NewAgentServiceHandler(p.Agent))
+	mux.Handle(f.holdingOrders(self.Name)(relay.NewAgentServiceHandler(p.Agent)))
 	f.Agents[n] = p
 	f.serve(p, mux, func() error { return p.Agent.Run(ctx, baseCtx) })
 	f.wg.Add(1)
--- a/emul/late_test.go
+++ b/emul/late_test.go
@@ -186,3 +186,26 @@
 		})
 	}
 }
+
+// Guards against a run that goes on for a caller that has left, because dispatches do not reach its
+// agent while the agent's reports are answered: the caller submits the job elsewhere 1.3 s later.
+func TestStopReachesAnAgentByItsReports(t *testing.T) {
+	spec := testSpec()
+	spec.Endpoints = 1
+	spec.Behavior = func(work.Start) (time.Duration, work.Outcome) { return 4 * time.Second, work.OutcomeDone }
+	runFleet(t, spec, func(t *testing.T, f *Fleet) {
+		ctx, cancel := context.WithTimeout(f.ctx, 400*time.Millisecond)
+		defer cancel()
+		j := testJob(1, true, 3)
+		j.Steps[0].EstimateMS = 4000
+		time.AfterFunc(200*time.Millisecond, func() { f.SetOrdersHeld("agent-0", true) })
+		f.coordinator(0).Coordinator.Submit(ctx, j)
+		if got := len(f.Endpoints[0].runLists().Running); got != 3 {
+			t.Fatalf("%d runs, want 3", got)
+		}
+		time.Sleep(1300 * time.Millisecond)
+		if got := len(f.Endpoints[0].runLists().Running); got != 0 {
+			t.Errorf("%d runs 1.3 s after the caller left", got)
+		}
+	})
+}
--- a/emul/repeat.go
+++ b/emul/repeat.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"time"
+
+	"carobpulley/wire/relay"
 )
 
 // maxRepeatDelay bounds how much later than a message its copy arrives.
@@ -60,3 +62,29 @@
 		h.ServeHTTP(w, r)
 	})
 }
+
+// SetOrdersHeld starts or stops the loss of the dispatches to an agent on their arrival, while its own
+// reports are answered.
+func (f *Fleet) SetOrdersHeld(agent string, held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heldOrders[agent] = held
+}
+
+// holdingOrders returns a function that makes an agent's handler lose dispatches while they are held.
+func (f *Fleet) holdingOrders(agent string) func(path string, h http.Handler) (string, http.Handler) {
+	return func(path string, h http.Handler) (string, http.Handler) {
+		return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.mu.Lock()
+			held := f.heldOrders[agent]
+			f.mu.Unlock()
+			if held && r.URL.Path == relay.AgentServiceOrderProcedure {
+				// The context of a request ends with its connection once its body is read.
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+				return
+			}
+			h.ServeHTTP(w, r)
+		})
+	}
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -42,10 +42,16 @@
 	idleReportInterval = 400 * time.Millisecond
 	// reportCheckInterval is the interval between checks for reports that are due.
 	reportCheckInterval = 40 * time.Millisecond
-	// reportTimeout bounds one report. A report that follows a silence of 600 ms, after a
-	// busyReportInterval before it and one more report that it swallows, comes within the time
-	// after which the runs of an unresponsive coordinator are stopped.
-	reportTimeout = 150 * time.Millisecond
+	// reportRepeatAfter is the time without an answer after which another report may be sent beside
+	// an unanswered one to a coordinator that has runs or ends here. A report that follows a silence
+	// of 600 ms, after a busyReportInterval before it and one more report that it swallows, comes
+	// within the time after which the runs of an unresponsive coordinator are stopped.
+	reportRepeatAfter = 150 * time.Millisecond
+	// reportTimeout bounds one report. The connection of a report that is given up is closed, which
+	// costs a busy coordinator more than a late answer.
+	reportTimeout = 450 * time.Millisecond
+	// maxReports bounds the reports to one coordinator that wait for an answer.
+	maxReports = int(reportTimeout / reportRepeatAfter)
 	// tickInterval is the interval between checks of the deadlines.
 	tickInterval = 40 * time.Millisecond
 	// announceDelay is how long the first append of the agent's address waits for a heartbeat of
@@ -82,8 +88,8 @@
 
 	mu         sync.Mutex
 	controller *runs.Controller
-	// reporting holds the coordinators to which a report is under way.
-	reporting map[string]bool
+	// reporting counts the reports to each coordinator that wait for an answer.
+	reporting map[string]int
 	// usable is whether the endpoint was usable after the last poll.
 	usable bool
 	// reportAll is set if every coordinator is to get a report because the endpoint's state has
@@ -109,7 +115,7 @@
 		store:       store,
 		peers:       peers,
 		wakeReports: make(chan struct{}, 1),
-		reporting:   make(map[string]bool),
+		reporting:   make(map[string]int),
 		lastReport:  make(map[string]time.Time),
 		lastContact: now,
 		heartbeats:  make(chan struct{}, 1),
--- a/guard/report.go
+++ b/guard/report.go
@@ -30,8 +30,8 @@
 		coordinators := a.controller.Coordinators()
 		var due []runs.CoordinatorAddress
 		for _, to := range coordinators {
-			if !a.reporting[to.Name] && a.reportDue(now, to.Name) {
-				a.reporting[to.Name] = true
+			if a.mayReport(now, to.Name) && a.reportDue(now, to.Name) {
+				a.reporting[to.Name]++
 				a.lastReport[to.Name] = now
 				due = append(due, to)
 			}
@@ -44,6 +44,18 @@
 	}
 }
 
+// mayReport reports whether another report may be sent to a coordinator beside those that wait for
+// its answer. The caller holds a.mu.
+func (a *Agent) mayReport(now time.Time, name string) bool {
+	switch n := a.reporting[name]; {
+	case n == 0:
+		return true
+	case n >= maxReports || !a.controller.HasRunsOrEnds(name):
+		return false
+	}
+	return now.Sub(a.lastReport[name]) >= reportRepeatAfter
+}
+
 // reportDue reports whether a coordinator is to get a report now. The caller holds a.mu.
 func (a *Agent) reportDue(now time.Time, name string) bool {
 	age := now.Sub(a.lastReport[name])
@@ -60,7 +72,9 @@
 func (a *Agent) report(ctx context.Context, to runs.CoordinatorAddress) {
 	err := a.sendReport(ctx, to)
 	a.mu.Lock()
-	delete(a.reporting, to.Name)
+	if a.reporting[to.Name]--; a.reporting[to.Name] == 0 {
+		delete(a.reporting, to.Name)
+	}
 	more := err == nil && a.controller.HasUnreportedEnds(to.Name)
 	a.mu.Unlock()
 	if more {
@@ -92,6 +106,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer func() { a.execute(context.WithoutCancel(ctx), a.controller.Commands()) }()
 	if reply.Msg.GetStale() {
 		if reply.Msg.GetReleased() {
 			a.controller.Release(to.Name)
@@ -104,6 +119,7 @@
 		Acked:  reply.Msg.GetAcked(),
 
 		AckedGeneration: reply.Msg.GetAckedLife(),
+		Stops:           link.RunsFromWire(reply.Msg.GetStops()),
 	})
 	if reply.Msg.GetReleased() {
 		a.controller.Release(to.Name)
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -45,15 +45,46 @@
 	return dispatches
 }
 
-// RefreshEcho updates the echo of a dispatch before it is sent. It reports false if
-// the dispatch belongs to an earlier attachment or incarnation and must not be sent.
-func (t *Table) RefreshEcho(d *Dispatch) bool {
+// Sendable is what may be done with a dispatch that is about to be sent.
+type Sendable int
+
+// Values of Sendable.
+const (
+	// SendNever means that the dispatch belongs to an earlier attachment or incarnation.
+	SendNever Sendable = iota
+	// SendLater means that its starts are held for now.
+	SendLater
+	// SendNow means that the dispatch may be sent.
+	SendNow
+)
+
+// Refresh updates a dispatch before it is sent, for the first time or again: its echo is the latest
+// one, and starts that are no longer placed there are left out. The agent remembers a stop for a
+// short time only, so a start that is repeated after it would take effect.
+func (t *Table) Refresh(now time.Time, d *Dispatch) Sendable {
 	a := t.agents[d.Agent]
 	if a == nil || !a.attached || a.attachment != d.Attachment || a.incarnation != d.Incarnation {
-		return false
+		return SendNever
 	}
 	d.Echo = a.echo
-	return true
+	placed := make([]work.Start, 0, len(d.Starts))
+	for i := range d.Starts {
+		key := d.Starts[i].Run
+		tk := t.taskOf(key)
+		if tk == nil || tk.phase != taskPlaced || tk.agent != a || tk.run != key.Number {
+			continue
+		}
+		if tk.job.state.Ended() {
+			t.requeueTask(now, tk)
+			continue
+		}
+		if !t.mayStart(now, tk.job) {
+			return SendLater
+		}
+		placed = append(placed, d.Starts[i])
+	}
+	d.Starts = placed
+	return SendNow
 }
 
 // HandleDispatchReply updates an agent with the endpoint's state from the reply to a
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -183,3 +183,32 @@
 		t.Errorf("%d starts, want 1", f.startCount())
 	}
 }
+
+// Guards against a dispatch that got no answer and is sent again after its job was given up: the
+// agent may have forgotten the stop, and a caller that was told so has submitted the job elsewhere.
+func TestRepeatedDispatchLeavesOutStarts(t *testing.T) {
+	f := newFixture(t, 1).attach()
+	kept, left := testJob(1, 1, true), testJob(2, 1, true)
+	f.table.Submit(f.now, kept)
+	f.table.Submit(f.now, left)
+	dispatches := f.table.Dispatches()
+	if len(dispatches) != 1 || len(dispatches[0].Starts) != 2 {
+		t.Fatalf("dispatches %+v, want one with two starts", dispatches)
+	}
+	d := dispatches[0]
+	f.table.Abandon(f.now, left.ID, "the caller has left")
+	if got := f.table.Refresh(f.now, d); got != SendNow || len(d.Starts) != 1 || work.JobOfTask(d.Starts[0].Run.Task) != kept.ID {
+		t.Errorf("sendable %d with the starts %+v, want that of the other job only", got, d.Starts)
+	}
+	f.table.HoldBestEffort(f.now.Add(time.Millisecond), f.now.Add(time.Second))
+	if got := f.table.Refresh(f.now, d); got != SendLater {
+		t.Errorf("sendable %d right after a pause of the process, want %d", got, SendLater)
+	}
+	if got := f.table.Refresh(f.now.Add(time.Second), d); got != SendNow || len(d.Starts) != 1 {
+		t.Errorf("sendable %d with the starts %+v after the hold, want the start", got, d.Starts)
+	}
+	f.table.Detach("h0", d.Attachment)
+	if got := f.table.Refresh(f.now.Add(time.Second), d); got != SendNever {
+		t.Errorf("sendable %d without the attachment, want %d", got, SendNever)
+	}
+}
--- a/link/convert.go
+++ b/link/convert.go
@@ -33,7 +33,8 @@
 	return work.Run{Task: r.GetTask(), Number: r.GetRun()}
 }
 
-func runsToWire(in []work.Run) []*relay.Run {
+// RunsToWire converts runs to their messages.
+func RunsToWire(in []work.Run) []*relay.Run {
 	out := make([]*relay.Run, 0, len(in))
 	for _, r := range in {
 		out = append(out, runToWire(r))
@@ -41,7 +42,8 @@
 	return out
 }
 
-func runsFromWire(in []*relay.Run) []work.Run {
+// RunsFromWire converts messages to runs.
+func RunsFromWire(in []*relay.Run) []work.Run {
 	out := make([]work.Run, 0, len(in))
 	for _, r := range in {
 		out = append(out, runFromWire(r))
@@ -78,7 +80,7 @@
 	out := &relay.ReportRequest{
 		Agent: agent, Incarnation: incarnation, Attachment: r.Attachment, SentAt: r.SentAt,
 		Runner:  EndpointStateToWire(r.State),
-		Running: runsToWire(r.Running),
+		Running: RunsToWire(r.Running),
 	}
 	for i := range r.Ends {
 		e := &r.Ends[i]
@@ -113,7 +115,7 @@
 func ReportFromWire(m *relay.ReportRequest) jobs.Report {
 	out := jobs.Report{
 		Agent: m.GetAgent(), Incarnation: m.GetIncarnation(), Attachment: m.GetAttachment(), SentAt: m.GetSentAt(),
-		Running: runsFromWire(m.GetRunning()),
+		Running: RunsFromWire(m.GetRunning()),
 		State:   EndpointStateFromWire(m.GetRunner()),
 	}
 	for _, e := range m.GetEnds() {
@@ -129,7 +131,7 @@
 func DispatchToWire(coordinator string, incarnation uint64, d *jobs.Dispatch) *relay.OrderRequest {
 	return &relay.OrderRequest{
 		Coordinator: coordinator, Incarnation: incarnation, Attachment: d.Attachment, Echo: d.Echo,
-		Starts: startsToWire(d.Starts), Stops: runsToWire(d.Stops), Acked: d.Acked, AckedLife: d.AckedGeneration,
+		Starts: startsToWire(d.Starts), Stops: RunsToWire(d.Stops), Acked: d.Acked, AckedLife: d.AckedGeneration,
 	}
 }
 
@@ -137,7 +139,7 @@
 func DispatchFromWire(m *relay.OrderRequest) runs.Dispatch {
 	return runs.Dispatch{
 		Coordinator: m.GetCoordinator(), Incarnation: m.GetIncarnation(), Attachment: m.GetAttachment(), Echo: m.GetEcho(),
-		Starts: startsFromWire(m.GetStarts()), Stops: runsFromWire(m.GetStops()), Acked: m.GetAcked(), AckedGeneration: m.GetAckedLife(),
+		Starts: startsFromWire(m.GetStarts()), Stops: RunsFromWire(m.GetStops()), Acked: m.GetAcked(), AckedGeneration: m.GetAckedLife(),
 	}
 }
 
--- a/runs/report.go
+++ b/runs/report.go
@@ -98,6 +98,9 @@
 	Acked  []int64
 	// AckedGeneration is the endpoint generation that the numbers in Acked belong to.
 	AckedGeneration string
+	// Stops are those of dispatches that this agent has not answered. An agent that is reached by
+	// answers only would go on renewing the proof of runs that are to be stopped.
+	Stops []work.Run
 }
 
 // HandleReportReply handles the answer to a report.
@@ -124,6 +127,9 @@
 			e.reportedAt = now
 		}
 	}
+	for _, key := range reply.Stops {
+		c.stop(now, key)
+	}
 	c.HandleAcks(reply.AckedGeneration, reply.Acked)
 	c.pruneEnds()
 }
