coord: age and offset of the operators' records in logs and metrics

Each coordinator now logs once that its records are stale, with offset and age, and once that they are read again, and serves the age as plan_age_ms. No decision depends on it.

--- a/coord/control.go
+++ b/coord/control.go
@@ -194,6 +194,7 @@
 	partition := c.configSource.Partition()
 	from := int64(-1)
 	for ctx.Err() == nil {
+		sent := time.Now()
 		var err error
 		if from < 0 {
 			from, err = c.readConfigSnapshot(ctx, partition)
@@ -203,7 +204,9 @@
 		if err != nil {
 			c.recordStoreError("operators", err)
 			sleep(ctx, readRetryInterval)
+			continue
 		}
+		c.recordConfigRead(sent, from)
 	}
 	return nil
 }
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -60,6 +60,8 @@
 	mu      sync.Mutex
 	table   *jobs.Table
 	routing *work.RoutingConfig
+	// configRead is the last successful read of the operators' topic.
+	configRead configRead
 	// controlOffset is the offset up to which the control topic has been read.
 	controlOffset int64
 	// nextConfirmAt is the earliest time of the next read that confirms the ownership for ends
@@ -170,6 +172,7 @@
 		c.lastTick = now
 		c.table.SetAuthority(now.Sub(c.ownershipProof) < AuthorityTTL)
 		c.table.Tick(now)
+		c.checkConfigAge(now)
 		c.updateShare(now)
 		c.attachDetached(now)
 		c.flush()
