known red: starts in a domain that was taken out beside a coordinator without the store

EVAC: a coordinator that gets no answer from the store does not learn of an evacuation and goes on placing tasks in the domain, for as long as the store does not answer it.

--- a/emul/checker.go
+++ b/emul/checker.go
@@ -151,6 +151,21 @@
 	return n
 }
 
+// StartsAfter returns the number of runs that have started at an endpoint after a time.
+func (c *Checker) StartsAfter(endpoint int, after time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, events := range c.histories {
+		for i := range events {
+			if events[i].endpoint == endpoint && events[i].what == eventStarted && events[i].at.After(after) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // RunCount returns the number of runs that have started.
 func (c *Checker) RunCount() int {
 	c.mu.Lock()
