domain, runs, guard, coord: no start in a domain that others know to be out of service

Cause: the knowledge of which domains are out of service was held by coordinators alone, each learnt of it only by its own reads of the store, and nothing checked how old that knowledge was. In the incident two of three coordinators got no answer of the store from 5 s to 14 s; the evacuation was acknowledged at 5.515 s; both went on placing tasks in the domain until they reached the store again (they logged the change at 14.23 s and 14.27 s). The agents, one of which started the tasks, knew nothing of domains.

Change: - Package domain: a view of the domains out of service, with the offset it covers and the time up to which it is proven complete. Views merge in any order; an older list changes nothing. - Reports, replies, dispatches and pings carry the view, so a coordinator without the store learns of a change from its agents and peers. - The agent is the last one to check: it refuses starts in a domain that is out of service, ends those that wait, and checks again when a start is sent. - It needs knowledge that is no older than the bound (`evacuate-ms`) less 1 s. After half of that time without a recent proof from a coordinator it reads the operators' records itself, by their offset. A proof is counted from a time of the agent's own clock at which the message was not sent yet. - If that read fails as well, starts go on with what is known: the store then answers neither this agent nor any coordinator that it hears from, and refusing all work would make each outage of the store one for callers. An agent that was paused or has just started has not tried, so it waits.

A permission at the coordinators that lapses was weighed: it stops all work in each outage of the store, and a coordinator that wakes from a pause can still send what it decided before. Reads of all agents at all times were weighed too: they cost a call per agent and interval at any size.

--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -34,7 +34,9 @@
 		Shards:       p.shards,
 		DrainTimeout: p.drainTimeout(),
 		Meter:        p.meter,
-	}, p.log, platform.NewEndpointClient(p.settings.Runner), platform.NewStoreClient(p.settings.Store), link.NewPeers(), firstToken())
+
+		DomainOutWithin: p.settings.DomainOutWithin,
+	}, p.log, platform.NewEndpointClient(p.settings.Runner), platform.NewStoreClient(p.settings.Store), platform.ConfigSource{}, link.NewPeers(), firstToken())
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewAgentServiceHandler(agent))
 	return p.serve([]listener{
--- a/coord/attach.go
+++ b/coord/attach.go
@@ -71,6 +71,7 @@
 		return
 	}
 	delete(c.nextAttachAt, agent.Name)
+	c.mergeDomains(link.DomainsFromWire(reply.Msg.GetDomains(), time.Time{}), agent.Name)
 	report := link.ReportFromWire(reply.Msg)
 	c.log.Info().Str("host", agent.Name).Uint64("attachment", attachment).Int("running", len(report.Running)).
 		Int("ends", len(report.Ends)).Bool("ready", report.State.Ready).Msg("attached")
@@ -99,6 +100,8 @@
 		if known {
 			sendable = c.table.Refresh(time.Now(), d)
 		}
+		m := link.DispatchToWire(c.cfg.Self.Name, c.cfg.Self.Incarnation, d)
+		m.Domains = link.DomainsToWire(time.Now(), c.domains)
 		c.mu.Unlock()
 		switch sendable {
 		case jobs.SendNever:
@@ -110,7 +113,7 @@
 		}
 		peer := c.peers.At(agent.Addr)
 		call, cancel := withTimeout(c.baseCtx, dispatchTimeout)
-		reply, err := peer.Agent.Order(call, connect.NewRequest(link.DispatchToWire(c.cfg.Self.Name, c.cfg.Self.Incarnation, d)))
+		reply, err := peer.Agent.Order(call, connect.NewRequest(m))
 		cancel()
 		if err == nil {
 			c.cfg.Meter.Add("starts_ordered", int64(len(d.Starts)))
@@ -145,6 +148,7 @@
 func (c *Coordinator) handleDispatchReply(d *jobs.Dispatch, reply *relay.OrderReply) {
 	c.lock()
 	defer c.mu.Unlock()
+	c.mergeDomains(link.DomainsFromWire(reply.GetDomains(), time.Time{}), d.Agent)
 	if reply.GetStale() {
 		c.table.Detach(d.Agent, d.Attachment)
 		delete(c.nextAttachAt, d.Agent)
@@ -165,11 +169,13 @@
 	now := time.Now()
 	c.lock()
 	defer c.mu.Unlock()
+	c.mergeDomains(link.DomainsFromWire(r.Msg.GetDomains(), time.Time{}), report.Agent)
+	domains := link.DomainsToWire(now, c.domains)
 	answer := c.table.HandleReport(now, report)
 	if answer.Stale {
-		return connect.NewResponse(&relay.ReportReply{Stale: true, Released: answer.Released}), nil
+		return connect.NewResponse(&relay.ReportReply{Stale: true, Released: answer.Released, Domains: domains}), nil
 	}
-	reply := &relay.ReportReply{Acked: answer.Acked, AckedLife: answer.Generation, Released: answer.Released}
+	reply := &relay.ReportReply{Acked: answer.Acked, AckedLife: answer.Generation, Released: answer.Released, Domains: domains}
 	reply.Stops = link.RunsToWire(c.unansweredStops(report.Agent, report.Attachment))
 	if c.ownershipProven(now) {
 		reply.Owned = link.EpochsToWire(c.table.OwnedShards())
--- a/coord/configage.go
+++ b/coord/configage.go
@@ -24,6 +24,7 @@
 		c.log.Info().Int64("offset", next).Int64("age_ms", time.Since(c.configRead.sentAt).Milliseconds()).Msg("operators' records read again")
 	}
 	c.configRead = configRead{sentAt: sent, next: next}
+	c.domains.Confirm(next, sent)
 }
 
 // checkConfigAge records the age of the operators' records and logs once that it is stale. The
--- a/coord/control.go
+++ b/coord/control.go
@@ -220,7 +220,7 @@
 	}
 	c.lock()
 	defer c.mu.Unlock()
-	c.table.ClearDomainsOutOfService()
+	c.replaceDomains(records, end)
 	c.applyConfigRecords(records)
 	if c.routing == nil {
 		// The topic holds no configuration yet: the caller retries.
@@ -254,8 +254,7 @@
 			continue
 		}
 		if change.Domain != "" {
-			c.log.Info().Str("domain", change.Domain).Bool("out", change.OutOfService).Msg("failure domain")
-			c.table.SetDomainOutOfService(change.Domain, change.OutOfService)
+			c.domainsChanged(c.domains.Apply(records[i].Offset, change.Domain, change.OutOfService), "store")
 		}
 		if change.Config != nil && (c.routing == nil || change.Config.Version > c.routing.Version) {
 			c.log.Info().Int64("version", change.Config.Version).Int("routes", len(change.Config.Routes)).Msg("configuration in force")
--- a/coord/control_test.go
+++ b/coord/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"carobpulley"
+	"carobpulley/domain"
 	"carobpulley/link"
 	"carobpulley/meter"
 	"carobpulley/work"
@@ -106,3 +107,36 @@
 		t.Errorf("agents (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a domain that was taken out of service and is put back by a list of the operators'
+// records that is older than what others have told.
+func TestOlderOperatorsListPutsNoDomainBack(t *testing.T) {
+	s := &recordedStore{newest: []carobpulley.KeyedRecord{{Key: "config", Offset: 0}}, tail: make([]carobpulley.KeyedRecord, 1)}
+	c := newControlTest(t, s)
+	c.configSource = domainSource{}
+	c.mu.Lock()
+	c.mergeDomains(domain.View{Offset: 2, Out: []string{"d"}}, "agent")
+	c.mu.Unlock()
+	if _, err := c.readConfigSnapshot(t.Context(), carobpulley.Partition{}); err != nil {
+		t.Fatal(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if diff := cmp.Diff([]string{"d"}, c.domains.Out); diff != "" {
+		t.Errorf("domains out of service (-want +got):\n%s", diff)
+	}
+}
+
+// domainSource decodes the key "config" as a configuration and all others as domains.
+type domainSource struct{}
+
+func (domainSource) Partition() carobpulley.Partition {
+	return carobpulley.Partition{Topic: "operators"}
+}
+
+func (domainSource) Decode(r carobpulley.KeyedRecord) (carobpulley.ConfigChange, error) {
+	if r.Key == "config" {
+		return carobpulley.ConfigChange{Config: &work.RoutingConfig{Version: 1}}, nil
+	}
+	return carobpulley.ConfigChange{Domain: r.Key, OutOfService: r.Value != nil}, nil
+}
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"carobpulley"
+	"carobpulley/domain"
 	"carobpulley/jobs"
 	"carobpulley/link"
 	"carobpulley/meter"
@@ -60,6 +61,9 @@
 	mu      sync.Mutex
 	table   *jobs.Table
 	routing *work.RoutingConfig
+	// domains is what is known of the failure domains, from the operators' topic or from other
+	// processes.
+	domains domain.View
 	// configRead is the last successful read of the operators' topic.
 	configRead configRead
 	// controlOffset is the offset up to which the control topic has been read.
--- a/coord/ownership.go
+++ b/coord/ownership.go
@@ -326,6 +326,7 @@
 	c.lock()
 	defer c.mu.Unlock()
 	h.pinging = false
+	c.mergeDomains(link.DomainsFromWire(reply.GetDomains(), time.Time{}), claim.Owner.Name)
 	if err != nil {
 		if link.ConnectionRefused(err) {
 			h.refusedPings++
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -112,6 +112,7 @@
 	c.lock()
 	defer c.mu.Unlock()
 	return &relay.PingReply{
+		Domains:     link.DomainsToWire(time.Now(), c.domains),
 		Name:        c.cfg.Self.Name,
 		Incarnation: c.cfg.Self.Incarnation,
 		Owned:       link.EpochsToWire(c.table.OwnedShards()),
--- a/emul/domain_test.go
+++ b/emul/domain_test.go
@@ -7,9 +7,6 @@
 	"carobpulley"
 )
 
-// evacuationBound is the time after which a domain that was taken out of service gets no starts.
-const evacuationBound = 5 * time.Second
-
 // Guards against starts in a failure domain that operators took out of service while some or all
 // coordinators did not reach the store.
 func TestDomainOutBesideCoordinatorsWithoutStore(t *testing.T) {
@@ -39,8 +36,8 @@
 				if served < count*9/10 {
 					t.Errorf("%d coordinators without the store: %d of %d jobs served", cut, served, count)
 				}
-				if got := f.Checker.StartsAfter(1, acknowledged.Add(evacuationBound)); got > 0 {
-					t.Errorf("%d coordinators without the store: %d starts in the domain beyond %s", cut, got, evacuationBound)
+				if got := f.Checker.StartsAfter(1, acknowledged.Add(domainOutWithin)); got > 0 {
+					t.Errorf("%d coordinators without the store: %d starts in the domain beyond %s", cut, got, domainOutWithin)
 				}
 			})
 		}
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -35,7 +35,9 @@
 	drainTimeout = 5 * time.Second
 	// closeDelay is the time allowed for open responses to end after the processes.
 	closeDelay = time.Second
-	innerPort  = 7000
+	// domainOutWithin is the time within which a change of a failure domain takes effect.
+	domainOutWithin = 5 * time.Second
+	innerPort       = 7000
 	// targetCount is the number of targets of faults; faults on one target exclude each other.
 	targetCount = 5
 )
@@ -221,8 +223,8 @@
 	token := f.lastToken
 	f.mu.Unlock()
 	p.Name = self.Name
-	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()},
-		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, p.peers, token)
+	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, DomainOutWithin: domainOutWithin, Meter: meter.New()},
+		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, f, p.peers, token)
 	mux := http.NewServeMux()
 	mux.Handle(f.holdingOrders(self.Name)(relay.NewAgentServiceHandler(p.Agent)))
 	f.Agents[n] = p
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -73,18 +73,22 @@
 	Shards   int
 	// DrainTimeout bounds the wait for runs to end after a shutdown was requested.
 	DrainTimeout time.Duration
+	// DomainOutWithin is the time within which an operator's change of a failure domain takes effect.
+	DomainOutWithin time.Duration
 	// Meter records counts and times; see docs/metrics.md.
 	Meter *meter.Set
 }
 
 // Agent connects a runs.Controller to its endpoint, its coordinators and the store.
 type Agent struct {
-	cfg         Config
-	log         zerolog.Logger
-	endpoint    carobpulley.EndpointClient
-	store       carobpulley.Store
-	peers       *link.Peers
-	wakeReports chan struct{}
+	cfg      Config
+	log      zerolog.Logger
+	endpoint carobpulley.EndpointClient
+	store    carobpulley.Store
+	// configSource decodes the operators' records.
+	configSource carobpulley.ConfigSource
+	peers        *link.Peers
+	wakeReports  chan struct{}
 
 	mu         sync.Mutex
 	controller *runs.Controller
@@ -106,25 +110,27 @@
 }
 
 // New returns an Agent. token is the first fencing token.
-func New(cfg Config, log zerolog.Logger, endpoint carobpulley.EndpointClient, store carobpulley.Store, peers *link.Peers, token int64) *Agent {
+func New(cfg Config, log zerolog.Logger, endpoint carobpulley.EndpointClient, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers, token int64) *Agent {
 	now := time.Now()
 	return &Agent{
-		cfg:         cfg,
-		log:         log,
-		endpoint:    endpoint,
-		store:       store,
-		peers:       peers,
-		wakeReports: make(chan struct{}, 1),
-		reporting:   make(map[string]int),
-		lastReport:  make(map[string]time.Time),
-		lastContact: now,
-		heartbeats:  make(chan struct{}, 1),
+		cfg:          cfg,
+		log:          log,
+		endpoint:     endpoint,
+		store:        store,
+		configSource: configSource,
+		peers:        peers,
+		wakeReports:  make(chan struct{}, 1),
+		reporting:    make(map[string]int),
+		lastReport:   make(map[string]time.Time),
+		lastContact:  now,
+		heartbeats:   make(chan struct{}, 1),
 		controller: runs.New(runs.Config{
 			Agent:       cfg.Self.Name,
 			Incarnation: cfg.Self.Incarnation,
 			Token:       token,
 			MaxLease:    cfg.MaxLease,
 			Shards:      cfg.Shards,
+			DomainTTL:   max(cfg.DomainOutWithin-domainMargin, cfg.DomainOutWithin/2),
 		}, now),
 	}
 }
@@ -139,6 +145,7 @@
 	group.Go(func() error { return a.reportLoop(abort) })
 	group.Go(func() error { return a.tickLoop(abort) })
 	group.Go(func() error { return a.announceLoop(abort) })
+	group.Go(func() error { return a.domainLoop(abort) })
 	group.Go(func() error {
 		defer cancel()
 		return a.awaitDrain(ctx, abort)
--- a/guard/report.go
+++ b/guard/report.go
@@ -89,12 +89,15 @@
 		return err
 	}
 	a.mu.Lock()
-	sent := a.controller.Report(time.Now(), to.Name)
+	sentAt := time.Now()
+	sent := a.controller.Report(sentAt, to.Name)
+	domains := a.controller.Domains()
 	a.mu.Unlock()
 	peer := a.peers.At(addr)
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	m := link.ReportToWire(a.cfg.Self.Name, a.cfg.Self.Incarnation, sent)
+	m.Domains = link.DomainsToWire(sentAt, domains)
 	for i := range sent.Ends {
 		a.cfg.Meter.Add(meter.Name("ends_told", string(sent.Ends[i].Outcome)), 1)
 	}
@@ -107,6 +110,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	defer func() { a.execute(context.WithoutCancel(ctx), a.controller.Commands()) }()
+	a.handleDomains(time.Now(), link.DomainsFromWire(reply.Msg.GetDomains(), sentAt), to.Name)
 	if reply.Msg.GetStale() {
 		if reply.Msg.GetReleased() {
 			a.controller.Release(to.Name)
@@ -151,7 +155,9 @@
 	full := a.controller.FullReport(now, attach)
 	a.lastReport[m.GetCoordinator()] = time.Time{}
 	a.wakeReportLoop()
-	return connect.NewResponse(link.ReportToWire(a.cfg.Self.Name, a.cfg.Self.Incarnation, full)), nil
+	reply := link.ReportToWire(a.cfg.Self.Name, a.cfg.Self.Incarnation, full)
+	reply.Domains = link.DomainsToWire(now, a.controller.Domains())
+	return connect.NewResponse(reply), nil
 }
 
 // Order implements relay.AgentServiceHandler.
@@ -159,14 +165,19 @@
 	dispatch := link.DispatchFromWire(r.Msg)
 	a.mu.Lock()
 	now := time.Now()
+	a.handleDomains(now, link.DomainsFromWire(r.Msg.GetDomains(), a.controller.EchoTime(now, dispatch.Echo)), dispatch.Coordinator)
 	refused, stale := a.controller.HandleDispatch(now, dispatch)
 	commands := a.controller.Commands()
 	state := a.controller.State(now, dispatch.Coordinator)
+	domains := a.controller.Domains()
 	a.mu.Unlock()
 	a.execute(context.WithoutCancel(ctx), commands)
 	if stale || len(refused) > 0 {
 		a.log.Warn().Str("coordinator", dispatch.Coordinator).Uint64("attachment", dispatch.Attachment).Bool("stale", stale).
-			Int("refused", len(refused)).Msg("order refused")
+			Int("refused", len(refused)).Int64("domains_offset", domains.Offset).Int64("domains_age_ms", now.Sub(domains.ProvenAt).Milliseconds()).Msg("order refused")
 	}
-	return connect.NewResponse(&relay.OrderReply{Refused: link.RefusedStartsToWire(refused), Stale: stale, Runner: link.EndpointStateToWire(state)}), nil
+	return connect.NewResponse(&relay.OrderReply{
+		Refused: link.RefusedStartsToWire(refused), Stale: stale, Runner: link.EndpointStateToWire(state),
+		Domains: link.DomainsToWire(now, domains),
+	}), nil
 }
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -140,19 +140,14 @@
 // durable jobs.
 func (t *Table) SetAuthority(ok bool) { t.authority = ok }
 
-// SetDomainOutOfService takes a failure domain out of service or puts it back.
-func (t *Table) SetDomainOutOfService(domain string, out bool) {
-	if out {
+// SetDomainsOutOfService sets the failure domains that get no tasks.
+func (t *Table) SetDomainsOutOfService(domains []string) {
+	clear(t.outOfService)
+	for _, domain := range domains {
 		t.outOfService[domain] = true
-		return
 	}
-	delete(t.outOfService, domain)
 }
 
-// ClearDomainsOutOfService puts all failure domains back into service. It is called
-// before all of the operators' records are read again.
-func (t *Table) ClearDomainsOutOfService() { clear(t.outOfService) }
-
 // OwnedShards returns the epochs of the owned shards by shard number.
 func (t *Table) OwnedShards() map[int]uint64 {
 	owned := make(map[int]uint64, len(t.shards))
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/domain"
 	"carobpulley/work"
 )
 
@@ -52,6 +53,9 @@
 	Token    int64
 	MaxLease time.Duration
 	Shards   int
+	// DomainTTL is how old the knowledge of the failure domains out of service, or the last attempt
+	// to renew it, may be at a start; 0 if it is not checked.
+	DomainTTL time.Duration
 }
 
 type phase int
@@ -159,7 +163,11 @@
 	// refusedStarts holds the starts that were refused to a coordinator, which places the tasks
 	// elsewhere: a copy of the dispatch that arrives later does not start them either.
 	refusedStarts map[startKey]time.Time
-	commands      []Command
+	// domains is what is known of the failure domains, and domainsSoughtAt the time of this agent's
+	// last read of the operators' records that failed.
+	domains         domain.View
+	domainsSoughtAt time.Time
+	commands        []Command
 }
 
 // startKey identifies a start by its run and the coordinator's process that dispatched it.
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -23,6 +23,10 @@
 	ReasonCapacity = "room"
 	ReasonEndpoint = "runner"
 	ReasonOwner    = "owner"
+	// ReasonDomain means that the failure domain is out of service, and ReasonDomainAge that it is
+	// not known recently enough that it isn't.
+	ReasonDomain    = "domain"
+	ReasonDomainAge = "domain age"
 )
 
 // HandleAttach handles the attachment of a coordinator with its claims to shards. It reports false
@@ -127,7 +131,7 @@
 	if sender == nil || sender.released || sender.attachment != d.Attachment || sender.incarnation != d.Incarnation {
 		return nil, true
 	}
-	if d.Echo <= 0 || d.Echo > c.encodeTime(now) || now.Sub(c.decodeTime(d.Echo)) > MaxEchoAge {
+	if !c.validEcho(now, d.Echo) {
 		return nil, true
 	}
 	c.recordProof(d.Coordinator, c.decodeTime(d.Echo))
@@ -150,6 +154,11 @@
 	return refused, false
 }
 
+// validEcho reports whether the echo of a dispatch is a time of this process that is recent enough.
+func (c *Controller) validEcho(now time.Time, echo int64) bool {
+	return echo > 0 && echo <= c.encodeTime(now) && now.Sub(c.decodeTime(echo)) <= MaxEchoAge
+}
+
 // recordProof records that the coordinator was alive at a time.
 func (c *Controller) recordProof(coordinator string, at time.Time) {
 	if co := c.coordinators[coordinator]; co != nil && at.After(co.proof) {
@@ -189,8 +198,8 @@
 	if _, stopped := c.earlyStops[s.Run]; stopped {
 		return ReasonStopped
 	}
-	if !c.canStart(now) {
-		return ReasonEndpoint
+	if reason := c.startRefusal(now); reason != "" {
+		return reason
 	}
 	r := &run{start: *s, coordinator: coordinator, incarnation: co.incarnation, phaseSince: now}
 	if c.reservedResources().Add(s.Resources).Fits(c.heartbeat.Capacity) && c.nextQueued(now) == nil {
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -32,14 +32,14 @@
 }
 
 // StartLease returns the lease for a start that is sent now. It reports false, and ends the run,
-// if the proof of the run's coordinator has become too old since the start was decided on, as
-// when this process was paused.
+// if the proof of the run's coordinator or the knowledge of the failure domains has become too old
+// since the start was decided on, as when this process was paused.
 func (c *Controller) StartLease(now time.Time, key work.Run) (carobpulley.Lease, bool) {
 	r := c.runs[key]
 	if r == nil || r.phase != phaseStarting {
 		return carobpulley.Lease{}, false
 	}
-	if now.Sub(c.proof(r)) > orphanTimeout {
+	if now.Sub(c.proof(r)) > orphanTimeout || c.domainRefusal(now) != "" {
 		c.endRun(now, key, r, work.OutcomeNotStarted)
 		return carobpulley.Lease{}, false
 	}
@@ -57,13 +57,20 @@
 	}
 }
 
-// canStart reports whether a start that is dispatched now can be sent with a lease.
-func (c *Controller) canStart(now time.Time) bool {
+// startRefusal returns the reason for which no start that is dispatched now can be sent with a
+// lease; empty if one can.
+func (c *Controller) startRefusal(now time.Time) string {
+	if reason := c.domainRefusal(now); reason != "" {
+		return reason
+	}
 	if !c.Usable() {
-		return false
+		return ReasonEndpoint
 	}
 	c.markExpiredEnds(now)
-	return !c.leaseBlocked(now)
+	if c.leaseBlocked(now) {
+		return ReasonEndpoint
+	}
+	return ""
 }
 
 // leaseBlocked reports whether no lease can be given now: the proof of a run, or of an end that is
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -51,7 +51,8 @@
 }
 
 // processQueue starts queued runs as far as capacity is free. It ends those whose waiting time is
-// over or whose proof is older than orphanTimeout, and all if the endpoint isn't usable. It reports
+// over or whose proof is older than orphanTimeout, and all if the endpoint isn't usable or its failure
+// domain is out of service. It reports
 // whether it ended one.
 func (c *Controller) processQueue(now time.Time) bool {
 	changed := false
@@ -60,7 +61,7 @@
 			continue
 		}
 		switch {
-		case now.Sub(c.proof(r)) > orphanTimeout || !c.Usable():
+		case now.Sub(c.proof(r)) > orphanTimeout || !c.Usable() || c.domainRefusal(now) != "":
 			c.endRun(now, key, r, work.OutcomeNotStarted)
 			changed = true
 		case now.After(r.waitUntil):
