runs, guard: crashes of an endpoint are logged with the runs that were on it

No line told an endpoint's crash from one that does not answer, nor which runs were on it. The agent now records each run at a crash and logs them together, unless the endpoint had announced that it leaves.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -217,6 +217,7 @@
 func (a *Agent) HandleHeartbeat(hb carobpulley.Heartbeat) {
 	a.mu.Lock()
 	changed := a.controller.HandleHeartbeat(time.Now(), hb)
+	a.logCrashes()
 	a.mu.Unlock()
 	if changed {
 		select {
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -60,6 +60,7 @@
 	} else {
 		changed = a.controller.HandlePoll(now, sent, lists)
 	}
+	a.logCrashes()
 	commands := a.controller.Commands()
 	usable := a.controller.Usable()
 	usableChanged := usable != a.usable
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -167,6 +167,11 @@
 	// last read of the operators' records that failed.
 	domains         domain.View
 	domainsSoughtAt time.Time
+	// crashes holds the runs at recent crashes of the endpoint, newCrashes those not yet returned by
+	// Crashes, and lastCrash the number of the last one.
+	crashes    []crash
+	newCrashes []CrashedRun
+	lastCrash  int64
 	commands        []Command
 }
 
@@ -300,7 +305,7 @@
 	changed := !c.hasHeartbeat || c.shutDown || c.heartbeat.Draining != hb.Draining || c.heartbeat.Instance != hb.Instance || c.heartbeat.Generation != hb.Generation
 	restarted := c.hasHeartbeat && (c.heartbeat.Instance != hb.Instance || hb.Generation != 0 && c.generation != hb.Generation)
 	if restarted {
-		c.handleRestart(now)
+		c.handleRestart(now, !c.heartbeat.Draining)
 	}
 	c.heartbeat = hb
 	c.hasHeartbeat = true
@@ -330,14 +335,15 @@
 		return false
 	}
 	c.shutDown = true
-	c.handleRestart(now)
+	c.handleRestart(now, false)
 	return true
 }
 
 // handleRestart ends all runs of an endpoint that has lost its runs, except starts that may still
-// reach its next generation.
-func (c *Controller) handleRestart(now time.Time) {
+// reach its next generation. crashed is set unless the endpoint has left as announced.
+func (c *Controller) handleRestart(now time.Time, crashed bool) {
 	c.listsKnown = true
+	generation := c.EndpointGeneration()
 	for key, r := range c.runs {
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
 			// The command may still reach the next generation of the endpoint, which has seen no
@@ -347,7 +353,11 @@
 			r.phaseSince = now
 			continue
 		}
-		c.endRun(now, key, r, work.OutcomeLost)
+		if !crashed || r.phase == phaseQueued {
+			c.endRun(now, key, r, work.OutcomeLost)
+			continue
+		}
+		c.crashRun(now, key, r, generation)
 	}
 	c.token++
 	for _, e := range c.ends {
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -173,6 +173,7 @@
 // Tick applies the time-outs. It ends the runs of an unresponsive endpoint as lost once its lease
 // has certainly expired. It reports whether a run ended.
 func (c *Controller) Tick(now time.Time) bool {
+	c.dropCrashes(now)
 	for key, at := range c.refusedStarts {
 		if now.Sub(at) > tombstoneTTL {
 			delete(c.refusedStarts, key)
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	if c.generation != 0 && lists.Generation > c.generation {
-		c.handleRestart(now)
+		c.handleRestart(now, !c.heartbeat.Draining)
 		c.generation = lists.Generation
 		return true
 	}
@@ -213,7 +213,7 @@
 // handleCrash handles an endpoint that no longer exists.
 func (c *Controller) handleCrash(now time.Time) bool {
 	changed := !c.unresponsive || len(c.runs) > 0
-	c.handleRestart(now)
+	c.handleRestart(now, !c.heartbeat.Draining)
 	c.unresponsive = true
 	return changed
 }
--- a/work/state.go
+++ b/work/state.go
@@ -74,6 +74,13 @@
 	WaitMS int64
 }
 
+// Crash is the crash of an endpoint that had a run of a task.
+type Crash struct {
+	Task string
+	// Endpoint names the endpoint's generation that crashed.
+	Endpoint string
+}
+
 // EndpointState is the state that an endpoint reports about itself, with the
 // capacity that its agent counts as used.
 type EndpointState struct {
