known red: a task that crashes its endpoint crashes one after the other

BUDGET: the emulated endpoints can now be crashed by a task, and the checker counts the starts after three crashes, for kept and best-effort jobs. On this code a job with such a task crashes 16 endpoints until its caller's time is up, jobs beside it are given up with it, and the count begins anew with the job's next coordinator.

--- a/emul/checker.go
+++ b/emul/checker.go
@@ -25,6 +25,10 @@
 	// histories holds the starts and ends of each task's runs, for the text of a violation.
 	histories map[string][]runEvent
 	endpoints int
+	// crashes holds the generations of endpoints that a task has crashed, and startsAfterCrashes the
+	// starts of the task after it had crashed crashLimit of them.
+	crashes            map[string]map[crashedEndpoint]bool
+	startsAfterCrashes map[string]int
 }
 
 // eventStarted and eventEnded are the kinds of a runEvent.
@@ -57,6 +61,7 @@
 	return &Checker{
 		running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool),
 		histories: make(map[string][]runEvent), done: make(map[string]bool),
+		crashes: make(map[string]map[crashedEndpoint]bool), startsAfterCrashes: make(map[string]int),
 	}
 }
 
@@ -78,6 +83,7 @@
 	if c.running[task] > 1 {
 		c.violations = append(c.violations, "two runs of "+task+" at a time"+c.history(task))
 	}
+	c.checkCrashes(task)
 	if c.acknowledged[task] {
 		c.violations = append(c.violations, task+" started after its end was acknowledged"+c.history(task))
 	}
--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -15,8 +15,13 @@
 	commandLatency = time.Millisecond
 	// maxListedEnds is the maximum number of ends in one run list.
 	maxListedEnds = 500
+	// crashDowntime is the time after which an endpoint that a run has crashed is back.
+	crashDowntime = 3300 * time.Millisecond
 )
 
+// outcomeCrash is the outcome of a run that crashes its endpoint.
+const outcomeCrash work.Outcome = "crash"
+
 type activeRun struct {
 	start work.Start
 	timer *time.Timer
@@ -95,6 +100,11 @@
 func (e *Endpoint) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crash()
+}
+
+// crash implements Crash. The caller holds the lock.
+func (e *Endpoint) crash() {
 	e.down = true
 	for key := range e.running {
 		e.removeRun(key)
@@ -142,6 +152,12 @@
 	if run == nil {
 		return
 	}
+	if outcome == outcomeCrash {
+		e.checker.recordCrash(key.Task, e.number, e.generation)
+		e.crash()
+		time.AfterFunc(crashDowntime, e.Restart)
+		return
+	}
 	e.removeRun(key)
 	if outcome == work.OutcomeDone {
 		e.checker.recordDone(key.Task)
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -172,7 +172,7 @@
 	crashes    []crash
 	newCrashes []CrashedRun
 	lastCrash  int64
-	commands        []Command
+	commands   []Command
 }
 
 // startKey identifies a start by its run and the coordinator's process that dispatched it.
