guard: repeated stops end with the agent

Found by TestTaskThatCrashesEndpointsIsGivenUp: 6 of 240 runs of the crash tests failed with "blocked goroutines remain". The trace named Agent.stop.

Cause: a stop that a dispatch brings is repeated until its run has ended, with a context that outlives the call and that nothing cancels when the agent stops. Beside an endpoint that has crashed it goes on after the agent has ended, against the rule that what belongs together stops together.

Change: the repetition ends when Run returns. 240 runs after it: none failed.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -107,6 +107,8 @@
 	announced *work.EndpointCapacity
 	// heartbeats gets a value when a heartbeat changes what is known of the endpoint.
 	heartbeats chan struct{}
+	// stopped is closed when Run returns.
+	stopped chan struct{}
 }
 
 // New returns an Agent. token is the first fencing token.
@@ -124,6 +126,7 @@
 		lastReport:   make(map[string]time.Time),
 		lastContact:  now,
 		heartbeats:   make(chan struct{}, 1),
+		stopped:      make(chan struct{}),
 		controller: runs.New(runs.Config{
 			Agent:       cfg.Self.Name,
 			Incarnation: cfg.Self.Incarnation,
@@ -138,6 +141,7 @@
 // Run runs the agent until ctx is done and the runs have drained. It returns at once when abort is
 // done.
 func (a *Agent) Run(ctx, abort context.Context) error {
+	defer close(a.stopped)
 	abort, cancel := context.WithCancel(abort)
 	defer cancel()
 	group, abort := errgroup.WithContext(abort)
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// stop repeats the stop until the run has ended.
+// stop repeats the stop until the run has ended or the agent has stopped.
 func (a *Agent) stop(ctx context.Context, key work.Run) {
 	for ctx.Err() == nil {
 		a.mu.Lock()
@@ -169,6 +169,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-a.stopped:
+			return
 		case <-time.After(stopRetryInterval):
 		}
 	}
