jobs, runs: a task under which endpoints crash is given up

What callers saw: a task that crashes its endpoint was started on one endpoint after the other until its caller's time was up (up to 16), the tasks beside it fell with it each time, and the count began anew at the job's next coordinator.

Cause: a run that ended with its endpoint counted as lost, as one whose endpoint was cut off does, and a lost run is no attempt. Nothing recorded which tasks were at a crash, and what one coordinator saw stayed there.

Class: a retry without a budget, with a count kept by the process that retries. Looked for elsewhere: starts that an endpoint refuses have maxStartAttempts, failed runs are stored with the job (max_attempts), lapsed, stopped and lost runs have no bound but the caller's time; a kept job's lost runs are not bounded, which is wanted for endpoints that leave.

Change: - The agent tells a crash from an endpoint that leaves, is shut down or cut off, and reports each to every coordinator until it is answered, for 30 s. So a caller that comes back elsewhere finds the count there. - A crash counts for a task if a run of it was certainly at the endpoint: its start was confirmed, or it was the only one under way of a suspect job. - A task is given up after two such crashes if no run of another job was at the last one, otherwise after three. The job has failed at once, with a reason that names the task. - A kept job's crashes are stored with it before its next start. - Jobs under which an endpoint has crashed are suspects: two of them are never at one endpoint (the agent refuses it), idle endpoints come first for them, other work avoids their endpoint, and their starts are sent one at a time, so that the next crash shows which job was the cause.

Ruled out: counting starts without an answer as well.

The emulated endpoint now ends connections when it crashes and refuses calls while it is down.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -39,9 +39,9 @@
 		return refusedAnswer(reason)
 	}
 	if status == jobs.SubmitComplete {
-		state := c.table.DecidedState(j.ID)
+		state, reason := c.table.DecidedState(j.ID)
 		c.mu.Unlock()
-		return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: state}
+		return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: state, Reason: reason}
 	}
 	ch := c.addWaiter(j.ID)
 	c.flush()
@@ -67,7 +67,7 @@
 		}
 		return unknownAnswer(r.Reason)
 	}
-	return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: r.State}
+	return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: r.State, Reason: r.Reason}
 }
 
 // abandon removes a waiting caller and abandons the job if no other caller waits for it.
--- a/coord/calls.go
+++ b/coord/calls.go
@@ -340,7 +340,7 @@
 	if !known {
 		return carobpulley.JobAnswer{Code: carobpulley.AnswerNotFound}
 	}
-	return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: state}
+	return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: state, Reason: c.table.Reason(id)}
 }
 
 func (c *Coordinator) cancelAsOwner(ctx context.Context, queue, id string) carobpulley.JobAnswer {
--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -216,7 +216,10 @@
 	applyIfUp := func() carobpulley.StartAnswer {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if e.down || e.generation != generation {
+		if e.down {
+			return carobpulley.StartAnswer{}
+		}
+		if e.generation != generation {
 			return carobpulley.StartAnswer{Refusal: carobpulley.RefusalWrongInstance}
 		}
 		a := apply()
@@ -234,7 +237,13 @@
 	if err := sleep(ctx, commandLatency); err != nil {
 		return carobpulley.StartAnswer{}, err
 	}
-	return applyIfUp(), nil
+	a := applyIfUp()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return carobpulley.StartAnswer{}, &carobpulley.Error{Op: "order", Kind: carobpulley.KindBroken}
+	}
+	return a, nil
 }
 
 // Start implements carobpulley.EndpointClient.
@@ -315,6 +324,9 @@
 			return carobpulley.RunLists{}, "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown}
 		}
 	}
+	if e.Down() {
+		return carobpulley.RunLists{}, "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown, Msg: "the connection ended"}
+	}
 	return e.runLists(), "", nil
 }
 
--- a/errors.go
+++ b/errors.go
@@ -58,6 +58,9 @@
 	KindFailed Kind = "failed"
 	// KindGone is a process that no longer listens at its address.
 	KindGone Kind = "gone"
+	// KindBroken is a call whose connection ended before its answer: the other process has carried it
+	// out, or never will.
+	KindBroken Kind = "broken"
 	// KindInternal is an internal fault of the dispatcher.
 	KindInternal Kind = "internal"
 )
--- a/guard/crash.go
+++ b/guard/crash.go
@@ -11,7 +11,7 @@
 	a.cfg.Meter.Add("runner_crashes", 1)
 	runs := make([]string, 0, len(crashes))
 	for _, c := range crashes {
-		runs = append(runs, fmt.Sprintf("%s run %d", c.Run.Task, c.Run.Number))
+		runs = append(runs, fmt.Sprintf("%s run %d certain %t", c.Run.Task, c.Run.Number, c.Certain))
 	}
-	a.log.Warn().Str("life", crashes[0].Generation).Strs("runs", runs).Msg("runner crashed")
+	a.log.Warn().Str("endpoint", crashes[0].Endpoint).Bool("alone", crashes[0].Alone).Strs("runs", runs).Msg("runner crashed")
 }
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -64,6 +64,8 @@
 	unconfirmedEnds map[int64]unconfirmedEnd
 	dispatch        *Dispatch
 	pausedUntil     time.Time
+	// suspectsPausedUntil is the time until which the agent gets no tasks of suspect jobs.
+	suspectsPausedUntil time.Time
 	// bias is this coordinator's cost factor for the agent; see maxBias.
 	bias float64
 	// runTimeRatio is the mean ratio of run time to estimate, weighted towards recent
@@ -98,6 +100,8 @@
 	// Running lists the coordinator's runs of best-effort jobs, and the runs of the shards
 	// that it attached with. It is set only in the answer to an attachment.
 	Running []work.Run
+	// Crashes lists crashes of the agent's endpoint that were not reported before.
+	Crashes []work.Crash
 }
 
 // bestEffortShard is the shard number of best-effort jobs, which belong to no shard.
@@ -204,6 +208,7 @@
 		a.echo = 0
 	}
 	t.updateAgent(now, a, r)
+	t.recordCrashes(now, r.Crashes)
 	t.handleEnds(now, a, r.Ends)
 	listed := make(map[*task]bool, len(r.Running))
 	for _, key := range r.Running {
@@ -311,6 +316,7 @@
 		return ReportAnswer{Stale: true, Released: a != nil && !t.wanted(now, a)}
 	}
 	t.updateAgent(now, a, r)
+	t.recordCrashes(now, r.Crashes)
 	t.handleEnds(now, a, r.Ends)
 	t.PlaceReady(now)
 	acked := a.acked
--- a/jobs/batch.go
+++ b/jobs/batch.go
@@ -56,7 +56,7 @@
 			j.dirty = false
 			continue
 		}
-		if err := b.add(j); err != nil {
+		if err := t.addToBatch(b, j); err != nil {
 			return nil, err
 		}
 	}
@@ -73,7 +73,7 @@
 	return b, nil
 }
 
-func (b *Batch) add(j *job) error {
+func (t *Table) addToBatch(b *Batch, j *job) error {
 	it := batchItem{job: j, accept: j.phase == phaseStoring, state: j.state, acks: j.acks}
 	if it.accept {
 		value, err := work.EncodeJob(j.spec)
@@ -83,7 +83,7 @@
 		b.Records = append(b.Records, carobpulley.KeyedRecord{Key: work.KeyJob + j.id, Value: value})
 	}
 	if !it.accept || j.state.Ended() {
-		value, err := work.EncodeProgress(j.progress())
+		value, err := work.EncodeProgress(t.progress(j))
 		if err != nil {
 			return err
 		}
@@ -111,11 +111,12 @@
 		}
 		j.inBatch = false
 		j.storedState = it.state
+		j.crashUnstored = j.crashUnstored && j.dirty
 		t.acknowledge(it.acks)
 		stored = append(stored, StoredJob{Job: j.id, Accepted: it.accept, State: it.state})
 		if it.accept {
 			j.phase = phaseActive
-			t.enqueueJob(j)
+			t.enqueueJob(now, j)
 		}
 		if it.state.Ended() && !j.dirty {
 			t.retire(j)
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -63,18 +63,18 @@
 	t.recallAbandoned(j)
 	j.phase = phaseActive
 	t.jobs[spec.ID] = j
-	t.enqueueJob(j)
+	t.enqueueJob(now, j)
 	t.PlaceReady(now)
 	return SubmitPending, ""
 }
 
-// DecidedState returns the state of a job, which may not be stored yet. It is empty
-// for an unknown job.
-func (t *Table) DecidedState(id string) work.State {
+// DecidedState returns the state of a job, which may not be stored yet, and why it has failed. It is
+// empty for an unknown job.
+func (t *Table) DecidedState(id string) (state work.State, reason string) {
 	if j := t.jobs[id]; j != nil {
-		return j.state
+		return j.state, j.reason
 	}
-	return ""
+	return "", ""
 }
 
 // Abandon cancels a best-effort job that no caller waits for any more. unstarted is
@@ -201,7 +201,7 @@
 		return
 	}
 	if state != work.StateCancelled {
-		t.results = append(t.results, BestEffortResult{Job: j.id, State: state})
+		t.results = append(t.results, BestEffortResult{Job: j.id, State: state, Reason: j.reason})
 	}
 	j.storedState = state
 	t.retire(j)
--- /dev/null
+++ b/jobs/crash_test.go
@@ -0,0 +1,130 @@
+package jobs
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"carobpulley"
+	"carobpulley/work"
+)
+
+// crashTask lets an agent report that its endpoint has crashed under a run.
+func (f *fixture) crashTask(agent string, s work.Start, certain, alone bool) {
+	f.t.Helper()
+	r := f.newReport(agent, f.table.FollowingAttachment(agent)-1, end(s, 0, work.OutcomeCrashed))
+	r.Crashes = []work.Crash{{Task: s.Run.Task, Endpoint: fmt.Sprint(agent, "/", s.Run.Number), Certain: certain, Alone: alone}}
+	f.table.HandleReport(f.now, r)
+	f.takeDispatches()
+}
+
+// nextStart returns the only start that was dispatched since the last call, and its agent.
+func (f *fixture) nextStart() (string, work.Start) {
+	f.t.Helper()
+	if f.startCount() != 1 {
+		f.t.Fatalf("starts %v, want one", f.started)
+	}
+	for agent, starts := range f.started {
+		if len(starts) == 1 {
+			delete(f.started, agent)
+			return agent, starts[0]
+		}
+	}
+	return "", work.Start{}
+}
+
+// Guards against a job that is given up for crashes which its starts may not have reached, or for two
+// at which other jobs ran that may have been the cause.
+func TestCrashesThatCountForGivingUp(t *testing.T) {
+	type crash struct{ certain, alone bool }
+	for _, c := range []struct {
+		name    string
+		crashes []crash
+		givenUp bool
+	}{
+		{"uncertain", []crash{{}, {}, {}, {}, {}}, false},
+		{"one certain", []crash{{}, {}, {true, true}}, false},
+		{"two beside others", []crash{{true, false}, {true, false}}, false},
+		{"two, the last one alone", []crash{{true, false}, {true, true}}, true},
+		{"three", []crash{{true, false}, {true, false}, {true, false}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 3).attach()
+			j := testJob(1, 1, true)
+			f.submit(j)
+			for _, cr := range c.crashes {
+				agent, s := f.nextStart()
+				f.crashTask(agent, s, cr.certain, cr.alone)
+			}
+			results := f.table.Results()
+			if !c.givenUp {
+				if len(results) != 0 || f.startCount() != 1 {
+					t.Fatalf("results %v, %d starts, want another try", results, f.startCount())
+				}
+				return
+			}
+			if len(results) != 1 || results[0].State != work.StateFailed || !strings.Contains(results[0].Reason, work.TaskName(j.ID, 0, 0)) {
+				t.Errorf("results %v, want failed with the task named", results)
+			}
+			if f.startCount() != 0 {
+				t.Errorf("started again: %v", f.started)
+			}
+		})
+	}
+}
+
+// Guards against a kept job whose crashes the next owner of its shard does not count, since a start
+// went out before the last crash was stored.
+func TestCrashIsStoredBeforeTheNextStart(t *testing.T) {
+	f := newOwner(t, 3)
+	j := testJob(1, 1, false)
+	f.submit(j)
+	f.commit()
+	agent, s := f.nextStart()
+	f.crashTask(agent, s, true, true)
+	if f.startCount() != 0 {
+		t.Fatal("started before the crash is stored")
+	}
+	batch, err := f.table.NextBatch(0)
+	if err != nil || batch == nil {
+		t.Fatalf("batch %v, error %v", batch, err)
+	}
+	f.table.CommitBatch(f.now, batch)
+	f.takeDispatches()
+	agent, s = f.nextStart()
+
+	value, err := work.EncodeJob(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	records := slices.Concat(batch.Records, []carobpulley.KeyedRecord{{Key: work.KeyJob + j.ID, Value: value}})
+	next := newFixture(t, 3)
+	if errs := next.table.AcquireShard(next.now, 0, 2, records); len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	next.attach()
+	next.crashTask(agent, s, true, true)
+	next.advance(testTakeoverWait + time.Second)
+	for next.commit() != nil {
+	}
+	if state, known := next.table.State(testQueue, j.ID); !known || state != work.StateFailed {
+		t.Errorf("state %q at the next owner, want failed", state)
+	}
+	if reason := next.table.Reason(j.ID); !strings.Contains(reason, s.Run.Task) {
+		t.Errorf("reason %q does not name the task", reason)
+	}
+}
+
+// Guards against memory that grows with each crash of the fleet.
+func TestCrashesOfOtherJobsAreForgotten(t *testing.T) {
+	f := newFixture(t, 1).attach()
+	for n := range 100 {
+		f.table.recordCrashes(f.now, []work.Crash{{Task: work.TaskName(testJob(n, 1, true).ID, 0, 0), Endpoint: "e"}})
+	}
+	f.advance(crashMemory + time.Second)
+	if got := len(f.table.crashes); got != 0 {
+		t.Errorf("%d jobs with crashes are remembered", got)
+	}
+}
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -98,6 +98,14 @@
 	a.free = a.endpoint.Capacity.Sub(a.endpoint.Used).Sub(a.placedResources())
 }
 
+// reasonSuspect is the reason for which an agent refuses a start while a run of another suspect job
+// is there; it concerns no other starts.
+const reasonSuspect = "suspect"
+
+// suspectPause is how long an agent that refused a start for that reason gets no further starts of
+// suspect jobs.
+const suspectPause = 100 * time.Millisecond
+
 // HandleRefusedStarts requeues the tasks of the starts that an agent refused from a
 // dispatch.
 func (t *Table) HandleRefusedStarts(now time.Time, d *Dispatch, runs []work.Run, reason string) {
@@ -108,7 +116,11 @@
 			continue
 		}
 		t.logDecision(Decision{Job: tk.job.id, Task: key.Task, Run: key.Number, Agent: d.Agent, Event: "not run", Reason: "refused by the agent: " + reason})
-		a.pausedUntil = now.Add(refusalPause)
+		if reason == reasonSuspect {
+			a.suspectsPausedUntil = now.Add(suspectPause)
+		} else {
+			a.pausedUntil = now.Add(refusalPause)
+		}
 		t.requeueTask(now, tk)
 	}
 	t.PlaceReady(now)
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -30,6 +30,8 @@
 		t.handleTaskDone(now, a, tk, e)
 	case work.OutcomeFailed:
 		t.handleTaskFailed(now, a, tk, e)
+	case work.OutcomeCrashed:
+		t.handleTaskCrashed(now, a, tk, e)
 	default:
 		t.logDecision(Decision{Job: tk.job.id, Task: e.Run.Task, Run: e.Run.Number, Agent: a.name, Event: string(e.Outcome), Reason: "told by the agent"})
 		t.ackEnd(a, e)
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -74,7 +74,11 @@
 	runBase int64
 	dirty   bool
 	inBatch bool
-	acks    []ack
+	// crashUnstored is set while a crash of an endpoint under one of the tasks is not stored.
+	crashUnstored bool
+	// reason is why the job has failed, if not by the outcome of its runs.
+	reason string
+	acks   []ack
 	// due is the time by which the job meets its objective, abandonAt the time from
 	// which its answer has no value.
 	due       time.Time
@@ -138,9 +142,9 @@
 	return &j.tasks[step][index]
 }
 
-// progress returns the progress to be stored.
-func (j *job) progress() work.Progress {
-	p := work.Progress{State: j.state, Queue: j.queue}
+// progress returns the progress of a job to be stored.
+func (t *Table) progress(j *job) work.Progress {
+	p := work.Progress{State: j.state, Queue: j.queue, Reason: j.reason}
 	if j.state.Ended() {
 		p.EndedMS = j.endedAt.UnixMilli()
 		return p
@@ -156,6 +160,9 @@
 			}
 		}
 	}
+	if c := t.crashes[j.id]; c != nil {
+		p.Crashed = c.crashes
+	}
 	return p
 }
 
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -46,10 +46,11 @@
 	latestStart time.Time
 }
 
-func (t *Table) enqueueJob(j *job) {
-	if j.state.Ended() || j.takeoverPending {
+func (t *Table) enqueueJob(now time.Time, j *job) {
+	if j.state.Ended() || j.takeoverPending || t.giveUpCrashing(now, j) {
 		return
 	}
+	t.markSuspect(j)
 	for step := range j.tasks {
 		if j.remaining[step] > 0 && j.dependenciesDone(step) {
 			t.enqueueStep(j, step)
@@ -136,6 +137,9 @@
 	if len(agents) == 0 {
 		return
 	}
+	if len(t.suspects) > 0 || len(t.suspectsAt) > 0 {
+		t.findSuspects()
+	}
 	remaining := make([]*taskGroup, 0, len(t.ready))
 	for _, late := range []bool{false, true} {
 		for _, g := range t.ready {
@@ -156,7 +160,8 @@
 // the caller of a best-effort job is taken to wait for its answer.
 func (t *Table) mayStart(now time.Time, j *job) bool {
 	if j.durable() {
-		return t.authority
+		// A crash is stored before the next start, so that a new owner counts it too.
+		return t.authority && !j.crashUnstored
 	}
 	if !j.answerBy.IsZero() && !now.Before(j.answerBy) {
 		return false
@@ -226,6 +231,9 @@
 	step := &tk.job.spec.Steps[tk.step]
 	turnover := t.turnover(estimateOf(tk))
 	onTime := tk.job.due.Add(-estimateOf(tk)).After(now)
+	if t.suspects[tk.job] {
+		agents = t.forSuspect(now, tk, agents, onTime)
+	}
 	for _, a := range agents {
 		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) {
 			continue
@@ -237,6 +245,9 @@
 			continue
 		}
 		cost := a.cost(tk, step, turnover)
+		if t.suspectsAt[a] != nil && t.suspectsAt[a] != tk.job {
+			cost *= suspectFactor
+		}
 		if best == nil || cost < least {
 			best, least = a, cost
 		}
@@ -250,6 +261,8 @@
 	remoteDataFactor = 1.5
 	// avoidFactor is the cost factor for the agent that a task should avoid.
 	avoidFactor = 3
+	// suspectFactor is the cost factor for an agent at which a run may crash the endpoint.
+	suspectFactor = 3
 	// maxBias is the largest fraction by which a coordinator raises the cost of one of two
 	// equal agents over the other. The preferences differ between coordinators, so that
 	// they seldom dispatch to the same agent at the same time.
@@ -337,6 +350,10 @@
 	t.assign(now, tk, a)
 	t.foundCapacity(now, a)
 	s := tk.start()
+	if t.suspects[tk.job] {
+		s.Suspect = true
+		t.suspectsAt[a] = tk.job
+	}
 	latest := tk.job.due.Add(-estimateOf(tk))
 	s.SlackMS = latest.Sub(now).Milliseconds()
 	if latest.After(now) {
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -47,9 +47,15 @@
 	// job starts.
 	authority    bool
 	outOfService map[string]bool
-	shards       map[int]*shard
-	jobs         map[string]*job
-	agents       map[string]*agentState
+	// crashes holds, by job id, the endpoints that have crashed under the tasks of recent jobs.
+	crashes map[string]*jobCrashes
+	// suspects holds the jobs of the table with such crashes that have not ended, and suspectsAt the
+	// agents at which tasks of them are placed.
+	suspects   map[*job]bool
+	suspectsAt map[*agentState]*job
+	shards     map[int]*shard
+	jobs       map[string]*job
+	agents     map[string]*agentState
 	// active holds the agents that are attached or have tasks placed, in the order of their
 	// names.
 	active []*agentState
@@ -113,6 +119,9 @@
 	return &Table{
 		cfg:          cfg,
 		outOfService: make(map[string]bool),
+		crashes:      make(map[string]*jobCrashes),
+		suspects:     make(map[*job]bool),
+		suspectsAt:   make(map[*agentState]*job),
 		shards:       make(map[int]*shard),
 		jobs:         make(map[string]*job),
 		agents:       make(map[string]*agentState),
@@ -215,6 +224,7 @@
 		j.runBase = int64(s.epoch-min(spec.Epoch, s.epoch)) * runsPerEpoch
 		j.takeoverPending = true
 		j.restore(p)
+		t.restoreCrashes(now, j, p)
 		t.jobs[spec.ID] = j
 	}
 	for id, p := range progress {
@@ -226,7 +236,7 @@
 }
 
 func (t *Table) restoreEnded(now time.Time, number int, id string, p work.Progress) {
-	j := &job{id: id, queue: p.Queue, shard: number, phase: phaseEnded, state: p.State, storedState: p.State}
+	j := &job{id: id, queue: p.Queue, shard: number, phase: phaseEnded, state: p.State, storedState: p.State, reason: p.Reason}
 	j.endedAt = time.UnixMilli(p.EndedMS)
 	if j.endedAt.After(now) {
 		j.endedAt = now
@@ -280,7 +290,7 @@
 	for _, j := range t.jobs {
 		if j.shard == number && j.takeoverPending {
 			j.takeoverPending = false
-			t.enqueueJob(j)
+			t.enqueueJob(now, j)
 		}
 	}
 	t.PlaceReady(now)
@@ -309,6 +319,7 @@
 	t.stopOverdue(now)
 	t.abandonUnstarted(now)
 	t.dropExpired(now)
+	t.forgetCrashes(now)
 	t.PlaceReady(now)
 }
 
--- a/link/convert.go
+++ b/link/convert.go
@@ -58,6 +58,7 @@
 		out = append(out, &relay.Start{
 			Run: runToWire(s.Run), Spec: s.Spec, Cpu: s.Resources.CPU, MemMb: s.Resources.MemMB,
 			Gpu: s.Resources.GPU, Checkpoint: s.Checkpoint, Kept: s.Durable, SlackMs: s.SlackMS, WaitMs: s.WaitMS,
+			Suspect: s.Suspect,
 		})
 	}
 	return out
@@ -70,6 +71,7 @@
 			Run: runFromWire(s.GetRun()), Spec: s.GetSpec(), Checkpoint: s.GetCheckpoint(),
 			Resources: work.Resources{CPU: s.GetCpu(), MemMB: s.GetMemMb(), GPU: s.GetGpu()},
 			Durable:   s.GetKept(), SlackMS: s.GetSlackMs(), WaitMS: s.GetWaitMs(),
+			Suspect: s.GetSuspect(),
 		})
 	}
 	return out
@@ -89,6 +91,9 @@
 			ElapsedMs: e.ElapsedMS, Checkpoint: e.Checkpoint,
 		})
 	}
+	for _, c := range r.Crashes {
+		out.Crashes = append(out.Crashes, &relay.Crash{Task: c.Task, Endpoint: c.Endpoint, Certain: c.Certain, Alone: c.Alone})
+	}
 	return out
 }
 
@@ -124,6 +129,9 @@
 			ElapsedMS: e.GetElapsedMs(), Checkpoint: e.GetCheckpoint(),
 		})
 	}
+	for _, c := range m.GetCrashes() {
+		out.Crashes = append(out.Crashes, work.Crash{Task: c.GetTask(), Endpoint: c.GetEndpoint(), Certain: c.GetCertain(), Alone: c.GetAlone()})
+	}
 	return out
 }
 
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -78,6 +78,10 @@
 	coordinator string
 	incarnation uint64
 	stopping    bool
+	// crashed is set once the endpoint has crashed while the start was under way, and broken if the
+	// connection of the start ended before its answer.
+	crashed *work.Crash
+	broken  bool
 	// token is the highest token with which an unanswered start may have been sent.
 	token    int64
 	attempts int
@@ -98,6 +102,8 @@
 	// released is set once the coordinator has ended its attachment. Its number is retained,
 	// so that a delayed message of the attachment is still rejected.
 	released bool
+	// crashesReported is the number of the last crash that the coordinator has got.
+	crashesReported int64
 	// proof is the latest time at which the coordinator is known to have been alive.
 	proof time.Time
 }
@@ -343,21 +349,31 @@
 // reach its next generation. crashed is set unless the endpoint has left as announced.
 func (c *Controller) handleRestart(now time.Time, crashed bool) {
 	c.listsKnown = true
-	generation := c.EndpointGeneration()
+	evidence := c.crashEvidence()
 	for key, r := range c.runs {
-		if r.phase == phaseStarting || r.phase == phaseUncertain {
+		if r.underWay() {
 			// The command may still reach the next generation of the endpoint, which has seen no
 			// token yet: a poll of it resolves the start.
 			r.phase = phaseUncertain
 			r.token = c.token
 			r.phaseSince = now
+			if crashed && r.crashed == nil {
+				r.crashed = evidence.of(key.Task, r)
+			}
+			if r.crashed != nil && r.broken {
+				c.crashRun(now, key, r)
+			}
 			continue
 		}
-		if !crashed || r.phase == phaseQueued {
+		switch {
+		case r.phase == phaseQueued:
+			c.endRun(now, key, r, work.OutcomeNotStarted)
+		case crashed:
+			r.crashed = evidence.of(key.Task, r)
+			c.crashRun(now, key, r)
+		default:
 			c.endRun(now, key, r, work.OutcomeLost)
-			continue
 		}
-		c.crashRun(now, key, r, generation)
 	}
 	c.token++
 	for _, e := range c.ends {
--- a/runs/crash.go
+++ b/runs/crash.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"carobpulley"
 	"carobpulley/work"
 )
 
@@ -12,6 +13,8 @@
 	crashRetention = 30 * time.Second
 	// maxCrashes bounds the crashes that are remembered, the latest ones.
 	maxCrashes = 512
+	// answerWait is the least time for which a start waits for the answers to starts before it.
+	answerWait = 50 * time.Millisecond
 )
 
 // crash is the record of a run that was at the endpoint when it crashed.
@@ -21,22 +24,106 @@
 	at     time.Time
 }
 
-// crashRun ends a run that was at the endpoint when one of its generations crashed, and records the
-// crash.
-func (c *Controller) crashRun(now time.Time, key work.Run, r *run, generation string) {
-	c.endRun(now, key, r, work.OutcomeLost)
+// crashRun ends a run that was at the endpoint, or under way to it, when it crashed, and records
+// the crash.
+func (c *Controller) crashRun(now time.Time, key work.Run, r *run) {
+	c.endRun(now, key, r, work.OutcomeCrashed)
 	c.lastCrash++
-	c.crashes = append(c.crashes, crash{
-		Crash: work.Crash{Task: key.Task, Endpoint: c.cfg.Agent + "/" + generation}, number: c.lastCrash, at: now,
-	})
-	c.newCrashes = append(c.newCrashes, CrashedRun{Run: key, Generation: generation})
+	c.crashes = append(c.crashes, crash{Crash: *r.crashed, number: c.lastCrash, at: now})
+	c.newCrashes = append(c.newCrashes, CrashedRun{Run: key, Crash: *r.crashed})
+}
+
+// underWay reports whether a run's start may have reached the endpoint without being confirmed.
+func (r *run) underWay() bool { return r.phase == phaseStarting || r.phase == phaseUncertain }
+
+// evidence is what the runs at an endpoint tell of the cause of its crash.
+type evidence struct {
+	endpoint  string
+	alone     bool
+	underWay  int
+	confirmed int
+}
+
+// crashEvidence returns the evidence of a crash of the endpoint.
+func (c *Controller) crashEvidence() evidence {
+	e := evidence{endpoint: c.cfg.Agent + "/" + c.EndpointGeneration(), alone: true}
+	job := ""
+	for key, r := range c.runs {
+		switch {
+		case r.phase == phaseQueued:
+			continue
+		case r.underWay():
+			e.underWay++
+		default:
+			e.confirmed++
+		}
+		if job != "" && work.JobOfTask(key.Task) != job {
+			e.alone = false
+		}
+		job = work.JobOfTask(key.Task)
+	}
+	return e
+}
+
+// of returns the record of the crash for a run. A start that was under way counts as certain if it
+// was a suspect's and the only one, as the endpoint crashed just then, or if only starts of its job
+// were under way and nothing ran.
+func (e evidence) of(task string, r *run) *work.Crash {
+	certain := !r.underWay() || e.underWay == 1 && r.start.Suspect || e.alone && e.confirmed == 0
+	return &work.Crash{Task: task, Endpoint: e.endpoint, Certain: certain, Alone: e.alone}
+}
+
+// mustWait reports whether a start waits for the answers to others: a suspect's start is the only one
+// under way, so that a crash tells whether it was there.
+func (c *Controller) mustWait(s *work.Start) bool {
+	for _, r := range c.runs {
+		unanswered := r.phase == phaseStarting || r.phase == phaseUncertain && r.broken
+		if unanswered && (s.Suspect || r.start.Suspect) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashStart handles a start that was under way when the endpoint crashed, once its call has ended.
+// A call that was refused, never sent, or whose connection has ended with the endpoint, can't start
+// the run at the endpoint's next generation; any other may, so a poll of that generation decides.
+func (c *Controller) crashStart(now time.Time, key work.Run, r *run, refusal string, err error) {
+	kind := carobpulley.KindOf(err)
+	switch {
+	case refusal != "" || kind == carobpulley.KindGone || kind == carobpulley.KindUnavailable:
+		c.endRun(now, key, r, work.OutcomeNotStarted)
+	case kind == carobpulley.KindBroken:
+		c.crashRun(now, key, r)
+	}
+}
+
+// hasOtherSuspect reports whether a run of another suspect job is at the endpoint.
+func (c *Controller) hasOtherSuspect(task string) bool {
+	job := work.JobOfTask(task)
+	for key, r := range c.runs {
+		if r.start.Suspect && work.JobOfTask(key.Task) != job {
+			return true
+		}
+	}
+	return false
+}
+
+// unreportedCrashes returns the crashes that a coordinator has not got, and the number of the last.
+func (c *Controller) unreportedCrashes(co *attachedCoordinator) ([]work.Crash, int64) {
+	var out []work.Crash
+	for i := range c.crashes {
+		if c.crashes[i].number > co.crashesReported {
+			out = append(out, c.crashes[i].Crash)
+		}
+	}
+	return out, c.lastCrash
 }
 
 // CrashedRun is a run that was at an endpoint when it crashed.
 type CrashedRun struct {
+	work.Crash
 	Run work.Run
-	// Generation names the generation of the endpoint that crashed.
-	Generation string
 }
 
 // Crashes returns the runs at crashes since the last call.
--- /dev/null
+++ b/runs/crash_test.go
@@ -0,0 +1,188 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"carobpulley"
+	"carobpulley/work"
+)
+
+func newSuspect(n int) work.Start {
+	s := newStart(n, 100)
+	s.Suspect = true
+	return s
+}
+
+// crash lets the endpoint crash: a poll finds nobody at its address.
+func (f *fixture) crash() {
+	gone := &carobpulley.Error{Op: "hold", Kind: carobpulley.KindGone}
+	f.controller.HandlePollError(f.now, f.controller.BeginPoll(f.now), "", gone)
+}
+
+// breakStarts ends the calls of all commanded starts by the end of their connection.
+func (f *fixture) breakStarts() {
+	for _, c := range f.controller.Commands() {
+		f.controller.HandleStartReply(f.now, c.Start.Run, f.controller.Lease(f.now), carobpulley.StartAnswer{}, &carobpulley.Error{Op: "start", Kind: carobpulley.KindBroken})
+	}
+}
+
+// checkCrashes checks what a coordinator gets to know of crashes.
+func (f *fixture) checkCrashes(want ...work.Crash) {
+	f.t.Helper()
+	byTask := cmpopts.SortSlices(func(a, b work.Crash) bool { return a.Task < b.Task })
+	got := f.controller.Report(f.now, "c").Crashes
+	if diff := cmp.Diff(want, got, byTask, cmpopts.EquateEmpty()); diff != "" {
+		f.t.Errorf("crashes (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a task that is given up for crashes its starts may not have reached.
+func TestUnansweredStartsAreNoCertainCrash(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newStart(1, 100))
+	f.confirmStarts()
+	f.dispatch("c", newStart(2, 100), newStart(3, 100))
+	f.breakStarts()
+	f.crash()
+	f.checkCrashes(
+		work.Crash{Task: newRun(1).Task, Endpoint: "a/i/1", Certain: true},
+		work.Crash{Task: newRun(2).Task, Endpoint: "a/i/1"},
+		work.Crash{Task: newRun(3).Task, Endpoint: "a/i/1"},
+	)
+}
+
+// Guards against a task that crashes its endpoint before the start is answered, and so is never known
+// to have been there.
+func TestSuspectStartsAreSentOneAtATime(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newStart(1, 100))
+	f.confirmStarts()
+	f.dispatch("c", newSuspect(2), newStart(3, 100))
+	if got := len(f.controller.Commands()); got != 1 {
+		t.Fatalf("%d starts under way beside a suspect's, want that one only", got)
+	}
+	f.controller.HandleStartReply(f.now, newRun(2), f.controller.Lease(f.now), carobpulley.StartAnswer{}, &carobpulley.Error{Op: "start", Kind: carobpulley.KindBroken})
+	if got := len(f.controller.Commands()); got != 0 {
+		t.Fatalf("%d starts sent after a suspect's start broke off", got)
+	}
+	f.crash()
+	f.checkCrashes(
+		work.Crash{Task: newRun(1).Task, Endpoint: "a/i/1", Certain: true},
+		work.Crash{Task: newRun(2).Task, Endpoint: "a/i/1", Certain: true},
+	)
+}
+
+// Guards against starts that wait for good behind a suspect's start that was answered.
+func TestStartsGoOnAfterASuspectsAnswer(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newSuspect(1), newStart(2, 100), newStart(3, 100))
+	if got := []int{f.confirmStarts(), f.confirmStarts()}; got[0] != 1 || got[1] != 2 {
+		t.Errorf("starts sent in turn: %v, want 1, then 2", got)
+	}
+}
+
+// Guards against jobs that are lost together and placed together again, so that the cause is never
+// found and the others are lost with it each time.
+func TestSuspectJobsAreKeptApart(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newSuspect(1))
+	f.confirmStarts()
+	if diff := cmp.Diff([]RefusedStart{{newRun(2), ReasonSuspect}}, f.dispatch("c", newSuspect(2))); diff != "" {
+		t.Errorf("refused (-want +got):\n%s", diff)
+	}
+	f.crash()
+	f.checkCrashes(work.Crash{Task: newRun(1).Task, Endpoint: "a/i/1", Certain: true, Alone: true})
+}
+
+// Guards against tasks that are suspected because their endpoint was stopped, replaced or cut off.
+func TestEndpointThatLeavesIsNoCrash(t *testing.T) {
+	hb := carobpulley.Heartbeat{Instance: "i", Generation: 1, Sequence: 2, Service: "s", Capacity: work.Resources{CPU: 10_000, MemMB: 1000}}
+	for name, leave := range map[string]func(f *fixture){
+		"announced": func(f *fixture) {
+			hb.Draining = true
+			f.controller.HandleHeartbeat(f.now, hb)
+			f.crash()
+		},
+		"shut down": func(f *fixture) { f.controller.HandleShutdown(f.now, "i") },
+		"cut off": func(f *fixture) {
+			for range maxFailedPolls {
+				f.controller.HandlePollError(f.now, f.controller.BeginPoll(f.now), "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown})
+			}
+			f.advance(2 * time.Second)
+			f.controller.Tick(f.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.dispatch("c", newStart(1, 100))
+			f.confirmStarts()
+			leave(f)
+			f.checkCrashes()
+			ends := f.report("c", nil)
+			if len(ends) != 1 || ends[0].Outcome != work.OutcomeLost {
+				t.Errorf("ends %v, want one lost run", ends)
+			}
+		})
+	}
+}
+
+// Guards against a crash that a coordinator never learns of since the answer to its report was lost,
+// or since the coordinator attached later.
+func TestCrashesAreReportedUntilAnswered(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newStart(1, 100))
+	f.confirmStarts()
+	f.crash()
+	want := work.Crash{Task: newRun(1).Task, Endpoint: "a/i/1", Certain: true, Alone: true}
+	f.checkCrashes(want)
+	f.checkCrashes(want)
+	f.report("c", nil)
+	f.checkCrashes()
+	f.attach("d", 1, nil)
+	f.attach("c", 2, nil)
+	f.report("c", nil)
+	f.checkCrashes()
+	f.attach("c", 3, nil)
+	f.advance(crashRetention + time.Second)
+	f.controller.Tick(f.now)
+	if got := len(f.controller.crashes); got != 0 {
+		t.Errorf("%d crashes after their retention", got)
+	}
+}
+
+// Guards against starts beyond the capacity of an endpoint whose capacity shrinks while it runs, with
+// runs that are being stopped.
+func TestCapacityShrinksAndGrows(t *testing.T) {
+	f := newFixture(t)
+	sequence := int64(1)
+	setCapacity := func(cpu int64) {
+		sequence++
+		f.controller.HandleHeartbeat(f.now, carobpulley.Heartbeat{
+			Instance: "i", Generation: 1, Sequence: sequence, Service: "s", Capacity: work.Resources{CPU: cpu, MemMB: 1000},
+		})
+	}
+	f.dispatch("c", newStart(1, 4000))
+	f.confirmStarts()
+	setCapacity(6000)
+	f.controller.HandleDispatch(f.now, Dispatch{Coordinator: "c", Incarnation: 7, Attachment: 1, Echo: f.echo, Stops: []work.Run{newRun(1)}})
+	if got := f.dispatch("c", newStart(2, 4000)); len(got) != 1 || got[0].Reason != ReasonCapacity {
+		t.Errorf("start beside a run that is being stopped: refused %v, want for its capacity", got)
+	}
+	queued := newStart(3, 2000)
+	queued.WaitMS = 1000
+	setCapacity(4000)
+	if got := f.dispatch("c", queued); len(got) != 1 {
+		t.Errorf("start at a full endpoint: refused %v, want 1 as the queue is too short", got)
+	}
+	if got := f.confirmStarts(); got != 0 {
+		t.Errorf("%d starts beyond the capacity", got)
+	}
+	setCapacity(10_000)
+	if got := f.dispatch("c", newStart(4, 4000)); len(got) != 0 || f.confirmStarts() != 1 {
+		t.Errorf("start after the capacity has grown: refused %v", got)
+	}
+}
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -27,6 +27,8 @@
 	// not known recently enough that it isn't.
 	ReasonDomain    = "domain"
 	ReasonDomainAge = "domain age"
+	// ReasonSuspect means that a run of another job under which an endpoint has crashed is there.
+	ReasonSuspect = "suspect"
 )
 
 // HandleAttach handles the attachment of a coordinator with its claims to shards. It reports false
@@ -65,6 +67,7 @@
 	co.attachment = a.Attachment
 	co.incarnation = a.Incarnation
 	co.released = false
+	co.crashesReported = 0
 }
 
 // Release ends the attachment of a coordinator that no longer works with this agent, unless the
@@ -201,17 +204,30 @@
 	if reason := c.startRefusal(now); reason != "" {
 		return reason
 	}
-	r := &run{start: *s, coordinator: coordinator, incarnation: co.incarnation, phaseSince: now}
-	if c.reservedResources().Add(s.Resources).Fits(c.heartbeat.Capacity) && c.nextQueued(now) == nil {
+	if s.Suspect && c.hasOtherSuspect(s.Run.Task) {
+		return ReasonSuspect
+	}
+	return c.launchOrQueue(now, &run{start: *s, coordinator: coordinator, incarnation: co.incarnation, phaseSince: now})
+}
+
+// launchOrQueue starts a run, or queues it if it has to wait and may. It returns the reason for which
+// it does neither.
+func (c *Controller) launchOrQueue(now time.Time, r *run) string {
+	s := &r.start
+	fits := c.reservedResources().Add(s.Resources).Fits(c.heartbeat.Capacity)
+	wait := time.Duration(s.WaitMS) * time.Millisecond
+	if fits && c.mustWait(s) {
+		wait = max(wait, answerWait)
+	} else if fits && c.nextQueued(now) == nil {
 		c.launch(now, s.Run, r)
 		return ""
 	}
-	if s.WaitMS <= 0 || !c.fitsQueue(s.Resources) {
+	if wait <= 0 || !c.fitsQueue(s.Resources) {
 		return ReasonCapacity
 	}
 	r.phase = phaseQueued
 	r.latestStart = now.Add(time.Duration(s.SlackMS) * time.Millisecond)
-	r.waitUntil = now.Add(time.Duration(s.WaitMS) * time.Millisecond)
+	r.waitUntil = now.Add(wait)
 	c.runs[s.Run] = r
 	return ""
 }
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -196,6 +196,10 @@
 		return changed
 	}
 	for key, r := range c.runs {
+		if r.crashed != nil {
+			c.crashRun(now, key, r)
+			continue
+		}
 		c.endRun(now, key, r, work.OutcomeLost)
 	}
 	c.token++
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -10,11 +10,16 @@
 // HandleStartReply handles the endpoint's answer to a start that was sent with a lease.
 func (c *Controller) HandleStartReply(now time.Time, key work.Run, l carobpulley.Lease, a carobpulley.StartAnswer, err error) {
 	r := c.runs[key]
+	if r != nil && r.crashed != nil && r.phase == phaseUncertain {
+		c.crashStart(now, key, r, a.Refusal, err)
+		return
+	}
 	if r == nil || r.phase != phaseStarting {
 		return
 	}
 	if err != nil {
 		c.handleUnansweredStart(now, key, r, l, err)
+		c.processQueue(now)
 		return
 	}
 	switch a.Refusal {
@@ -44,6 +49,7 @@
 	}
 	r.phase = phaseUncertain
 	r.phaseSince = now
+	r.broken = carobpulley.KindOf(err) == carobpulley.KindBroken
 	r.token = l.Token
 	if c.token == l.Token {
 		c.token++
@@ -170,7 +176,12 @@
 	case r.phase == phaseRunning && r.phaseSince.Before(sent.SentAt):
 		c.endRun(now, key, r, work.OutcomeLost)
 	case r.phase == phaseUncertain && r.token < sent.Lease.Token && r.phaseSince.Before(sent.SentAt):
-		// The endpoint refuses the lower token from now on, so the start can be repeated.
+		// The endpoint refuses the lower token from now on, so the start can be repeated, unless it
+		// may have crashed the endpoint.
+		if r.crashed != nil {
+			c.crashRun(now, key, r)
+			return true
+		}
 		c.retryStart(now, key, r)
 		return false
 	default:
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -71,7 +71,7 @@
 	}
 	for {
 		r := c.nextQueued(now)
-		if r == nil || !c.reservedResources().Add(r.start.Resources).Fits(c.heartbeat.Capacity) {
+		if r == nil || c.mustWait(&r.start) || !c.reservedResources().Add(r.start.Resources).Fits(c.heartbeat.Capacity) {
 			return changed
 		}
 		c.launch(now, r.start.Run, r)
--- a/runs/report.go
+++ b/runs/report.go
@@ -15,6 +15,10 @@
 	Ends   []work.End
 	// Running is set only in the answer to an AttachRequest.
 	Running []work.Run
+	// Crashes holds the crashes that the coordinator has not got, and lastCrash the number of the
+	// last one.
+	Crashes   []work.Crash
+	lastCrash int64
 }
 
 // HasRunsOrEnds reports whether the agent holds a run or an end of the coordinator.
@@ -38,6 +42,7 @@
 	r := Report{SentAt: c.encodeTime(now), State: c.State(now, coordinator)}
 	if co := c.coordinators[coordinator]; co != nil {
 		r.Attachment = co.attachment
+		r.Crashes, r.lastCrash = c.unreportedCrashes(co)
 	}
 	for _, e := range c.ends {
 		resend := e.reported && e.Sequence > 0 && !e.acked && now.Sub(e.reportedAt) > endResendInterval
@@ -111,6 +116,7 @@
 	}
 	at := c.decodeTime(sent.SentAt)
 	c.recordProof(coordinator, at)
+	co.crashesReported = max(co.crashesReported, sent.lastCrash)
 	for number, epoch := range reply.Epochs {
 		s := c.shards[number]
 		if s != nil && s.owner == coordinator && s.epoch == epoch && at.After(s.proof) {
--- a/work/progress.go
+++ b/work/progress.go
@@ -25,6 +25,10 @@
 	// Failed lists tasks with the number of their runs that ended with
 	// OutcomeFailed, as step, index and number.
 	Failed [][3]int `json:"failed,omitempty"`
+	// Crashed lists the crashes of endpoints under the job's tasks.
+	Crashed []Crash `json:"crashed,omitempty"`
+	// Reason is why the job has failed, if not by the outcome of its runs.
+	Reason string `json:"reason,omitempty"`
 }
 
 // EncodeJob returns the value of a job's record in the store.
--- a/work/state.go
+++ b/work/state.go
@@ -32,6 +32,8 @@
 	OutcomeBroken       Outcome = "broken"
 	// OutcomeLost is a run whose endpoint crashed or left.
 	OutcomeLost Outcome = "lost"
+	// OutcomeCrashed is a run that was at its endpoint when it crashed.
+	OutcomeCrashed Outcome = "crashed"
 	// OutcomeNotStarted is a run that did not start and can no longer start.
 	OutcomeNotStarted Outcome = "absent"
 	// OutcomeNoCapacity is a run that was refused because the endpoint had too little
@@ -72,13 +74,22 @@
 	// WaitMS is how long the agent may queue the start until there is enough free
 	// capacity; 0 means not at all.
 	WaitMS int64
+	// Suspect is set if an endpoint has crashed under a run of the job. Runs of one suspect job at a
+	// time are at an endpoint, and its starts are sent one at a time, so that the next crash tells
+	// which job is the cause and which of its tasks were there.
+	Suspect bool
 }
 
 // Crash is the crash of an endpoint that had a run of a task.
 type Crash struct {
-	Task string
+	Task string `json:"task"`
 	// Endpoint names the endpoint's generation that crashed.
-	Endpoint string
+	Endpoint string `json:"endpoint"`
+	// Certain is set if the run was certainly at the endpoint. A start that was under way among others
+	// may have crashed the endpoint, or not have reached it.
+	Certain bool `json:"certain,omitempty"`
+	// Alone is set if no run of another job was there.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // EndpointState is the state that an endpoint reports about itself, with the
