jobs: records and batches stay below what the store takes, with crashes in them

Forty jobs of 120 tasks with twelve crashes each make a batch of 3.7 MB, where PROTOCOL.md allows 2 MiB a call and 256 KiB a record. The store would refuse it each time, and the shard could store nothing more.

A batch now gets no further job from 1 MiB on, and a job remembers its latest 1,000 crashes. TestBatchOfJobsWithCrashesFitsACall failed without each of the two (batch of 3,695,960 bytes; with 24 crashes each a record of 266,922).

A report with many crashes of one job looked for tasks to give up once for each of them, which took that test a minute; now once for each job (0.8 s for the package). The random messages of the hostile tests carry crashes, suspect starts and broken connections.

--- a/jobs/batch.go
+++ b/jobs/batch.go
@@ -7,14 +7,20 @@
 	"carobpulley/work"
 )
 
-// maxBatchRecords bounds a batch. With records of up to 5 KB it stays below the
-// 2 MB that PROTOCOL.md allows for a call.
-const maxBatchRecords = 300
+const (
+	// maxBatchRecords bounds the records of a batch.
+	maxBatchRecords = 300
+	// maxBatchBytes is the size from which a batch gets no further job. With the records of the last
+	// one it stays below the 2 MiB that PROTOCOL.md allows for a call.
+	maxBatchBytes = 1 << 20
+)
 
 // Batch holds the records that are stored by one append.
 type Batch struct {
 	Shard   int
 	Records []carobpulley.KeyedRecord
+	// size is the number of bytes of the values.
+	size    int
 	items   []batchItem
 	expired []string
 }
@@ -49,7 +55,7 @@
 	}
 	b := &Batch{Shard: number}
 	n := 0
-	for n < len(s.dirty) && len(b.Records) < maxBatchRecords {
+	for n < len(s.dirty) && len(b.Records) < maxBatchRecords && b.size < maxBatchBytes {
 		j := s.dirty[n]
 		n++
 		if t.jobs[j.id] != j {
@@ -80,14 +86,14 @@
 		if err != nil {
 			return err
 		}
-		b.Records = append(b.Records, carobpulley.KeyedRecord{Key: work.KeyJob + j.id, Value: value})
+		b.append(work.KeyJob+j.id, value)
 	}
 	if !it.accept || j.state.Ended() {
 		value, err := work.EncodeProgress(t.progress(j))
 		if err != nil {
 			return err
 		}
-		b.Records = append(b.Records, carobpulley.KeyedRecord{Key: work.KeyProgress + j.id, Value: value})
+		b.append(work.KeyProgress+j.id, value)
 	}
 	if j.state.Ended() {
 		b.Records = append(b.Records, carobpulley.KeyedRecord{Key: work.KeyJob + j.id})
@@ -99,6 +105,11 @@
 	return nil
 }
 
+func (b *Batch) append(key string, value []byte) {
+	b.Records = append(b.Records, carobpulley.KeyedRecord{Key: key, Value: value})
+	b.size += len(value)
+}
+
 // CommitBatch handles a batch that was stored. It returns the jobs in it that are
 // still in the table.
 func (t *Table) CommitBatch(now time.Time, b *Batch) []StoredJob {
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -19,6 +19,9 @@
 	// crashMemory is how long the crashes of a job that is not in the table are remembered, for a
 	// caller or an owner that comes later.
 	crashMemory = time.Minute
+	// maxJobCrashes bounds the crashes of a job that are remembered, the latest ones: its progress
+	// stays below the 256 KiB that PROTOCOL.md allows for a record.
+	maxJobCrashes = 1000
 )
 
 // jobCrashes holds the crashes of endpoints under the tasks of a job.
@@ -36,7 +39,7 @@
 	var changed []*job
 	for _, c := range crashes {
 		j := t.jobs[work.JobOfTask(c.Task)]
-		if t.recordCrash(now, c) && j != nil && !j.state.Ended() {
+		if t.recordCrash(now, c) && j != nil && !j.state.Ended() && !slices.Contains(changed, j) {
 			changed = append(changed, j)
 		}
 	}
@@ -66,7 +69,10 @@
 			return false
 		}
 	}
-	known.crashes = append(slices.Clip(known.crashes), c)
+	if len(known.crashes) == maxJobCrashes {
+		known.crashes = slices.Delete(known.crashes, 0, 1)
+	}
+	known.crashes = append(known.crashes, c)
 	return true
 }
 
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -128,3 +128,54 @@
 		t.Errorf("%d jobs with crashes are remembered", got)
 	}
 }
+
+// Guards against a shard whose changes the store refuses for good, since jobs with many crashes make a
+// record or a batch larger than PROTOCOL.md allows.
+func TestBatchOfJobsWithCrashesFitsACall(t *testing.T) {
+	const (
+		jobs, tasks, endpoints = 40, 120, 12
+		recordBytes, callBytes = 262_144, 2_097_152
+	)
+	f := newOwner(t, 2*jobs)
+	for n := range jobs {
+		if status := f.submit(testJob(n, tasks, false)); status != SubmitPending {
+			t.Fatalf("job %d: submit status %d", n, status)
+		}
+	}
+	for f.commit() != nil {
+	}
+	for n := range jobs {
+		crashes := make([]work.Crash, 0, tasks*endpoints)
+		for e := range tasks * endpoints {
+			crashes = append(crashes, work.Crash{
+				Task: work.TaskName(testJob(n, 1, false).ID, 0, e%tasks), Endpoint: fmt.Sprintf("side-somewhere-%d/i-0123456789/1788285345535", e/tasks),
+			})
+		}
+		f.table.recordCrashes(f.now, crashes)
+	}
+	stored := 0
+	for {
+		batch, err := f.table.NextBatch(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if batch == nil {
+			break
+		}
+		sum := 0
+		for _, r := range batch.Records {
+			stored++
+			sum += len(r.Key) + len(r.Value)
+			if len(r.Value) > recordBytes {
+				t.Fatalf("record of %d bytes, at most %d are allowed", len(r.Value), recordBytes)
+			}
+		}
+		if sum > callBytes {
+			t.Fatalf("batch of %d bytes, at most %d are allowed", sum, callBytes)
+		}
+		f.table.CommitBatch(f.now, batch)
+	}
+	if stored != jobs {
+		t.Errorf("%d records stored, want %d", stored, jobs)
+	}
+}
--- a/jobs/hostile_test.go
+++ b/jobs/hostile_test.go
@@ -37,8 +37,9 @@
 	}
 	agent := []string{"h0", "h1", "h2", "unknown", ""}[random.IntN(5)]
 	r := f.newReport(agent, f.table.FollowingAttachment(agent)-uint64(random.IntN(2)),
-		work.End{Sequence: number(), Run: run(), Outcome: []work.Outcome{work.OutcomeDone, work.OutcomeFailed, work.OutcomeLost, "?"}[random.IntN(4)], ElapsedMS: number()})
+		work.End{Sequence: number(), Run: run(), Outcome: []work.Outcome{work.OutcomeDone, work.OutcomeFailed, work.OutcomeLost, work.OutcomeCrashed, "?"}[random.IntN(5)], ElapsedMS: number()})
 	r.Running = []work.Run{run(), run()}
+	r.Crashes = []work.Crash{{Task: run().Task, Endpoint: agent, Certain: random.IntN(2) == 0, Alone: random.IntN(2) == 0}}
 	r.State.Capacity = work.Resources{CPU: number(), MemMB: 1000}
 	r.State.Used = work.Resources{CPU: number()}
 	switch random.IntN(7) {
@@ -66,7 +67,7 @@
 			{Key: "j", Value: []byte("{")},
 			{Key: "s1", Value: []byte(`{"done":[[9,9],[-1,0]],"failed":[[0,-1,5]]}`)},
 			{Key: work.KeyJob + "0000000000000001", Value: fmt.Appendf(nil, `{"id":"0000000000000001","steps":[{"count":%d,"need":{}}]}`, number())},
-			{Key: work.KeyProgress + "0000000000000001", Value: []byte(`{"state":"?","done":[[0,0]]}`)},
+			{Key: work.KeyProgress + "0000000000000001", Value: []byte(`{"state":"?","done":[[0,0]],"crashed":[{"task":"."},{"task":"0000000000000001.0.0.0","certain":true}]}`)},
 		})
 	case 5:
 		if batch, err := f.table.NextBatch(0); err == nil && batch != nil {
--- a/runs/hostile_test.go
+++ b/runs/hostile_test.go
@@ -149,7 +149,7 @@
 	case 1:
 		f.controller.HandleDispatch(f.now, Dispatch{
 			Coordinator: name(), Incarnation: 7, Attachment: uint64(number()), Echo: []int64{f.echo, number()}[random.IntN(2)],
-			Starts: []work.Start{{Run: run(), Resources: resources, Durable: random.IntN(2) == 0, SlackMS: number(), WaitMS: number()}},
+			Starts: []work.Start{{Run: run(), Resources: resources, Durable: random.IntN(2) == 0, Suspect: random.IntN(2) == 0, SlackMS: number(), WaitMS: number()}},
 			Stops:  []work.Run{run()}, Acked: []int64{number()}, AckedGeneration: f.controller.EndpointGeneration(),
 		})
 	case 2:
@@ -161,9 +161,10 @@
 			Finished: []work.End{{Sequence: number(), Run: run(), Outcome: work.Outcome(name())}},
 		})
 	case 4:
-		f.controller.HandlePollError(f.now, f.controller.BeginPoll(f.now), []string{"", carobpulley.RefusalStaleToken, carobpulley.RefusalWrongInstance, "?"}[random.IntN(4)], nil)
+		f.controller.HandlePollError(f.now, f.controller.BeginPoll(f.now), []string{"", carobpulley.RefusalStaleToken, carobpulley.RefusalWrongInstance, "?"}[random.IntN(4)], []error{nil, &carobpulley.Error{Kind: carobpulley.KindGone}}[random.IntN(2)])
 	case 5:
-		f.controller.HandleStartReply(f.now, run(), f.controller.Lease(f.now), carobpulley.StartAnswer{Clock: number(), Refusal: name()}, nil)
+		f.controller.HandleStartReply(f.now, run(), f.controller.Lease(f.now), carobpulley.StartAnswer{Clock: number(), Refusal: name()},
+			[]error{nil, &carobpulley.Error{Kind: carobpulley.KindBroken}, &carobpulley.Error{Kind: carobpulley.KindGone}}[random.IntN(3)])
 	case 6:
 		sent := f.controller.Report(f.now, name())
 		f.controller.HandleReportReply(f.now, name(), sent, ReportReply{Epochs: map[int]uint64{int(number()): uint64(number())}, Acked: []int64{number()}})
