--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -15,6 +15,7 @@
 func (f *fixture) crashTask(agent string, s work.Start, certain, alone bool) {
 	f.t.Helper()
 	r := f.newReport(agent, f.table.FollowingAttachment(agent)-1, end(s, 0, work.OutcomeCrashed))
+	r.State.Ready = !f.stayDown
 	r.Crashes = []work.Crash{{Task: s.Run.Task, Endpoint: fmt.Sprint(agent, "/", s.Run.Number), Certain: certain, Alone: alone}}
 	f.table.HandleReport(f.now, r)
 	f.takeDispatches()
@@ -75,6 +76,37 @@
 	}
 }
 
+// Guards against jobs that were at a crash together and are placed together again, so that the cause is
+// never found, and against other work that is placed beside them.
+func TestSuspectsAreApartAndOthersAvoidThem(t *testing.T) {
+	f := newFixture(t, 2).attach()
+	f.submit(testJob(1, 1, true))
+	preferred, s := f.nextStart()
+	large := testJob(2, 1, true)
+	large.Steps[0].Resources.CPU = 58_000
+	f.submit(large)
+	crashed, lost := f.nextStart()
+	if preferred == crashed {
+		t.Fatalf("both jobs at %s, want them apart", crashed)
+	}
+	f.table.recordCrashes(f.now, []work.Crash{{Task: s.Run.Task, Endpoint: "elsewhere", Certain: true}})
+	f.stayDown = true
+	f.crashTask(crashed, lost, true, false)
+	if f.startCount() != 0 {
+		t.Errorf("suspect started beside another one: %v", f.started)
+	}
+	f.report(crashed)
+	at, again := f.nextStart()
+	if at != crashed || !again.Suspect {
+		t.Errorf("suspect started at %s, flag %t; another one is at %s", at, again.Suspect, preferred)
+	}
+	f.report(crashed, end(again, 0, work.OutcomeDone))
+	f.submit(testJob(3, 1, true))
+	if at, fresh := f.nextStart(); at != crashed || fresh.Suspect {
+		t.Errorf("other work started at %s, flag %t; a suspect is at %s", at, fresh.Suspect, preferred)
+	}
+}
+
 // Guards against a kept job whose crashes the next owner of its shard does not count, since a start
 // went out before the last crash was stored.
 func TestCrashIsStoredBeforeTheNextStart(t *testing.T) {
--- a/jobs/table_test.go
+++ b/jobs/table_test.go
@@ -31,6 +31,8 @@
 	stopped map[string][]work.Run
 	// sentAt holds the clock reading of each agent's latest report.
 	sentAt map[string]int64
+	// stayDown is set if an endpoint that crashes isn't back at the report of its crash.
+	stayDown bool
 }
 
 func newFixture(t *testing.T, agents int) *fixture {
--- a/runs/crash_test.go
+++ b/runs/crash_test.go
@@ -102,11 +102,26 @@
 func TestEndpointThatLeavesIsNoCrash(t *testing.T) {
 	hb := carobpulley.Heartbeat{Instance: "i", Generation: 1, Sequence: 2, Service: "s", Capacity: work.Resources{CPU: 10_000, MemMB: 1000}}
 	for name, leave := range map[string]func(f *fixture){
-		"announced": func(f *fixture) {
-			hb.Draining = true
-			f.controller.HandleHeartbeat(f.now, hb)
+		"announced, not there any more": func(f *fixture) {
+			leaving := hb
+			leaving.Draining = true
+			f.controller.HandleHeartbeat(f.now, leaving)
 			f.crash()
 		},
+		"announced, new generation known by its heartbeat": func(f *fixture) {
+			leaving, next := hb, hb
+			leaving.Draining = true
+			next.Generation, next.Sequence = 2, 1
+			f.controller.HandleHeartbeat(f.now, leaving)
+			f.controller.HandleHeartbeat(f.now, next)
+		},
+		"announced, new generation known by a poll": func(f *fixture) {
+			leaving := hb
+			leaving.Draining = true
+			f.controller.HandleHeartbeat(f.now, leaving)
+			sent := f.controller.BeginPoll(f.now)
+			f.controller.HandlePoll(f.now, sent, carobpulley.RunLists{Clock: 1, Generation: 2})
+		},
 		"shut down": func(f *fixture) { f.controller.HandleShutdown(f.now, "i") },
 		"cut off": func(f *fixture) {
 			for range maxFailedPolls {
