--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// recordCrash reports whether the crash was not known.
+// recordCrash records a crash. It reports whether it was not known before.
 func (t *Table) recordCrash(now time.Time, c work.Crash) bool {
 	id := work.JobOfTask(c.Task)
 	known := t.crashes[id]
