runs: a start that timed out before a crash is no certain crash

What a caller could see: a job is shown as failed, with a reason that blames one of its tasks, for two crashes of other causes. The only start under way at the crash, or the starts of the only job there, counted as certainly there, also if their call had timed out before the endpoint crashed: such a start may never have reached it.

Cause: the evidence of a crash looked at the phase of a run (unconfirmed), not at whether the crash had ended its call.

Now such a start counts only if its call was open at the crash or ended with its connection. TestTimedOutStartIsNoCertainCrash failed before for both cases; TestStartThatACrashEndsIsACertainCrash holds the other side.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -352,14 +352,14 @@
 	evidence := c.crashEvidence()
 	for key, r := range c.runs {
 		if r.underWay() {
+			if crashed && r.crashed == nil {
+				r.crashed = evidence.of(key.Task, r)
+			}
 			// The command may still reach the next generation of the endpoint, which has seen no
 			// token yet: a poll of it resolves the start.
 			r.phase = phaseUncertain
 			r.token = c.token
 			r.phaseSince = now
-			if crashed && r.crashed == nil {
-				r.crashed = evidence.of(key.Task, r)
-			}
 			if r.crashed != nil && r.broken {
 				c.crashRun(now, key, r)
 			}
--- a/runs/crash.go
+++ b/runs/crash.go
@@ -36,6 +36,11 @@
 // underWay reports whether a run's start may have reached the endpoint without being confirmed.
 func (r *run) underWay() bool { return r.phase == phaseStarting || r.phase == phaseUncertain }
 
+// calling reports whether the call of a run's start has no answer yet, or ended with its connection.
+func (r *run) calling() bool {
+	return r.phase == phaseStarting || r.phase == phaseUncertain && r.broken
+}
+
 // evidence is what the runs at an endpoint tell of the cause of its crash.
 type evidence struct {
 	endpoint  string
@@ -65,11 +70,12 @@
 	return e
 }
 
-// of returns the record of the crash for a run. A start that was under way counts as certain if it
-// was a suspect's and the only one, as the endpoint crashed just then, or if only starts of its job
-// were under way and nothing ran.
+// of returns the record of the crash for a run. A start whose call the crash ended counts as certain
+// if it was a suspect's and the only one under way, or if only starts of its job were under way and
+// nothing ran. A start that had timed out before tells nothing.
 func (e evidence) of(task string, r *run) *work.Crash {
-	certain := !r.underWay() || e.underWay == 1 && r.start.Suspect || e.alone && e.confirmed == 0
+	onlyCause := e.underWay == 1 && r.start.Suspect || e.alone && e.confirmed == 0
+	certain := !r.underWay() || r.calling() && onlyCause
 	return &work.Crash{Task: task, Endpoint: e.endpoint, Certain: certain, Alone: e.alone}
 }
 
@@ -77,8 +83,7 @@
 // under way, so that a crash tells whether it was there.
 func (c *Controller) mustWait(s *work.Start) bool {
 	for _, r := range c.runs {
-		unanswered := r.phase == phaseStarting || r.phase == phaseUncertain && r.broken
-		if unanswered && (s.Suspect || r.start.Suspect) {
+		if r.calling() && (s.Suspect || r.start.Suspect) {
 			return true
 		}
 	}
--- a/runs/crash_test.go
+++ b/runs/crash_test.go
@@ -23,6 +23,17 @@
 	f.controller.HandlePollError(f.now, f.controller.BeginPoll(f.now), "", gone)
 }
 
+// restart lets the endpoint's next generation send a heartbeat and answer a poll.
+func (f *fixture) restart() {
+	f.controller.HandleHeartbeat(f.now, carobpulley.Heartbeat{
+		Instance: "i", Generation: 2, Sequence: 1, Service: "s", Capacity: work.Resources{CPU: 10_000, MemMB: 1000},
+	})
+	f.advance(time.Millisecond)
+	sent := f.controller.BeginPoll(f.now)
+	f.advance(time.Millisecond)
+	f.controller.HandlePoll(f.now, sent, carobpulley.RunLists{Clock: 1, Generation: 2})
+}
+
 // breakStarts ends the calls of all commanded starts by the end of their connection.
 func (f *fixture) breakStarts() {
 	for _, c := range f.controller.Commands() {
@@ -55,6 +66,38 @@
 	)
 }
 
+// Guards against a job that is given up for crashes of other causes: its start had timed out some time
+// before the endpoint crashed, and may never have reached it.
+func TestTimedOutStartIsNoCertainCrash(t *testing.T) {
+	for name, s := range map[string]work.Start{"suspect": newSuspect(1), "alone": newStart(1, 100)} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.dispatch("c", s)
+			f.controller.Commands()
+			f.controller.HandleStartReply(f.now, s.Run, f.controller.Lease(f.now), carobpulley.StartAnswer{}, &carobpulley.Error{Op: "start", Kind: carobpulley.KindUnknown})
+			f.advance(100 * time.Millisecond)
+			f.crash()
+			f.restart()
+			f.checkCrashes(work.Crash{Task: s.Run.Task, Endpoint: "a/i/1", Alone: true})
+		})
+	}
+}
+
+// Guards against a task that crashes its endpoint during the call of its start and is not counted,
+// since a poll finds the endpoint gone before the call ends.
+func TestStartThatACrashEndsIsACertainCrash(t *testing.T) {
+	for name, s := range map[string]work.Start{"suspect": newSuspect(1), "alone": newStart(1, 100)} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.dispatch("c", s)
+			f.controller.Commands()
+			f.crash()
+			f.controller.HandleStartReply(f.now, s.Run, f.controller.Lease(f.now), carobpulley.StartAnswer{}, &carobpulley.Error{Op: "start", Kind: carobpulley.KindBroken})
+			f.checkCrashes(work.Crash{Task: s.Run.Task, Endpoint: "a/i/1", Certain: true, Alone: true})
+		})
+	}
+}
+
 // Guards against a task that crashes its endpoint before the start is answered, and so is never known
 // to have been there.
 func TestSuspectStartsAreSentOneAtATime(t *testing.T) {
