jobs: a job is given up for the task that crashes its endpoints, whatever its place

What callers saw: a job with a task under which too many endpoints had crashed was shown as failed with a reason that named another task, or was not given up yet, depending on the order of the tasks in the job.

Cause: only the tasks at the most crashes were looked at, while going through the tasks in order. A sibling that had been at more crashes, some of them of other causes, hid the task or took the blame.

Now each task is judged by itself; the reason names those with too many crashes and those at as many, since starts of the cause may have been under way at some. It says "under runs of", as not each run of all of them need have been there. TestTaskThatCrashesIsNamed failed before in both orders.

--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -123,30 +123,43 @@
 	if t.crashes[j.id] == nil || j.state.Ended() {
 		return false
 	}
-	// The cause was there at each crash; its starts may have been under way at some.
-	var names []string
-	most, tooMany := 0, false
+	names := t.crashingTasks(j)
+	if len(names) == 0 {
+		return false
+	}
+	j.reason = "endpoints crashed under runs of " + strings.Join(names, ", ")
+	t.logDecision(Decision{Job: j.id, Task: names[0], Event: "failed", Reason: j.reason})
+	t.finishJob(now, j, work.StateFailed)
+	return true
+}
+
+// crashingTasks returns the names of the tasks under which too many endpoints have crashed, and of those
+// that were at as many crashes: starts of the cause may have been under way at some. It is empty if no
+// task was at too many.
+func (t *Table) crashingTasks(j *job) []string {
+	least := 0
+	totals := make(map[*task]int)
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
 			tk := &j.tasks[step][i]
 			n := t.crashCount(tk)
-			if tk.phase == taskDone || n.total == 0 || n.total < most {
+			if tk.phase == taskDone || n.total == 0 {
 				continue
 			}
-			if n.total > most {
-				most, names = n.total, nil
+			totals[tk] = n.total
+			if n.tooMany() && (least == 0 || n.total < least) {
+				least = n.total
 			}
-			names = append(names, tk.name())
-			tooMany = tooMany || n.tooMany()
 		}
 	}
-	if !tooMany {
-		return false
+	var names []string
+	for tk, total := range totals {
+		if least > 0 && total >= least {
+			names = append(names, tk.name())
+		}
 	}
-	j.reason = "endpoints crashed under each run of " + strings.Join(names, ", ")
-	t.logDecision(Decision{Job: j.id, Task: names[0], Event: "failed", Reason: j.reason})
-	t.finishJob(now, j, work.StateFailed)
-	return true
+	slices.Sort(names)
+	return names
 }
 
 // handleTaskCrashed handles the end of a run that was at its endpoint when it crashed.
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -76,6 +76,28 @@
 	}
 }
 
+// Guards against a job whose failure depends on the order of its tasks, or whose reason names other tasks
+// than the one that crashes its endpoints.
+func TestTaskThatCrashesIsNamed(t *testing.T) {
+	for _, crashing := range []int{0, 1} {
+		f := newFixture(t, 1).attach()
+		j := testJob(1, 2, true)
+		f.submit(j)
+		cause, other := work.TaskName(j.ID, 0, crashing), work.TaskName(j.ID, 0, 1-crashing)
+		f.table.recordCrashes(f.now, []work.Crash{
+			{Task: other, Endpoint: "a/1"},
+			{Task: other, Endpoint: "b/1"},
+			{Task: other, Endpoint: "c/1", Certain: true},
+			{Task: cause, Endpoint: "d/1", Certain: true},
+			{Task: cause, Endpoint: "e/1", Certain: true, Alone: true},
+		})
+		results := f.table.Results()
+		if len(results) != 1 || results[0].State != work.StateFailed || !strings.Contains(results[0].Reason, cause) {
+			t.Errorf("results %+v, want failed with %s named", results, cause)
+		}
+	}
+}
+
 // Guards against jobs that were at a crash together and are placed together again, so that the cause is
 // never found, and against other work that is placed beside them.
 func TestSuspectsAreApartAndOthersAvoidThem(t *testing.T) {
