runs: a start is sent only if it still fits the endpoint's capacity

With 6,000 of 10,000 in use and a start of 4,000 under way, a capacity that shrank to 8,000 was exceeded by the repetition. A process that was paused between decision and send could do the same.

The check stands at the last step, beside those of the proof and of the failure domains. The log line says which of them kept a start back, which it called a lost proof each time, and starts_not_sent counts them.

TestRepeatedStartFitsTheCapacity failed before: start beyond the capacity.

--- a/guard/poll.go
+++ b/guard/poll.go
@@ -117,10 +117,11 @@
 
 func (a *Agent) start(ctx context.Context, s work.Start) {
 	a.mu.Lock()
-	lease, ok := a.controller.StartLease(time.Now(), s.Run)
+	lease, refusal := a.controller.StartLease(time.Now(), s.Run)
 	a.mu.Unlock()
-	if !ok {
-		a.log.Warn().Str("task", s.Run.Task).Int64("run", s.Run.Number).Msg("start not sent, the proof of its coordinator has run out")
+	if refusal != "" {
+		a.cfg.Meter.Add(meter.Name("starts_not_sent", refusal), 1)
+		a.log.Warn().Str("task", s.Run.Task).Int64("run", s.Run.Number).Str("refusal", refusal).Msg("start not sent")
 		a.wakeReportLoop()
 		return
 	}
--- a/runs/crash_test.go
+++ b/runs/crash_test.go
@@ -244,3 +244,27 @@
 		t.Errorf("start after the capacity has grown: refused %v", got)
 	}
 }
+
+// Guards against a repeated start that exceeds a capacity that has shrunk since its first try.
+func TestRepeatedStartFitsTheCapacity(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newStart(1, 6000))
+	f.confirmStarts()
+	f.dispatch("c", newStart(2, 4000))
+	f.controller.Commands()
+	f.controller.HandleStartReply(f.now, newRun(2), f.controller.Lease(f.now), carobpulley.StartAnswer{}, &carobpulley.Error{Op: "start", Kind: carobpulley.KindUnknown})
+	f.controller.HandleHeartbeat(f.now, carobpulley.Heartbeat{
+		Instance: "i", Generation: 1, Sequence: 2, Service: "s", Capacity: work.Resources{CPU: 8000, MemMB: 1000},
+	})
+	f.advance(10 * time.Millisecond)
+	f.poll(carobpulley.RunLists{Running: []carobpulley.ListedRun{{Run: newRun(1)}}})
+	for _, c := range f.controller.Commands() {
+		if _, refusal := f.controller.StartLease(f.now, c.Start.Run); refusal == "" {
+			t.Errorf("start of %s beyond the capacity", c.Start.Run.Task)
+		}
+	}
+	ends := f.report("c", nil)
+	if len(ends) != 1 || ends[0].Run != newRun(2) || ends[0].Outcome != work.OutcomeNoCapacity {
+		t.Errorf("ends %v, want the repeated start refused for its capacity", ends)
+	}
+}
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -29,6 +29,8 @@
 	ReasonDomainAge = "domain age"
 	// ReasonSuspect means that a run of another job under which an endpoint has crashed is there.
 	ReasonSuspect = "suspect"
+	// ReasonProof means that the coordinator is not known recently enough to live.
+	ReasonProof = "proof"
 )
 
 // HandleAttach handles the attachment of a coordinator with its claims to shards. It reports false
--- a/runs/domain_test.go
+++ b/runs/domain_test.go
@@ -91,8 +91,8 @@
 			for range 3 {
 				for _, command := range f.controller.Commands() {
 					if command.Start != nil && command.Start.Run == newRun(1) {
-						_, sent := f.controller.StartLease(f.now, newRun(1))
-						started = started || sent
+						_, refusal := f.controller.StartLease(f.now, newRun(1))
+						started = started || refusal == ""
 					}
 				}
 				f.poll(carobpulley.RunLists{Running: c.running})
@@ -139,7 +139,7 @@
 	f.pass(testDomainTTL - 200*time.Millisecond)
 	f.dispatch("c", newStart(1, 100))
 	f.advance(500 * time.Millisecond)
-	if _, sent := f.controller.StartLease(f.now, newRun(1)); sent {
+	if _, refusal := f.controller.StartLease(f.now, newRun(1)); refusal == "" {
 		t.Errorf("start sent although the failure domains were last known %s ago", testDomainTTL+300*time.Millisecond)
 	}
 }
--- a/runs/hostile_test.go
+++ b/runs/hostile_test.go
@@ -33,7 +33,8 @@
 			t.Fatalf("%d commands, want one start", got)
 		}
 		f.advance(pause)
-		lease, ok := f.controller.StartLease(f.now, newRun(1))
+		lease, refusal := f.controller.StartLease(f.now, newRun(1))
+		ok := refusal == ""
 		if want := pause < orphanTimeout; ok != want {
 			t.Errorf("after a pause of %s the start is sent: %v, want %v", pause, ok, want)
 		}
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -31,19 +31,39 @@
 	return l
 }
 
-// StartLease returns the lease for a start that is sent now. It reports false, and ends the run,
-// if the proof of the run's coordinator or the knowledge of the failure domains has become too old
-// since the start was decided on, as when this process was paused.
-func (c *Controller) StartLease(now time.Time, key work.Run) (carobpulley.Lease, bool) {
+// StartLease returns the lease for a start that is sent now. It ends the run instead, and returns the
+// reason, if the proof of the run's coordinator or the knowledge of the failure domains has become too
+// old, or the endpoint's capacity too small, since the start was decided on, as when this process was
+// paused or the start is repeated.
+func (c *Controller) StartLease(now time.Time, key work.Run) (lease carobpulley.Lease, refusal string) {
 	r := c.runs[key]
 	if r == nil || r.phase != phaseStarting {
-		return carobpulley.Lease{}, false
+		return carobpulley.Lease{}, ReasonStopped
 	}
-	if now.Sub(c.proof(r)) > orphanTimeout || c.domainRefusal(now) != "" {
-		c.endRun(now, key, r, work.OutcomeNotStarted)
-		return carobpulley.Lease{}, false
+	if refusal = c.sendRefusal(now, r); refusal == "" {
+		return c.Lease(now), ""
 	}
-	return c.Lease(now), true
+	outcome := work.OutcomeNotStarted
+	if refusal == ReasonCapacity {
+		outcome = work.OutcomeNoCapacity
+	}
+	c.endRun(now, key, r, outcome)
+	return carobpulley.Lease{}, refusal
+}
+
+// sendRefusal returns the reason for which a start that was decided on may not be sent any more; empty
+// if it may.
+func (c *Controller) sendRefusal(now time.Time, r *run) string {
+	if now.Sub(c.proof(r)) > orphanTimeout {
+		return ReasonProof
+	}
+	if reason := c.domainRefusal(now); reason != "" {
+		return reason
+	}
+	if !c.reservedResources().Fits(c.heartbeat.Capacity) {
+		return ReasonCapacity
+	}
+	return ""
 }
 
 // markExpiredEnds marks the ends that precede an expiry of the endpoint's lease. They never count
