emul: endpoints whose capacity shrinks and grows under load

The emulated endpoints can now change their capacity while they run; a smaller one counts stability-ms and a heartbeat later, as RULES.md says.

--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -15,6 +15,9 @@
 	commandLatency = time.Millisecond
 	// maxListedEnds is the maximum number of ends in one run list.
 	maxListedEnds = 500
+	// capacityGrace is how long an endpoint's capacity counts that was larger before it shrank: the
+	// stability-ms of RULES.md and the next heartbeat.
+	capacityGrace = 3*time.Second + heartbeatInterval
 	// crashDowntime is the time after which an endpoint that a run has crashed is back.
 	crashDowntime = 3300 * time.Millisecond
 )
@@ -32,12 +35,17 @@
 type Endpoint struct {
 	checker *Checker
 	// number is the endpoint's number in the checker's histories.
-	number   int
-	capacity work.Resources
+	number int
 	// behavior returns the duration and the outcome of a run.
 	behavior func(work.Start) (time.Duration, work.Outcome)
 
-	mu         sync.Mutex
+	mu       sync.Mutex
+	capacity work.Resources
+	// largerCapacity is the capacity before the last change that made it smaller, and shrunkAt its
+	// time.
+	largerCapacity work.Resources
+	shrunkAt       time.Time
+
 	rng        *rand.Rand
 	startedAt  time.Time
 	generation int64
@@ -89,6 +97,24 @@
 	}
 }
 
+// SetCapacity changes the capacity while the endpoint runs.
+func (e *Endpoint) SetCapacity(r work.Resources) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.capacity.Fits(r) {
+		e.largerCapacity, e.shrunkAt = e.capacity, time.Now()
+	}
+	e.capacity = r
+}
+
+// exceedsCapacity reports whether resources in use are beyond the capacity. The caller holds the lock.
+func (e *Endpoint) exceedsCapacity(used work.Resources) bool {
+	if time.Since(e.shrunkAt) < capacityGrace && used.Fits(e.largerCapacity) {
+		return false
+	}
+	return !used.Fits(e.capacity)
+}
+
 // SetLossRate sets the share of commands that are not answered.
 func (e *Endpoint) SetLossRate(share float64) {
 	e.mu.Lock()
@@ -270,7 +296,7 @@
 	for _, other := range e.running {
 		used = used.Add(other.start.Resources)
 	}
-	if !used.Fits(e.capacity) {
+	if e.exceedsCapacity(used) {
 		e.checker.AddViolation("start of " + start.Run.Task + " exceeds the capacity of its endpoint")
 	}
 	d, outcome := e.behavior(start)
