coord: a coordinator without the store learns of the configuration from its peers

What callers saw: a coordinator that got no answer from the store handled requests by its old configuration for as long as that lasted (routes withdrawn were served, new ones rejected), where an accepted change has to be in force within config-apply-ms.

Change: the view of the failure domains that reports, replies and pings carry has the offset of the operators' records. A coordinator that has not read up to it within 300 ms asks its peers in turn for the newest record of the configuration, every 200 ms until it covers that offset. The version still only grows. No message is added while the store answers.

Weighed: the configuration in each reply (256 KiB), a coordinator that is not ready while its view is old (callers of open connections stay, and an outage of the store would empty the fleet).

TestConfigBesideCoordinatorsWithoutStore failed before: version 1 at a coordinator without the store 2 s after version 2.

--- a/coord/control.go
+++ b/coord/control.go
@@ -256,12 +256,7 @@
 		if change.Domain != "" {
 			c.domainsChanged(c.domains.Apply(records[i].Offset, change.Domain, change.OutOfService), "store")
 		}
-		if change.Config != nil && (c.routing == nil || change.Config.Version > c.routing.Version) {
-			c.log.Info().Int64("version", change.Config.Version).Int("routes", len(change.Config.Routes)).Msg("configuration in force")
-			c.cfg.Meter.Set("plan_version", change.Config.Version)
-			c.routing = change.Config
-			c.table.SetConfig(change.Config)
-		}
+		c.applyConfig(change.Config, records[i], "store")
 	}
 	c.table.PlaceReady(time.Now())
 	c.flush()
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -66,6 +66,10 @@
 	domains domain.View
 	// configRead is the last successful read of the operators' topic.
 	configRead configRead
+	// configRecord is the record of the configuration in force, which is passed on to peers that ask
+	// for it.
+	configRecord carobpulley.KeyedRecord
+	peerConfig   peerConfig
 	// controlOffset is the offset up to which the control topic has been read.
 	controlOffset int64
 	// nextConfirmAt is the earliest time of the next read that confirms the ownership for ends
@@ -177,6 +181,7 @@
 		c.table.SetAuthority(now.Sub(c.ownershipProof) < AuthorityTTL)
 		c.table.Tick(now)
 		c.checkConfigAge(now)
+		c.followConfig(now)
 		c.updateShare(now)
 		c.attachDetached(now)
 		c.flush()
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -96,6 +96,11 @@
 	return connect.NewResponse(s.c.pingReply()), nil
 }
 
+// Config implements relay.CoordinatorServiceHandler.
+func (s server) Config(_ context.Context, r *connect.Request[relay.ConfigRequest]) (*connect.Response[relay.ConfigReply], error) {
+	return connect.NewResponse(s.c.configReply(r.Msg.GetOffset())), nil
+}
+
 // Report implements relay.CoordinatorServiceHandler.
 func (s server) Report(ctx context.Context, r *connect.Request[relay.ReportRequest]) (*connect.Response[relay.ReportReply], error) {
 	return s.c.Report(ctx, r)
--- a/emul/domain_test.go
+++ b/emul/domain_test.go
@@ -43,3 +43,50 @@
 		}
 	}
 }
+
+// Guards against requests that are handled by an old configuration for as long as their coordinator does
+// not reach the store, and against a return to an older version.
+func TestConfigBesideCoordinatorsWithoutStore(t *testing.T) {
+	const configInForceWithin = 2 * time.Second
+	for cut := 1; cut <= 2; cut++ {
+		for _, fault := range []Fault{FaultUnresponsive, FaultBusy} {
+			runFleet(t, testSpec(), func(t *testing.T, f *Fleet) {
+				latest := make([]int64, len(f.Coordinators))
+				version := func(n int) int64 {
+					got := f.coordinator(n).Coordinator.Config().Version
+					if got < latest[n] {
+						t.Errorf("coordinator %d is back at version %d after %d", n, got, latest[n])
+					}
+					latest[n] = got
+					return got
+				}
+				for n := range cut {
+					f.Coordinators[n].Store.SetFault(fault)
+				}
+				time.Sleep(500 * time.Millisecond)
+				for want := int64(2); want <= 4; want++ {
+					f.SetConfigVersion(want)
+					for until := time.Now().Add(configInForceWithin); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+						for n := range f.Coordinators {
+							version(n)
+						}
+					}
+					for n := range f.Coordinators {
+						if got := version(n); got != want {
+							t.Errorf("%d coordinators without the store: version %d at coordinator %d after %s, want %d", cut, got, n, configInForceWithin, want)
+						}
+					}
+				}
+				for n := range cut {
+					f.Coordinators[n].Store.SetFault(FaultNone)
+				}
+				time.Sleep(3 * time.Second)
+				for n := range f.Coordinators {
+					if got := version(n); got != 4 {
+						t.Errorf("version %d at coordinator %d with the store back, want 4", got, n)
+					}
+				}
+			})
+		}
+	}
+}
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -127,7 +128,13 @@
 // Decode implements carobpulley.ConfigSource for the emulated operators' topic.
 func (f *Fleet) Decode(r carobpulley.KeyedRecord) (carobpulley.ConfigChange, error) {
 	if r.Key == configKey {
-		return carobpulley.ConfigChange{Config: f.spec.Config}, nil
+		version, err := strconv.ParseInt(string(r.Value), 10, 64)
+		if err != nil {
+			return carobpulley.ConfigChange{}, err
+		}
+		config := *f.spec.Config
+		config.Version = version
+		return carobpulley.ConfigChange{Config: &config}, nil
 	}
 	return carobpulley.ConfigChange{Domain: r.Key, OutOfService: r.Value != nil}, nil
 }
@@ -135,6 +142,13 @@
 // Partition implements carobpulley.ConfigSource.
 func (f *Fleet) Partition() carobpulley.Partition { return operatorsPartition }
 
+// SetConfigVersion publishes the configuration under a new version.
+func (f *Fleet) SetConfigVersion(version int64) {
+	f.Store.mu.Lock()
+	defer f.Store.mu.Unlock()
+	f.Store.partition(operatorsPartition).append([]carobpulley.KeyedRecord{{Key: configKey, Value: strconv.AppendInt(nil, version, 10)}})
+}
+
 // SetDomain takes a failure domain out of service or returns it to service.
 func (f *Fleet) SetDomain(domain string, out bool) {
 	f.Store.mu.Lock()
--- a/wire/relay/relay.connect.go
+++ b/wire/relay/relay.connect.go
@@ -52,6 +52,9 @@
 	// CoordinatorServiceTakeOverProcedure is the fully-qualified name of the CoordinatorService's
 	// TakeOver RPC.
 	CoordinatorServiceTakeOverProcedure = "/carob.relay.v1.CoordinatorService/TakeOver"
+	// CoordinatorServiceConfigProcedure is the fully-qualified name of the CoordinatorService's Config
+	// RPC.
+	CoordinatorServiceConfigProcedure = "/carob.relay.v1.CoordinatorService/Config"
 	// CoordinatorServiceReportProcedure is the fully-qualified name of the CoordinatorService's Report
 	// RPC.
 	CoordinatorServiceReportProcedure = "/carob.relay.v1.CoordinatorService/Report"
@@ -75,6 +78,8 @@
 	Ping(context.Context, *connect.Request[PingRequest]) (*connect.Response[PingReply], error)
 	// TakeOver asks the peer to claim shards that a draining owner hands over.
 	TakeOver(context.Context, *connect.Request[TakeOverRequest]) (*connect.Response[PingReply], error)
+	// Config returns the newest record of the configuration that the peer knows.
+	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigReply], error)
 	// Report carries the ends of runs and the state of an endpoint, and returns an
 	// ownership proof.
 	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error)
@@ -127,6 +132,12 @@
 			connect.WithSchema(coordinatorServiceMethods.ByName("TakeOver")),
 			connect.WithClientOptions(opts...),
 		),
+		config: connect.NewClient[ConfigRequest, ConfigReply](
+			httpClient,
+			baseURL+CoordinatorServiceConfigProcedure,
+			connect.WithSchema(coordinatorServiceMethods.ByName("Config")),
+			connect.WithClientOptions(opts...),
+		),
 		report: connect.NewClient[ReportRequest, ReportReply](
 			httpClient,
 			baseURL+CoordinatorServiceReportProcedure,
@@ -144,6 +155,7 @@
 	pending  *connect.Client[PendingRequest, PendingReply]
 	ping     *connect.Client[PingRequest, PingReply]
 	takeOver *connect.Client[TakeOverRequest, PingReply]
+	config   *connect.Client[ConfigRequest, ConfigReply]
 	report   *connect.Client[ReportRequest, ReportReply]
 }
 
@@ -177,6 +189,11 @@
 	return c.takeOver.CallUnary(ctx, req)
 }
 
+// Config calls carob.relay.v1.CoordinatorService.Config.
+func (c *coordinatorServiceClient) Config(ctx context.Context, req *connect.Request[ConfigRequest]) (*connect.Response[ConfigReply], error) {
+	return c.config.CallUnary(ctx, req)
+}
+
 // Report calls carob.relay.v1.CoordinatorService.Report.
 func (c *coordinatorServiceClient) Report(ctx context.Context, req *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error) {
 	return c.report.CallUnary(ctx, req)
@@ -196,6 +213,8 @@
 	Ping(context.Context, *connect.Request[PingRequest]) (*connect.Response[PingReply], error)
 	// TakeOver asks the peer to claim shards that a draining owner hands over.
 	TakeOver(context.Context, *connect.Request[TakeOverRequest]) (*connect.Response[PingReply], error)
+	// Config returns the newest record of the configuration that the peer knows.
+	Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigReply], error)
 	// Report carries the ends of runs and the state of an endpoint, and returns an
 	// ownership proof.
 	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error)
@@ -244,6 +263,12 @@
 		connect.WithSchema(coordinatorServiceMethods.ByName("TakeOver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinatorServiceConfigHandler := connect.NewUnaryHandler(
+		CoordinatorServiceConfigProcedure,
+		svc.Config,
+		connect.WithSchema(coordinatorServiceMethods.ByName("Config")),
+		connect.WithHandlerOptions(opts...),
+	)
 	coordinatorServiceReportHandler := connect.NewUnaryHandler(
 		CoordinatorServiceReportProcedure,
 		svc.Report,
@@ -264,6 +289,8 @@
 			coordinatorServicePingHandler.ServeHTTP(w, r)
 		case CoordinatorServiceTakeOverProcedure:
 			coordinatorServiceTakeOverHandler.ServeHTTP(w, r)
+		case CoordinatorServiceConfigProcedure:
+			coordinatorServiceConfigHandler.ServeHTTP(w, r)
 		case CoordinatorServiceReportProcedure:
 			coordinatorServiceReportHandler.ServeHTTP(w, r)
 		default:
@@ -299,6 +326,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.CoordinatorService.TakeOver is not implemented"))
 }
 
+func (UnimplementedCoordinatorServiceHandler) Config(context.Context, *connect.Request[ConfigRequest]) (*connect.Response[ConfigReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.CoordinatorService.Config is not implemented"))
+}
+
 func (UnimplementedCoordinatorServiceHandler) Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.CoordinatorService.Report is not implemented"))
 }
