--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -133,11 +133,11 @@
 	return true
 }
 
-// crashingTasks returns the names of the tasks under which too many endpoints have crashed, and of those
-// that were at as many crashes: starts of the cause may have been under way at some. It is empty if no
-// task was at too many.
+// crashingTasks returns the names of the tasks under which too many endpoints have crashed, those at the
+// most crashes, and of those that were at as many: starts of the cause may have been under way at some.
+// It is empty if no task was at too many.
 func (t *Table) crashingTasks(j *job) []string {
-	least := 0
+	most := 0
 	totals := make(map[*task]int)
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
@@ -147,14 +147,14 @@
 				continue
 			}
 			totals[tk] = n.total
-			if n.tooMany() && (least == 0 || n.total < least) {
-				least = n.total
+			if n.tooMany() {
+				most = max(most, n.total)
 			}
 		}
 	}
 	var names []string
 	for tk, total := range totals {
-		if least > 0 && total >= least {
+		if most > 0 && total >= most {
 			names = append(names, tk.name())
 		}
 	}
