--- a/runs/queue.go
+++ b/runs/queue.go
@@ -52,8 +52,7 @@
 
 // processQueue starts queued runs as far as capacity is free. It ends those whose waiting time is
 // over or whose proof is older than orphanTimeout, and all if the endpoint isn't usable or its failure
-// domain is out of service. It reports
-// whether it ended one.
+// domain is out of service. It reports whether it ended one.
 func (c *Controller) processQueue(now time.Time) bool {
 	changed := false
 	for key, r := range c.runs {
