--- a/emul/domain_test.go
+++ b/emul/domain_test.go
@@ -1,6 +1,9 @@
 package emul
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -90,3 +93,49 @@
 		}
 	}
 }
+
+// evacuationActions returns evacuations that outlast domainOutWithin, long faults of the store for one
+// coordinator, and the other random faults but those of the whole store, without which no process can
+// learn of an evacuation.
+func evacuationActions() []faultAction {
+	evacuate := faultAction{"evacuate", targetOperators, func(f *Fleet, rng *rand.Rand) {
+		number := rng.IntN(3)
+		domain := fmt.Sprintf("domain-%d", number)
+		f.SetDomain(domain, true)
+		due := time.Now().Add(domainOutWithin)
+		time.Sleep(domainOutWithin + 2*time.Second)
+		for n := number; n < len(f.Endpoints); n += 3 {
+			if got := f.Checker.StartsAfter(n, due); got > 0 {
+				f.Checker.AddViolation(fmt.Sprintf("%d starts at endpoint %d beyond %s after the evacuation of its domain", got, n, domainOutWithin))
+			}
+		}
+		f.SetDomain(domain, false)
+	}}
+	cutOff := faultAction{"store for one, long", targetStore, func(f *Fleet, rng *rand.Rand) {
+		v := f.coordinator(rng.IntN(len(f.Coordinators))).Store
+		v.SetFault(FaultUnresponsive)
+		time.Sleep(time.Duration(4000+rng.IntN(4000)) * time.Millisecond)
+		v.SetFault(FaultNone)
+	}}
+	actions := []faultAction{evacuate, evacuate, evacuate, cutOff, cutOff, cutOff}
+	for _, a := range faultActions() {
+		if a.name != "store" && a.name != "domain" {
+			actions = append(actions, a)
+		}
+	}
+	return actions
+}
+
+// Guards against starts in a failure domain that was taken out of service while coordinators are cut off
+// from the store, restarted or out of touch with agents.
+func TestEvacuationDays(t *testing.T) {
+	first, count := seedRange(t)
+	for seed := first; seed < first+count; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			spec := testSpec()
+			spec.Seed = seed
+			spec.Behavior = randomBehavior(seed)
+			runFleet(t, spec, func(t *testing.T, f *Fleet) { runSeed(t, f, seed, evacuationActions()) })
+		})
+	}
+}
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -40,7 +40,7 @@
 	domainOutWithin = 5 * time.Second
 	innerPort       = 7000
 	// targetCount is the number of targets of faults; faults on one target exclude each other.
-	targetCount = 5
+	targetCount = 6
 )
 
 // Spec configures a fleet.
--- a/emul/random_test.go
+++ b/emul/random_test.go
@@ -39,6 +39,7 @@
 	targetEndpoints
 	targetStore
 	targetNetwork
+	targetOperators
 )
 
 func faultActions() []faultAction {
