coord: a call for a peer's configuration without an answer closes the idle connections

As all calls between processes do: a connection that has gone silent for good would otherwise be used for each further call to that peer. Found by reading the diff; the path runs only while others know of records that this process lacks.

--- a/coord/configpeer.go
+++ b/coord/configpeer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"maps"
 	"slices"
 	"time"
@@ -80,9 +79,13 @@
 
 // askConfig asks a peer for the configuration among the operators' records from an offset on.
 func (c *Coordinator) askConfig(peer work.Address, from int64) {
-	call, cancel := context.WithTimeout(c.baseCtx, configAskTimeout)
+	client := c.peers.At(peer.Addr)
+	call, cancel := withTimeout(c.baseCtx, configAskTimeout)
 	defer cancel()
-	reply, err := c.peers.At(peer.Addr).Coordinator.Config(call, connect.NewRequest(&relay.ConfigRequest{Offset: from}))
+	reply, err := client.Coordinator.Config(call, connect.NewRequest(&relay.ConfigRequest{Offset: from}))
+	if err != nil && call.Err() != nil {
+		client.CloseIdleConnections()
+	}
 	c.lock()
 	defer c.mu.Unlock()
 	c.peerConfig.asking = false
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -133,9 +133,9 @@
 	return true
 }
 
-// crashingTasks returns the names of the tasks under which too many endpoints have crashed, those at the
-// most crashes, and of those that were at as many: starts of the cause may have been under way at some.
-// It is empty if no task was at too many.
+// crashingTasks returns the names of the tasks for which a job is given up: of those under which too many
+// endpoints have crashed the ones at the most crashes, and the other tasks at as many, since starts of
+// the cause may have been under way at some. It is empty if no task was at too many.
 func (t *Table) crashingTasks(j *job) []string {
 	most := 0
 	totals := make(map[*task]int)
