runs, guard, jobs: log the evidence of a run judged lost, and submissions of ended jobs

The logs of TWICE didn't tell whether a run was judged lost by a list older than its start, or by a newer one that lacked it. The agent now logs, for each run judged lost, when the list that showed it and the one that lacks it were sent and handled, and the endpoint's clock in each. A coordinator logs a submission that meets an ended job, with the tasks whose runs are not known to have ended. Nothing of the logic has changed.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -221,7 +221,7 @@
 func (a *Agent) HandleHeartbeat(hb carobpulley.Heartbeat) {
 	a.mu.Lock()
 	changed := a.controller.HandleHeartbeat(time.Now(), hb)
-	a.logCrashes()
+	a.logLosses()
 	a.mu.Unlock()
 	if changed {
 		select {
@@ -237,6 +237,7 @@
 func (a *Agent) HandleShutdown(instance string) {
 	a.mu.Lock()
 	changed := a.controller.HandleShutdown(time.Now(), instance)
+	a.logLosses()
 	a.mu.Unlock()
 	if changed {
 		a.log.Info().Str("instance", instance).Msg("runner left")
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -60,7 +60,7 @@
 	} else {
 		changed = a.controller.HandlePoll(now, sent, lists)
 	}
-	a.logCrashes()
+	a.logLosses()
 	commands := a.controller.Commands()
 	usable := a.controller.Usable()
 	usableChanged := usable != a.usable
@@ -96,6 +96,7 @@
 		}
 		a.mu.Lock()
 		changed := a.controller.Tick(time.Now())
+		a.logLosses()
 		commands := a.controller.Commands()
 		a.mu.Unlock()
 		a.execute(ctx, commands)
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"time"
 
 	"carobpulley/work"
@@ -49,6 +50,7 @@
 func (t *Table) submitBestEffort(now time.Time, spec *work.Job) (SubmitStatus, string) {
 	if j := t.jobs[spec.ID]; j != nil {
 		if j.state.Ended() {
+			t.logRepeated(j)
 			return SubmitComplete, ""
 		}
 		// The caller is back and waits anew.
@@ -68,6 +70,19 @@
 	return SubmitPending, ""
 }
 
+// logRepeated logs a submission that repeats a job which has ended.
+func (t *Table) logRepeated(j *job) {
+	placed := 0
+	for step := range j.tasks {
+		for i := range j.tasks[step] {
+			if j.tasks[step][i].phase == taskPlaced {
+				placed++
+			}
+		}
+	}
+	t.logDecision(Decision{Job: j.id, Event: "submitted again", Reason: fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, placed)})
+}
+
 // DecidedState returns the state of a job, which may not be stored yet, and why it has failed. It is
 // empty for an unknown job.
 func (t *Table) DecidedState(id string) (state work.State, reason string) {
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -89,6 +89,8 @@
 	phaseSince time.Time
 	// confirmedAt is the time at which the endpoint confirmed the start.
 	confirmedAt time.Time
+	// listed is the answer that listed the run after its start had got no answer.
+	listed Listing
 	// latestStart is the latest start of a queued run that meets the job's objective, and waitUntil
 	// the end of its time in the queue.
 	latestStart time.Time
@@ -178,7 +180,9 @@
 	crashes    []crash
 	newCrashes []CrashedRun
 	lastCrash  int64
-	commands   []Command
+	// lost holds the runs that ended as lost and were not yet returned by Lost.
+	lost     []LostRun
+	commands []Command
 }
 
 // startKey identifies a start by its run and the coordinator's process that dispatched it.
--- a/runs/heartbeat.go
+++ b/runs/heartbeat.go
@@ -78,7 +78,7 @@
 			r.crashed = evidence.of(key.Task, r)
 			c.crashRun(now, key, r)
 		default:
-			c.endRun(now, key, r, work.OutcomeLost)
+			c.loseRun(now, key, r, LostLeft, Listing{})
 		}
 	}
 	c.token++
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -220,7 +220,7 @@
 			c.crashRun(now, key, r)
 			continue
 		}
-		c.endRun(now, key, r, work.OutcomeLost)
+		c.loseRun(now, key, r, LostLeaseExpired, Listing{})
 	}
 	c.token++
 	return true
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -166,6 +166,7 @@
 		r.phase = phaseRunning
 		r.phaseSince = sent.SentAt
 		r.confirmedAt = now
+		r.listed = Listing{SentAt: sent.SentAt, HandledAt: now, ClockMS: c.clockMS}
 	}
 }
 
@@ -174,7 +175,7 @@
 func (c *Controller) handleUnlistedRun(now time.Time, sent Poll, key work.Run, r *run) bool {
 	switch {
 	case r.phase == phaseRunning && r.phaseSince.Before(sent.SentAt):
-		c.endRun(now, key, r, work.OutcomeLost)
+		c.loseRun(now, key, r, LostUnlisted, Listing{SentAt: sent.SentAt, HandledAt: now, ClockMS: c.clockMS})
 	case r.phase == phaseUncertain && r.token < sent.Lease.Token && r.phaseSince.Before(sent.SentAt):
 		// The endpoint refuses the lower token from now on, so the start can be repeated, unless it
 		// may have crashed the endpoint.
