runs: a list ends only runs that were confirmed before it was asked for

What callers saw: a task ran at two endpoints at a time (TWICE), and an endpoint got more than its capacity (LIMIT), while answers of the endpoints were lost.

Cause: several polls of the endpoint are under way at a time, one for each start without an answer beside the one that is always waiting, and their answers overtake each other. A run that an answer listed counted as confirmed from the time at which that poll was sent. An answer to a poll that was sent later, but was made before the start was carried out, then lacked the run and ended it as lost. Class: absence taken for an end, on evidence older than the fact.

Change: the run counts as confirmed from the time at which the list was received. Every poll sent later is answered later than that list was made.

--- a/runs/poll.go
+++ b/runs/poll.go
@@ -163,8 +163,9 @@
 		return
 	}
 	if r.phase == phaseUncertain {
+		// A list shows that the run has ended only if it was asked for after this one was made.
 		r.phase = phaseRunning
-		r.phaseSince = sent.SentAt
+		r.phaseSince = now
 		r.confirmedAt = now
 		r.listed = Listing{SentAt: sent.SentAt, HandledAt: now, ClockMS: c.clockMS}
 	}
