runs: a lease allows for the age of the clock reading that it is computed from

What callers may see: a task that runs at two endpoints at a time for a tenth of a second (TWICE).

Cause: the deadline of a lease is a time of the endpoint's clock, computed from its last reading. The time by which the lease has certainly ended allowed for a clock that is 2% slow during the lease, but not since the reading. While an endpoint answers no poll for seconds, its lease is still renewed by the polls that reach it, the reading is old, and the runs were told lost before the lease had ended.

Evidence: TestLeaseAllowsForTheAgeOfTheClockReading failed before (told lost 102 ms too early after 8 s without an answer).

Change: the deadline is the least that a slow clock shows when the lease is to end, so a lease never outlasts the proofs that it rests on. A lease of 1 s by a clock that isn't slow ends 20 ms earlier.

--- a/runs/lease.go
+++ b/runs/lease.go
@@ -22,10 +22,10 @@
 	if !until.After(now) {
 		return l
 	}
-	l.DeadlineMS = c.clockMS + until.Sub(c.clockAt).Milliseconds()
-	span := until.Sub(now)
-	expiry := now.Add(span + time.Duration(float64(span)*ClockSlack) + leaseExpiryMargin)
-	if expiry.After(c.leaseExpiresAt) {
+	// By then a slow clock has advanced by at least this since it was read.
+	advance := time.Duration(float64(until.Sub(c.clockAt)) * (1 - ClockSlack))
+	l.DeadlineMS = c.clockMS + advance.Milliseconds()
+	if expiry := until.Add(leaseExpiryMargin); expiry.After(c.leaseExpiresAt) {
 		c.leaseExpiresAt = expiry
 	}
 	return l
