runs: a run that is to be stopped does not get its lease renewed without end

What callers may see: a best-effort job that was given up and submitted again elsewhere runs twice at a time, when the endpoint answers polls and doesn't carry out the stop of the old run.

Cause: the stop is repeated until the run has ended, and the polls go on renewing the endpoint's lease, since the proof that the coordinator is alive stays fresh. Nothing bounds the run. A caller comes back 1.3 s after it got no answer, and the bound for a coordinator that is gone (ProofTTL) did not apply to one that has given the job up.

Change: a lease for a best-effort run rests on the proof at the time at which the stop was asked for, which a later proof doesn't renew. Weighed: a bound counted from the stop itself, which is later than the coordinator's decision by the time of the message. Stops in messages are handled before the proof that the message carries, for the same reason. What it costs: where an endpoint carries out no stop for about a second, all of its runs end with the lease. Runs of durable jobs don't bound it: they start elsewhere only after their end is known.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -78,6 +78,8 @@
 	coordinator string
 	incarnation uint64
 	stopping    bool
+	// stopProof is the proof of the run's coordinator at the time at which its stop was asked for.
+	stopProof time.Time
 	// crashed is set once the endpoint has crashed while the start was under way, and broken if the
 	// connection of the start ended before its answer.
 	crashed *work.Crash
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -139,10 +139,10 @@
 	if !c.validEcho(now, d.Echo) {
 		return nil, true
 	}
-	c.recordProof(d.Coordinator, c.decodeTime(d.Echo))
 	for _, key := range d.Stops {
-		c.stop(now, key)
+		c.stop(now, key) // before the proof, which is newer than the decision to stop
 	}
+	c.recordProof(d.Coordinator, c.decodeTime(d.Echo))
 	for i := range d.Starts {
 		run := d.Starts[i].Run
 		key := startKey{run, d.Coordinator, d.Incarnation}
@@ -181,8 +181,7 @@
 		c.endRun(now, key, r, work.OutcomeNotStarted)
 		return
 	}
-	r.stopping = true
-	c.commands = append(c.commands, Command{Stop: key})
+	c.requestStop(key, r)
 }
 
 // start returns the reason for which a start is refused; empty if it is accepted.
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -115,7 +115,7 @@
 	}
 	for _, r := range c.runs {
 		if r.phase != phaseQueued {
-			consider(c.proof(r))
+			consider(c.leaseProof(r))
 		}
 	}
 	for _, e := range c.ends {
@@ -126,6 +126,26 @@
 	return first, found
 }
 
+// leaseProof returns the proof that a lease for a run rests on. That of a best-effort run that is to be
+// stopped isn't renewed: an endpoint that carries out no stop ends it with the lease, before the caller
+// submits the job elsewhere.
+func (c *Controller) leaseProof(r *run) time.Time {
+	proof := c.proof(r)
+	if r.stopping && !r.start.Durable && r.stopProof.Before(proof) {
+		return r.stopProof
+	}
+	return proof
+}
+
+// requestStop commands the stop of a run at the endpoint.
+func (c *Controller) requestStop(key work.Run, r *run) {
+	if !r.stopping {
+		r.stopping = true
+		r.stopProof = c.proof(r)
+	}
+	c.commands = append(c.commands, Command{Stop: key})
+}
+
 // proof returns the latest time at which a run's coordinator is known to have been alive, or to
 // have owned the run's shard.
 func (c *Controller) proof(r *run) time.Time {
@@ -150,8 +170,7 @@
 func (c *Controller) stopOrphans(now time.Time) {
 	for key, r := range c.runs {
 		if !r.stopping && r.phase != phaseQueued && now.Sub(c.proof(r)) > orphanTimeout {
-			r.stopping = true
-			c.commands = append(c.commands, Command{Stop: key})
+			c.requestStop(key, r)
 		}
 	}
 	dropped := false
--- a/runs/lease_test.go
+++ b/runs/lease_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/work"
 )
 
 // leaseEnd returns the latest time at which a lease ends by an endpoint's clock that showed reading at
@@ -14,6 +15,38 @@
 	return at.Add(time.Duration(float64(span) / (1 - ClockSlack)))
 }
 
+// Guards against a run that goes on after its caller has submitted its job elsewhere, when the endpoint
+// answers polls and doesn't carry out the stop: the polls must not renew the lease for it without end.
+func TestStopThatIsNotCarriedOutEndsWithTheLease(t *testing.T) {
+	f := newFixture(t)
+	s := newStart(1, 100)
+	f.dispatch("c", s)
+	f.confirmStarts()
+	f.report("c", nil)
+	stoppedAt := f.now
+	f.controller.HandleDispatch(f.now, Dispatch{Coordinator: "c", Incarnation: 7, Attachment: 1, Echo: f.echo, Stops: []work.Run{s.Run}})
+	var last time.Time
+	for f.now.Sub(stoppedAt) < 3*time.Second {
+		f.poll(carobpulley.RunLists{Running: []carobpulley.ListedRun{{Run: s.Run}}})
+		f.report("c", nil)
+		reading := 5000 + f.now.Sub(testStart).Milliseconds()
+		if l := f.controller.Lease(f.now); l.DeadlineMS > 0 {
+			last = f.now.Add(time.Duration(l.DeadlineMS-reading) * time.Millisecond)
+		}
+		f.advance(40 * time.Millisecond)
+	}
+	if bound := stoppedAt.Add(ProofTTL); last.After(bound) {
+		t.Errorf("the lease of a run that is to be stopped ends %v after the stop, later than %v", last.Sub(stoppedAt), ProofTTL)
+	}
+	if f.controller.State(f.now, "c").Ready {
+		t.Error("an endpoint without a lease takes starts")
+	}
+	f.poll(carobpulley.RunLists{Finished: []work.End{{Sequence: 1, Run: s.Run, Outcome: work.OutcomeLeaseExpired}}})
+	if !f.controller.State(f.now, "c").Ready {
+		t.Error("the endpoint takes no starts after the run has ended")
+	}
+}
+
 // Guards against a run that is told lost while its lease goes on: the endpoint has answered no poll for
 // some seconds, its clock is slow, and the polls renew the lease nevertheless.
 func TestLeaseAllowsForTheAgeOfTheClockReading(t *testing.T) {
@@ -22,7 +55,7 @@
 	f.dispatch("c", s)
 	f.confirmStarts()
 	f.poll(carobpulley.RunLists{Running: []carobpulley.ListedRun{{Run: s.Run}}})
-	read, reading := f.now, int64(5000+f.now.Sub(testStart).Milliseconds())
+	read, reading := f.now, 5000+f.now.Sub(testStart).Milliseconds()
 	var end time.Time
 	for f.now.Sub(read) < 8*time.Second {
 		f.report("c", nil)
--- a/runs/report.go
+++ b/runs/report.go
@@ -114,6 +114,9 @@
 	if co == nil || co.attachment != sent.Attachment {
 		return
 	}
+	for _, key := range reply.Stops {
+		c.stop(now, key) // before the proof, which is newer than the decision to stop
+	}
 	at := c.decodeTime(sent.SentAt)
 	c.recordProof(coordinator, at)
 	co.crashesReported = max(co.crashesReported, sent.lastCrash)
@@ -133,9 +136,6 @@
 			e.reportedAt = now
 		}
 	}
-	for _, key := range reply.Stops {
-		c.stop(now, key)
-	}
 	c.HandleAcks(reply.AckedGeneration, reply.Acked)
 	c.pruneEnds()
 }
