runs: an endpoint's restart ends a run only by a poll that was sent after its start was settled

What callers may see: a task runs at two endpoints at a time (TWICE), where an endpoint crashes and comes back under its id.

Cause: as soon as a heartbeat or a poll showed a new generation, each confirmed run, and each start whose connection had ended, was told crashed. It may have been started at the new generation, if that was not known yet; and a heartbeat of the earlier generation that was delayed beyond the first poll of the new one counted as a restart, which ended the runs of the new one.

Change: a restart marks the runs, and a poll that was sent after a run's start was confirmed, or its connection had ended, decides: the endpoint refuses the connection, or its lists lack the run. A crash that polls find, as they mostly do, ends confirmed runs as fast as before; one that a heartbeat shows first, a poll later. What a heartbeat or the announcement of a shutdown says ends no run any more.

Tests: TestEndpointThatLeavesIsNoCrash and TestStartThatACrashEndsIsACertainCrash expect the same ends and crashes, after the poll that decides; the latter also that nothing is told before it.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -80,10 +80,12 @@
 	stopping    bool
 	// stopProof is the proof of the run's coordinator at the time at which its stop was asked for.
 	stopProof time.Time
-	// crashed is set once the endpoint has crashed while the start was under way, and broken if the
-	// connection of the start ended before its answer.
+	// crashed is set once the endpoint has crashed while the run was there or under way, and left once
+	// it has left as announced while the run was there.
 	crashed *work.Crash
-	broken  bool
+	left    bool
+	// brokenAt is the time at which the connection of the start ended before its answer, if it did.
+	brokenAt time.Time
 	// token is the highest token with which an unanswered start may have been sent.
 	token    int64
 	attempts int
--- a/runs/crash.go
+++ b/runs/crash.go
@@ -38,7 +38,7 @@
 
 // calling reports whether the call of a run's start has no answer yet, or ended with its connection.
 func (r *run) calling() bool {
-	return r.phase == phaseStarting || r.phase == phaseUncertain && r.broken
+	return r.phase == phaseStarting || r.phase == phaseUncertain && !r.brokenAt.IsZero()
 }
 
 // evidence is what the runs at an endpoint tell of the cause of its crash.
@@ -91,15 +91,14 @@
 }
 
 // crashStart handles a start that was under way when the endpoint crashed, once its call has ended.
-// A call that was refused, never sent, or whose connection has ended with the endpoint, can't start
-// the run at the endpoint's next generation; any other may, so a poll of that generation decides.
+// A call that was refused or never sent has started nothing. Any other may have started the run at the
+// endpoint's next generation, also one whose connection has ended, so a later poll decides.
 func (c *Controller) crashStart(now time.Time, key work.Run, r *run, refusal string, err error) {
-	kind := carobpulley.KindOf(err)
-	switch {
+	switch kind := carobpulley.KindOf(err); {
 	case refusal != "" || kind == carobpulley.KindGone || kind == carobpulley.KindUnavailable:
 		c.endRun(now, key, r, work.OutcomeNotStarted)
 	case kind == carobpulley.KindBroken:
-		c.crashRun(now, key, r)
+		r.brokenAt = now
 	}
 }
 
--- a/runs/heartbeat.go
+++ b/runs/heartbeat.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"carobpulley"
-	"carobpulley/work"
 )
 
 // HandleHeartbeat handles a heartbeat of the endpoint. It reports whether this is the first
@@ -17,7 +16,7 @@
 	changed := !c.hasHeartbeat || c.shutDown || c.heartbeat.Draining != hb.Draining || c.heartbeat.Instance != hb.Instance || c.heartbeat.Generation != hb.Generation
 	restarted := c.hasHeartbeat && (c.heartbeat.Instance != hb.Instance || hb.Generation != 0 && c.generation != hb.Generation)
 	if restarted {
-		c.handleRestart(now, !c.heartbeat.Draining)
+		c.handleRestart(now, !c.announced())
 	}
 	c.heartbeat = hb
 	c.hasHeartbeat = true
@@ -50,43 +49,3 @@
 	c.handleRestart(now, false)
 	return true
 }
-
-// handleRestart ends all runs of an endpoint that has lost its runs, except starts that may still
-// reach its next generation. crashed is set unless the endpoint has left as announced.
-func (c *Controller) handleRestart(now time.Time, crashed bool) {
-	c.listsKnown = true
-	evidence := c.crashEvidence()
-	for key, r := range c.runs {
-		if r.underWay() {
-			if crashed && r.crashed == nil {
-				r.crashed = evidence.of(key.Task, r)
-			}
-			// The command may still reach the next generation of the endpoint, which has seen no
-			// token yet: a poll of it resolves the start.
-			r.phase = phaseUncertain
-			r.token = c.token
-			r.phaseSince = now
-			if r.crashed != nil && r.broken {
-				c.crashRun(now, key, r)
-			}
-			continue
-		}
-		switch {
-		case r.phase == phaseQueued:
-			c.endRun(now, key, r, work.OutcomeNotStarted)
-		case crashed:
-			r.crashed = evidence.of(key.Task, r)
-			c.crashRun(now, key, r)
-		default:
-			c.loseRun(now, key, r, LostLeft, Listing{})
-		}
-	}
-	c.token++
-	for _, e := range c.ends {
-		e.Sequence = 0
-	}
-	c.lastListed = 0
-	c.ackedUpTo = 0
-	c.clockMS = 0
-	c.unresponsive = false
-}
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -235,8 +235,8 @@
 		return changed
 	}
 	for key, r := range c.runs {
-		if r.crashed != nil {
-			c.crashRun(now, key, r)
+		if r.affected() {
+			c.endAffected(now, key, r)
 			continue
 		}
 		c.loseRun(now, key, r, LostLeaseExpired, Listing{})
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -27,6 +27,7 @@
 		r.phase = phaseRunning
 		r.phaseSince = now
 		r.confirmedAt = now
+		r.crashed, r.left = nil, false
 		if r.stopping {
 			c.commands = append(c.commands, Command{Stop: key})
 		}
@@ -49,7 +50,9 @@
 	}
 	r.phase = phaseUncertain
 	r.phaseSince = now
-	r.broken = carobpulley.KindOf(err) == carobpulley.KindBroken
+	if carobpulley.KindOf(err) == carobpulley.KindBroken {
+		r.brokenAt = now
+	}
 	r.token = l.Token
 	if c.token == l.Token {
 		c.token++
@@ -66,6 +69,7 @@
 	}
 	r.phase = phaseStarting
 	r.phaseSince = now
+	r.brokenAt = time.Time{}
 	c.commands = append(c.commands, Command{Start: &r.start})
 }
 
@@ -105,14 +109,13 @@
 	if sent.Lease.Instance != c.heartbeat.Instance || lists.Generation != 0 && lists.Generation < c.generation {
 		return false
 	}
-	if c.generation != 0 && lists.Generation > c.generation {
-		c.handleRestart(now, !c.heartbeat.Draining)
-		c.generation = lists.Generation
-		return true
+	restarted := c.generation != 0 && lists.Generation > c.generation
+	if restarted {
+		c.handleRestart(now, !c.announced())
 	}
 	c.generation = max(c.generation, lists.Generation)
 	c.listsKnown = true
-	changed := c.unresponsive || c.clockMS == 0
+	changed := restarted || c.unresponsive || c.clockMS == 0
 	c.unresponsive = false
 	c.failedPolls = 0
 	c.clockMS = lists.Clock
@@ -177,13 +180,13 @@
 	switch {
 	case r.phase == phaseRunning && r.phaseSince.Before(sent.SentAt):
 		c.loseRun(now, key, r, LostUnlisted, Listing{SentAt: sent.SentAt, HandledAt: now, ClockMS: c.clockMS})
-	case r.phase == phaseUncertain && r.token < sent.Lease.Token && r.phaseSince.Before(sent.SentAt):
-		// The endpoint refuses the lower token from now on, so the start can be repeated, unless it
-		// may have crashed the endpoint.
-		if r.crashed != nil {
-			c.crashRun(now, key, r)
-			return true
+	case r.phase == phaseUncertain && r.affected():
+		if !r.isOver(sent) {
+			return false
 		}
+		c.endAffected(now, key, r)
+	case r.phase == phaseUncertain && r.token < sent.Lease.Token && r.phaseSince.Before(sent.SentAt):
+		// The endpoint refuses the lower token from now on, so the start can be repeated.
 		c.retryStart(now, key, r)
 		return false
 	default:
@@ -210,9 +213,9 @@
 		c.RaiseToken(sent.Lease.Token)
 		return false
 	case refusal == carobpulley.RefusalWrongInstance:
-		return c.handleCrash(now)
+		return c.handleGone(now, sent)
 	case err != nil && carobpulley.KindOf(err) == carobpulley.KindGone:
-		return c.handleCrash(now)
+		return c.handleGone(now, sent)
 	}
 	c.failedPolls++
 	if c.failedPolls < maxFailedPolls {
@@ -222,11 +225,3 @@
 	c.unresponsive = true
 	return changed
 }
-
-// handleCrash handles an endpoint that no longer exists.
-func (c *Controller) handleCrash(now time.Time) bool {
-	changed := !c.unresponsive || len(c.runs) > 0
-	c.handleRestart(now, !c.heartbeat.Draining)
-	c.unresponsive = true
-	return changed
-}
