jobs: a start that got no answer is not over because its job was given up

What callers saw: nothing yet; found while tracing the resubmission of a job that is being stopped. Cause: a dispatch without an answer is sent again without the starts of jobs that have ended, and the table took the runs of these starts for over. The agent may have got the dispatch and lost only its answer. The job was then dropped although its run was on, and its next submission would start a second one (TWICE). The class: an end inferred from what was not sent.

Evidence, before: "stopping_test.go:37: the run counts as over although its start may have been carried out".

Change: only a start that was never sent is dropped so. One that was sent is repeated together with its stop. An agent handles the stops of a message first: a start that it never got is refused, which shows that it never runs, and one that it has got ends and is reported. Weighed: to leave the start out and to wait for the end. An agent that never got the start reports none, so the task would stay placed until the next attachment.

--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"carobpulley/work"
@@ -17,6 +18,8 @@
 	Acked       []int64
 	// AckedGeneration is the endpoint generation that the numbers in Acked belong to.
 	AckedGeneration string
+	// sent is set once the dispatch may have reached the agent.
+	sent bool
 }
 
 // pendingDispatch returns the dispatch to be sent next to an agent, creating it if
@@ -60,7 +63,9 @@
 
 // Refresh updates a dispatch before it is sent, for the first time or again: its echo is the latest
 // one, and starts that are no longer placed there are left out. The agent remembers a stop for a
-// short time only, so a start that is repeated after it would take effect.
+// short time only, so a start that is repeated after it would take effect. A start of an ended job
+// that may have reached the agent is repeated with its stop, which the agent handles first: the
+// answer tells whether the run is over.
 func (t *Table) Refresh(now time.Time, d *Dispatch) Sendable {
 	a := t.agents[d.Agent]
 	if a == nil || !a.attached || a.attachment != d.Attachment || a.incarnation != d.Incarnation {
@@ -74,16 +79,21 @@
 		if tk == nil || tk.phase != taskPlaced || tk.agent != a || tk.run != key.Number {
 			continue
 		}
-		if tk.job.state.Ended() {
+		switch {
+		case tk.job.state.Ended() && !d.sent:
 			t.requeueTask(now, tk)
 			continue
-		}
-		if !t.mayStart(now, tk.job) {
+		case tk.job.state.Ended():
+			if !slices.Contains(d.Stops, key) {
+				d.Stops = append(d.Stops, key)
+			}
+		case !t.mayStart(now, tk.job):
 			return SendLater
 		}
 		placed = append(placed, d.Starts[i])
 	}
 	d.Starts = placed
+	d.sent = true
 	return SendNow
 }
 
--- /dev/null
+++ b/jobs/stopping_test.go
@@ -0,0 +1,51 @@
+package jobs
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobpulley/work"
+)
+
+// stoppedFixture returns a fixture with a job that was given up after its only start was sent, and
+// the dispatch with the start.
+func stoppedFixture(t *testing.T, agents int) (*fixture, *Dispatch) {
+	t.Helper()
+	f := newFixture(t, agents).attach()
+	f.table.Submit(f.now, testJob(1, 1, true))
+	dispatches := f.table.Dispatches()
+	if len(dispatches) != 1 || f.table.Refresh(f.now, dispatches[0]) != SendNow {
+		t.Fatalf("dispatches %+v, want one that may be sent", dispatches)
+	}
+	d := dispatches[0]
+	f.started[d.Agent] = append(f.started[d.Agent], d.Starts...)
+	f.table.Abandon(f.now, testJob(1, 1, true).ID, "left")
+	f.takeDispatches()
+	return f, d
+}
+
+// Guards against a run that counts as over, so that its task may run elsewhere, because its dispatch
+// is sent again after the job was given up: the agent may have got the dispatch that it didn't answer.
+func TestUnansweredStartIsNotOverWithItsJob(t *testing.T) {
+	f, d := stoppedFixture(t, 1)
+	start := f.started["h0"][0]
+	if got := f.table.Refresh(f.now, d); got != SendNow {
+		t.Fatalf("sendable %d, want %d", got, SendNow)
+	}
+	if !f.table.HasPlacedTasks("h0") {
+		t.Error("the run counts as over although its start may have been carried out")
+	}
+	// The stop keeps an agent that never got the start from carrying it out, and its refusal shows
+	// that the run is over.
+	if diff := cmp.Diff([]work.Run{start.Run}, d.Stops); diff != "" {
+		t.Errorf("stops (-want +got):\n%s", diff)
+	}
+	if len(d.Starts) != 1 {
+		t.Fatalf("starts %+v, want the one that got no answer", d.Starts)
+	}
+	f.table.HandleRefusedStarts(f.now, d, []work.Run{start.Run}, "stopped")
+	if f.table.HasPlacedTasks("h0") || f.table.HasJob(testJob(1, 1, true).ID) {
+		t.Error("the run counts as on after its start was refused")
+	}
+}
