jobs: a run that an agent lists is on, also while it is being stopped

What callers saw: nothing yet; found while tracing the resubmission of a job that is being stopped. Cause: at an attachment the agent lists its runs. A listed run of a job that had been given up was stopped, but left out of the list of what is on, so the table took it for over, dropped the job and would have started its next submission beside the run (TWICE). A listed run that was being stopped as overdue stayed placed, but the stop that had been lost with the earlier attachment was not repeated: the run went on until its end. The class: an end inferred although the agent says the opposite.

Evidence, before:

stopping_test.go:65: the run counts as over although the agent lists it stopping_test.go:92: stops of the new attachment (-want +got): - {{Task: "...", Number: 1}}

Change: a listed run that is the one placed there stays placed, and its stop is sent again.

--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -235,22 +235,25 @@
 }
 
 // reconcileRun matches a run that an agent lists with the table. It returns the run's
-// task if the run belongs there, and stops the run otherwise.
+// task if the run is the one placed there, also while it is being stopped, and stops the
+// run otherwise.
 func (t *Table) reconcileRun(now time.Time, a *agentState, key work.Run) *task {
 	tk := t.taskOf(key)
-	if tk == nil || tk.job.state.Ended() || tk.phase == taskDone || tk.phase == taskPlaced && tk.agent != a || tk.phase == taskWaiting && !tk.job.takeoverPending {
-		t.pendingDispatch(a).Stops = append(t.pendingDispatch(a).Stops, key)
-		return nil
-	}
-	if tk.phase == taskPlaced && tk.run != key.Number {
-		t.pendingDispatch(a).Stops = append(t.pendingDispatch(a).Stops, key)
-		return nil
+	if tk != nil && tk.phase == taskPlaced && tk.agent == a && tk.run == key.Number {
+		if tk.stopping || tk.job.state.Ended() {
+			// The stop may be lost with the attachment in which it was sent.
+			tk.stopping = false
+			t.stopTask(tk)
+		}
+		return tk
 	}
-	if tk.phase == taskWaiting {
+	if tk != nil && tk.phase == taskWaiting && tk.job.takeoverPending && !tk.job.state.Ended() {
 		tk.run = key.Number
 		t.assign(now, tk, a)
+		return tk
 	}
-	return tk
+	t.pendingDispatch(a).Stops = append(t.pendingDispatch(a).Stops, key)
+	return nil
 }
 
 func (t *Table) taskOf(key work.Run) *task {
--- a/jobs/stopping_test.go
+++ b/jobs/stopping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -49,3 +50,45 @@
 		t.Error("the run counts as on after its start was refused")
 	}
 }
+
+// Guards against a run that counts as over, so that its task may run elsewhere, because its job was
+// given up when the agent was attached again, although the agent lists the run.
+func TestListedRunOfAStoppedJobIsOn(t *testing.T) {
+	f, _ := stoppedFixture(t, 1)
+	run := f.started["h0"][0].Run
+	f.stopped = map[string][]work.Run{}
+	r := f.newReport("h0", f.table.FollowingAttachment("h0"))
+	r.Running = []work.Run{run}
+	f.table.HandleAttachment(f.now, r, nil)
+	f.takeDispatches()
+	if !f.table.HasPlacedTasks("h0") {
+		t.Error("the run counts as over although the agent lists it")
+	}
+	if diff := cmp.Diff([]work.Run{run}, f.stopped["h0"]); diff != "" {
+		t.Errorf("stops of the new attachment (-want +got):\n%s", diff)
+	}
+	f.report("h0", end(f.started["h0"][0], 1, work.OutcomeStopped))
+	if f.table.HasPlacedTasks("h0") || f.table.HasJob(testJob(1, 1, true).ID) {
+		t.Error("the run counts as on after its end")
+	}
+}
+
+// Guards against a run that is stopped as overdue and goes on, because the stop was lost with the
+// attachment in which it was sent.
+func TestStopIsRepeatedWithAnAttachment(t *testing.T) {
+	f := newFixture(t, 1).attach()
+	f.submit(testJob(1, 1, true))
+	run := f.started["h0"][0].Run
+	f.advance(overdueMargin + overdueFactor*200*time.Millisecond + 100*time.Millisecond)
+	if diff := cmp.Diff([]work.Run{run}, f.stopped["h0"]); diff != "" {
+		t.Fatalf("stops (-want +got):\n%s", diff)
+	}
+	f.stopped = map[string][]work.Run{}
+	r := f.newReport("h0", f.table.FollowingAttachment("h0"))
+	r.Running = []work.Run{run}
+	f.table.HandleAttachment(f.now, r, nil)
+	f.takeDispatches()
+	if diff := cmp.Diff([]work.Run{run}, f.stopped["h0"]); diff != "" {
+		t.Errorf("stops of the new attachment (-want +got):\n%s", diff)
+	}
+}
