jobs: tasks at an agent that was removed are lost with its lease

What callers saw: a job with tasks at such an agent is not answered before its caller's time is up; then it stayed in the table as cancelled for good, and each submission of it at this coordinator was answered 200 with that state. Cause: an agent whose record is deleted between the loss of its attachment (900 ms) and the expiry of its leases (1,323 ms) was dropped with the tasks placed at it, and nothing looked at these any more.

Evidence, before: "stopping_test.go:105: the job's run counts as on after the agent timeout".

--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -126,10 +126,11 @@
 	}
 }
 
-// RemoveAgent removes an agent that is permanently gone. An attached agent stays.
+// RemoveAgent removes an agent that is permanently gone. An attached agent stays, and so does one
+// with tasks placed, since their leases have to expire.
 func (t *Table) RemoveAgent(now time.Time, name string) {
 	a := t.agents[name]
-	if a == nil || a.attached {
+	if a == nil || a.attached || len(a.placed) > 0 {
 		return
 	}
 	delete(t.agents, name)
--- a/jobs/stopping_test.go
+++ b/jobs/stopping_test.go
@@ -92,3 +92,16 @@
 		t.Errorf("stops of the new attachment (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a task that stays placed for ever at an agent that was removed while it was not
+// attached.
+func TestRemovedAgentEndsItsRuns(t *testing.T) {
+	f, d := stoppedFixture(t, 1)
+	f.table.Detach("h0", d.Attachment)
+	f.table.RemoveAgent(f.now, "h0")
+	f.now = f.now.Add(testAgentTimeout + time.Millisecond)
+	f.table.Tick(f.now)
+	if f.table.HasJob(testJob(1, 1, true).ID) {
+		t.Error("the job's run counts as on after the agent timeout")
+	}
+}
