jobs, coord, platform: a job submitted again while it is stopped runs anew afterwards

Cause: a best-effort job that is given up stays in the table as ended, as cancelled, until its last run is known to have ended. A submission under its id took it for one whose result is known, and the coordinator and the callers' adapter passed any state on. The class: a state of the inside that reaches a caller as a result.

Change: the submission joins the job that is being stopped and waits within its own deadline. Once the last run is known to have ended, the latest submission is started anew, with run numbers above the old ones and away from the endpoint that held the job. All ways by which a run ends lead through retire, which starts it. It is withdrawn when its last caller leaves or its time is up, and answered as unknown (504), never as not run: an earlier submission has started tasks. The same holds for a submission after the stop. Beside that, the coordinator and the adapter answer 200 for completed and failed only; anything else is unknown.

Weighed: to refuse at once with Retry-After. Most stops end within milliseconds, and Retry-After has whole seconds: a caller would lose a second for a wait that it need not have. A 503 would also say that the job has not run, and a 504 sends the caller to another coordinator, which knows nothing of the run that is being stopped. To drop the old job and start anew at once would be two runs of a task at a time.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -41,7 +41,7 @@
 	if status == jobs.SubmitComplete {
 		state, reason := c.table.DecidedState(j.ID)
 		c.mu.Unlock()
-		return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: state, Reason: reason}
+		return bestEffortAnswer(jobs.BestEffortResult{State: state, Reason: reason})
 	}
 	ch := c.addWaiter(j.ID)
 	c.flush()
@@ -60,14 +60,17 @@
 	c.cfg.Meter.Observe(meter.Name("response", j.Queue.Name), took)
 }
 
+// bestEffortAnswer returns the answer to a submission. Only a job that has run to its end is
+// answered as such.
 func bestEffortAnswer(r jobs.BestEffortResult) carobpulley.JobAnswer {
-	if r.State == work.StateCancelled {
-		if r.Unstarted {
-			return refusedAnswer(r.Reason)
-		}
+	switch {
+	case r.State == work.StateCompleted || r.State == work.StateFailed:
+		return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: r.State, Reason: r.Reason}
+	case r.State == work.StateCancelled && r.Unstarted:
+		return refusedAnswer(r.Reason)
+	default:
 		return unknownAnswer(r.Reason)
 	}
-	return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: r.State, Reason: r.Reason}
 }
 
 // abandon removes a waiting caller and abandons the job if no other caller waits for it.
--- a/jobs/abandoned.go
+++ b/jobs/abandoned.go
@@ -48,6 +48,7 @@
 		return
 	}
 	delete(t.abandoned, j.id)
+	j.startedBefore = true
 	j.runBase = a.lastRun
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
--- a/jobs/batch.go
+++ b/jobs/batch.go
@@ -130,7 +130,7 @@
 			t.enqueueJob(now, j)
 		}
 		if it.state.Ended() && !j.dirty {
-			t.retire(j)
+			t.retire(now, j)
 		}
 	}
 	t.PlaceReady(now)
@@ -138,8 +138,9 @@
 }
 
 // retire discards everything but the state of an ended job, unless runs of it are
-// still placed.
-func (t *Table) retire(j *job) {
+// still placed. A best-effort job that was given up is discarded altogether, and the submission that
+// waits for it is started.
+func (t *Table) retire(now time.Time, j *job) {
 	if j.phase == phaseEnded {
 		return
 	}
@@ -160,6 +161,7 @@
 	}
 	if j.state == work.StateCancelled {
 		delete(t.jobs, j.id)
+		t.acceptResubmission(now, j.resubmission)
 		return
 	}
 	t.recent = append(t.recent, j)
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"fmt"
 	"time"
 
 	"carobpulley/work"
@@ -45,44 +44,6 @@
 	return SubmitPending, ""
 }
 
-// submitBestEffort handles the submission of a best-effort job. Its tasks are queued
-// at once, and its caller waits for its end.
-func (t *Table) submitBestEffort(now time.Time, spec *work.Job) (SubmitStatus, string) {
-	if j := t.jobs[spec.ID]; j != nil {
-		if j.state.Ended() {
-			t.logRepeated(j)
-			return SubmitComplete, ""
-		}
-		// The caller is back and waits anew.
-		j.acceptedAt = now
-		j.answerBy = spec.AnswerBy
-		return SubmitPending, ""
-	}
-	if reason := t.refusalReason(now, spec); reason != "" {
-		return SubmitRefused, reason
-	}
-	j := newJob(spec, bestEffortShard, now)
-	t.recallAbandoned(j)
-	j.phase = phaseActive
-	t.jobs[spec.ID] = j
-	t.enqueueJob(now, j)
-	t.PlaceReady(now)
-	return SubmitPending, ""
-}
-
-// logRepeated logs a submission that repeats a job which has ended.
-func (t *Table) logRepeated(j *job) {
-	placed := 0
-	for step := range j.tasks {
-		for i := range j.tasks[step] {
-			if j.tasks[step][i].phase == taskPlaced {
-				placed++
-			}
-		}
-	}
-	t.logDecision(Decision{Job: j.id, Event: "submitted again", Reason: fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, placed)})
-}
-
 // DecidedState returns the state of a job, which may not be stored yet, and why it has failed. It is
 // empty for an unknown job.
 func (t *Table) DecidedState(id string) (state work.State, reason string) {
@@ -93,13 +54,17 @@
 }
 
 // Abandon cancels a best-effort job that no caller waits for any more. unstarted is
-// set if none of its tasks has started or will start.
+// set if none of its tasks has started or will start, not even of an earlier submission.
 func (t *Table) Abandon(now time.Time, id, reason string) (unstarted bool) {
 	j := t.jobs[id]
-	if j == nil || j.durable() || j.state.Ended() {
+	if j == nil || j.durable() {
+		return false
+	}
+	if j.state.Ended() {
+		t.withdrawResubmission(j, reason)
 		return false
 	}
-	unstarted = !j.started
+	unstarted = !j.hasStarted()
 	t.logDecision(Decision{Job: id, Event: "given up", Reason: reason})
 	t.rememberAbandoned(now, j)
 	t.finishJob(now, j, work.StateCancelled)
@@ -119,7 +84,7 @@
 		if reason == "" {
 			continue
 		}
-		t.results = append(t.results, BestEffortResult{Job: g.job.id, State: work.StateCancelled, Unstarted: true, Reason: reason})
+		t.results = append(t.results, BestEffortResult{Job: g.job.id, State: work.StateCancelled, Unstarted: !g.job.hasStarted(), Reason: reason})
 		t.logDecision(Decision{Job: g.job.id, Event: "given up", Reason: reason})
 		t.finishJob(now, g.job, work.StateCancelled)
 		n = -1
@@ -219,7 +184,7 @@
 		t.results = append(t.results, BestEffortResult{Job: j.id, State: state, Reason: j.reason})
 	}
 	j.storedState = state
-	t.retire(j)
+	t.retire(now, j)
 }
 
 // markDirty adds a durable job to its shard's next batch.
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -40,7 +40,7 @@
 		}
 		t.enqueueTask(now, tk)
 	}
-	t.retireIfStored(tk.job)
+	t.retireIfStored(now, tk.job)
 }
 
 // isCurrentRun reports whether an end belongs to the task's current run: the run
@@ -189,13 +189,13 @@
 func (t *Table) requeueTask(now time.Time, tk *task) {
 	t.unassign(tk)
 	t.enqueueTask(now, tk)
-	t.retireIfStored(tk.job)
+	t.retireIfStored(now, tk.job)
 }
 
 // retireIfStored retires an ended job that has no unstored changes and no placed run.
-func (t *Table) retireIfStored(j *job) {
+func (t *Table) retireIfStored(now time.Time, j *job) {
 	if j.storedState.Ended() && !j.dirty && !j.inBatch {
-		t.retire(j)
+		t.retire(now, j)
 	}
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -76,6 +76,10 @@
 	inBatch bool
 	// crashUnstored is set while a crash of an endpoint under one of the tasks is not stored.
 	crashUnstored bool
+	// startedBefore is set if tasks of an earlier submission of the best-effort job have started.
+	startedBefore bool
+	// resubmission is the latest submission of a best-effort job that is being stopped.
+	resubmission *resubmission
 	// reason is why the job has failed, if not by the outcome of its runs.
 	reason string
 	acks   []ack
@@ -94,6 +98,9 @@
 // durable reports whether the job is stored, in contrast to a best-effort job.
 func (j *job) durable() bool { return j.shard != bestEffortShard }
 
+// hasStarted reports whether a task of the job was placed, also for an earlier submission.
+func (j *job) hasStarted() bool { return j.started || j.startedBefore }
+
 // abandonFactor is the multiple of the objective after which a job's answer has no
 // value, according to RULES.md.
 const abandonFactor = 3
--- /dev/null
+++ b/jobs/resubmit.go
@@ -0,0 +1,88 @@
+package jobs
+
+import (
+	"fmt"
+	"time"
+
+	"carobpulley/work"
+)
+
+// resubmission is a submission of a best-effort job that was given up, made while runs of the
+// earlier submission are not known to have ended.
+type resubmission struct {
+	spec *work.Job
+	at   time.Time
+}
+
+// submitBestEffort handles the submission of a best-effort job. Its tasks are queued
+// at once, and its caller waits for its end. While the job is being stopped they are queued once its
+// last run is known to have ended: before that they could run twice at a time.
+func (t *Table) submitBestEffort(now time.Time, spec *work.Job) (SubmitStatus, string) {
+	j := t.jobs[spec.ID]
+	switch {
+	case j == nil:
+	case j.state == work.StateCancelled && !j.durable():
+		t.logRepeated(j)
+		j.resubmission = &resubmission{spec: spec, at: now}
+		return SubmitPending, ""
+	case j.state.Ended():
+		t.logRepeated(j)
+		return SubmitComplete, ""
+	default:
+		// The caller is back and waits anew.
+		j.acceptedAt = now
+		j.answerBy = spec.AnswerBy
+		return SubmitPending, ""
+	}
+	if reason := t.refusalReason(now, spec); reason != "" {
+		return SubmitRefused, reason
+	}
+	t.acceptBestEffort(now, now, spec)
+	t.PlaceReady(now)
+	return SubmitPending, ""
+}
+
+// acceptBestEffort adds a best-effort job that was submitted at a time and queues its tasks.
+func (t *Table) acceptBestEffort(now, submittedAt time.Time, spec *work.Job) {
+	j := newJob(spec, bestEffortShard, submittedAt)
+	t.recallAbandoned(j)
+	j.phase = phaseActive
+	t.jobs[spec.ID] = j
+	t.enqueueJob(now, j)
+}
+
+// acceptResubmission starts the latest submission that waits for a job to be stopped. A refusal is no
+// proof that the job has not run.
+func (t *Table) acceptResubmission(now time.Time, r *resubmission) {
+	if r == nil {
+		return
+	}
+	if reason := t.refusalReason(now, r.spec); reason != "" {
+		t.results = append(t.results, BestEffortResult{Job: r.spec.ID, State: work.StateCancelled, Reason: reason})
+		t.logDecision(Decision{Job: r.spec.ID, Event: "given up", Reason: reason})
+		return
+	}
+	t.acceptBestEffort(now, r.at, r.spec)
+}
+
+// withdrawResubmission drops the submission that waits for a job to be stopped.
+func (t *Table) withdrawResubmission(j *job, reason string) {
+	if j.resubmission == nil {
+		return
+	}
+	j.resubmission = nil
+	t.logDecision(Decision{Job: j.id, Event: "given up", Reason: reason})
+}
+
+// logRepeated logs a submission that repeats a job which has ended.
+func (t *Table) logRepeated(j *job) {
+	placed := 0
+	for step := range j.tasks {
+		for i := range j.tasks[step] {
+			if j.tasks[step][i].phase == taskPlaced {
+				placed++
+			}
+		}
+	}
+	t.logDecision(Decision{Job: j.id, Event: "submitted again", Reason: fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, placed)})
+}
--- a/jobs/resubmit_test.go
+++ b/jobs/resubmit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -36,3 +37,149 @@
 		t.Errorf("results (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a submission that waits for a job to be stopped and is never started, because one
+// of the ways in which the table learns that the last run has ended does not lead there.
+func TestResubmissionStartsAfterEachKindOfEnd(t *testing.T) {
+	for name, endRun := range map[string]func(f *fixture, d *Dispatch){
+		"stopped": func(f *fixture, d *Dispatch) { f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeStopped)) },
+		"done":    func(f *fixture, d *Dispatch) { f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeDone)) },
+		"failed":  func(f *fixture, d *Dispatch) { f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeFailed)) },
+		"crashed": func(f *fixture, d *Dispatch) { f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeCrashed)) },
+		"start refused": func(f *fixture, d *Dispatch) {
+			f.table.HandleRefusedStarts(f.now, d, []work.Run{f.started[d.Agent][0].Run}, "stopped")
+		},
+		"not on the agent's list": func(f *fixture, d *Dispatch) {
+			f.table.HandleAttachment(f.now, f.newReport(d.Agent, f.table.FollowingAttachment(d.Agent)), nil)
+		},
+		"agent unheard": func(f *fixture, d *Dispatch) {
+			f.silence(d.Agent, testAgentTimeout+100*time.Millisecond)
+		},
+		"agent removed": func(f *fixture, d *Dispatch) {
+			f.table.Detach(d.Agent, d.Attachment)
+			f.table.RemoveAgent(f.now, d.Agent)
+			f.silence(d.Agent, testAgentTimeout+100*time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, d := stoppedFixture(t, 2)
+			if status := f.submit(longJob(1)); status != SubmitPending || f.startCount() != 1 {
+				t.Fatalf("submit status %d with %d starts, want %d with 1", status, f.startCount(), SubmitPending)
+			}
+			endRun(f, d)
+			f.table.Tick(f.now)
+			f.takeDispatches()
+			if got := f.startCount(); got != 2 {
+				t.Errorf("%d starts, want 2", got)
+			}
+		})
+	}
+}
+
+// longJob returns a job of one task that is worth its run after a wait of some seconds.
+func longJob(n int) *work.Job {
+	j := testJob(n, 1, true)
+	j.Queue.TargetMS = 10_000
+	return j
+}
+
+// silence moves the clock on with reports of all agents but one.
+func (f *fixture) silence(silent string, d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for _, name := range f.agents {
+			if name != silent {
+				f.report(name)
+			}
+		}
+		f.table.Tick(f.now)
+		f.takeDispatches()
+	}
+}
+
+// Guards against a start for a caller that has left while it waited for the job to be stopped, and
+// against its answer that the job has not run, although an earlier submission has started it.
+func TestResubmissionIsWithdrawn(t *testing.T) {
+	f, d := stoppedFixture(t, 1)
+	f.submit(longJob(1))
+	if f.table.Abandon(f.now, longJob(1).ID, "left") {
+		t.Error("reported as not started although an earlier submission has started")
+	}
+	f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeStopped))
+	if got := f.startCount(); got != 1 || f.table.HasJob(longJob(1).ID) {
+		t.Errorf("%d starts after the second caller left, want 1", got)
+	}
+}
+
+// Guards against starts for a submission whose caller's time was up before the job was stopped, and
+// for one that was made before a pause of the process.
+func TestResubmissionStartsForAWaitingCallerOnly(t *testing.T) {
+	for name, change := range map[string]func(f *fixture, j *work.Job){
+		"time is up": func(f *fixture, j *work.Job) { j.AnswerBy = f.now.Add(50 * time.Millisecond) },
+		"process paused": func(f *fixture, _ *work.Job) {
+			f.table.HoldBestEffort(f.now.Add(100*time.Millisecond), f.now.Add(time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, d := stoppedFixture(t, 1)
+			j := longJob(1)
+			change(f, j)
+			f.submit(j)
+			f.now = f.now.Add(100 * time.Millisecond)
+			f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeStopped))
+			if got := f.startCount(); got != 1 {
+				t.Errorf("%d starts, want 1", got)
+			}
+		})
+	}
+}
+
+// Guards against the answer that a job has not run, although an earlier submission has started it,
+// when its resubmission is refused or finds no room in time.
+func TestResubmissionIsNotSaidNotToHaveRun(t *testing.T) {
+	for name, tt := range map[string]struct {
+		job  *work.Job
+		wait time.Duration
+	}{
+		"refused":         {job: testJob(1, 100, true)},
+		"no room in time": {job: testJob(1, 1, true), wait: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, d := stoppedFixture(t, 1)
+			f.submit(tt.job)
+			f.table.HoldBestEffort(f.now.Add(time.Millisecond), f.now.Add(time.Minute))
+			f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeStopped))
+			f.advance(tt.wait)
+			results := f.table.Results()
+			if len(results) != 1 || results[0].State != work.StateCancelled || results[0].Unstarted {
+				t.Errorf("results %+v, want one that is cancelled after a start", results)
+			}
+		})
+	}
+}
+
+// Guards against runs of a resubmission that have the numbers of the earlier ones, or go to the
+// endpoint that held them, because the stop took longer than such jobs are remembered.
+func TestResubmissionAfterALongStop(t *testing.T) {
+	f := newFixture(t, 2).attach()
+	f.submit(testJob(1, 1, true))
+	held := "h0"
+	if len(f.started["h1"]) > 0 {
+		held = "h1"
+	}
+	first := f.started[held][0]
+	f.advance(time.Second)
+	f.table.Abandon(f.now, testJob(1, 1, true).ID, "left")
+	f.advance(recentRetention + time.Second)
+	f.started = map[string][]work.Start{}
+	f.submit(testJob(1, 1, true))
+	f.report(held, end(first, 1, work.OutcomeStopped))
+	if len(f.started[held]) != 0 || f.startCount() != 1 {
+		t.Fatalf("starts %+v, want one that is not at %s", f.started, held)
+	}
+	for _, starts := range f.started {
+		if starts[0].Run.Number <= first.Run.Number {
+			t.Errorf("run %d after run %d", starts[0].Run.Number, first.Run.Number)
+		}
+	}
+}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -342,7 +342,7 @@
 	}
 	t.recent = t.recent[n:]
 	for id, a := range t.abandoned {
-		if now.Sub(a.at) > recentRetention {
+		if now.Sub(a.at) > recentRetention && t.jobs[id] == nil {
 			delete(t.abandoned, id)
 		}
 	}
