jobs, coord: cancelling a best-effort job answers its callers and keeps it from starting anew

What callers saw: after a DELETE of a best-effort job at the coordinator that runs it, the DELETE waited 700 ms for a record that such a job does not have and was answered 504; the caller that waited for the job was not told and waited until its time was up; and a submission under the same id started the job again, after its cancelling.

Cause: the table gave no result for a cancelled best-effort job, and took its end for one that is still to be stored. It kept no difference between a job that its caller has left and one that a caller has cancelled.

Evidence, before:

resubmit_test.go:194: known true, stored false, want an answer at once resubmit_test.go:198: results (-want +got): - {Job: "", State: "cancelled", ...} resubmit_test.go:205: runs ended false: submit status 0, reason "", want 2 resubmit_test.go:209: 2 starts, want 1

--- a/coord/calls.go
+++ b/coord/calls.go
@@ -351,6 +351,7 @@
 	}
 	known, stored := c.table.Cancel(time.Now(), queue, id)
 	if !known || stored {
+		c.flush()
 		c.mu.Unlock()
 		if !known {
 			return carobpulley.JobAnswer{Code: carobpulley.AnswerNotFound}
--- a/jobs/batch.go
+++ b/jobs/batch.go
@@ -159,7 +159,7 @@
 		t.ended = append(t.ended, j)
 		return
 	}
-	if j.state == work.StateCancelled {
+	if j.state == work.StateCancelled && !j.cancelRequested {
 		delete(t.jobs, j.id)
 		t.acceptResubmission(now, j.resubmission)
 		return
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -136,13 +136,17 @@
 	return j.storedState, true
 }
 
-// Cancel cancels a job. stored is set if the job's end is stored already, so that
+// Cancel cancels a job. stored is set if the job's end is stored already or need not be, so that
 // the caller can be answered at once.
 func (t *Table) Cancel(now time.Time, queue, id string) (known, stored bool) {
 	j := t.jobs[id]
 	if j == nil || j.queue != "" && j.queue != queue {
 		return false, false
 	}
+	if !j.durable() {
+		t.cancelBestEffort(now, j)
+		return true, true
+	}
 	if j.storedState.Ended() {
 		return true, true
 	}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -78,6 +78,8 @@
 	crashUnstored bool
 	// startedBefore is set if tasks of an earlier submission of the best-effort job have started.
 	startedBefore bool
+	// cancelRequested is set for a best-effort job that a caller has cancelled.
+	cancelRequested bool
 	// resubmission is the latest submission of a best-effort job that is being stopped.
 	resubmission *resubmission
 	// reason is why the job has failed, if not by the outcome of its runs.
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -21,6 +21,8 @@
 	j := t.jobs[spec.ID]
 	switch {
 	case j == nil:
+	case j.cancelRequested:
+		return SubmitRefused, reasonCancelled
 	case j.state == work.StateCancelled && !j.durable():
 		t.logRepeated(j)
 		j.resubmission = &resubmission{spec: spec, at: now}
@@ -65,6 +67,27 @@
 	t.acceptBestEffort(now, r.at, r.spec)
 }
 
+// reasonCancelled is why a best-effort job has no result after its cancellation.
+const reasonCancelled = "cancelled at its caller's request"
+
+// cancelBestEffort cancels a best-effort job and answers the callers that wait for it. The job is
+// not started again by another submission.
+func (t *Table) cancelBestEffort(now time.Time, j *job) {
+	if j.state == work.StateCompleted || j.state == work.StateFailed {
+		return
+	}
+	if !j.state.Ended() || j.resubmission != nil {
+		t.results = append(t.results, BestEffortResult{Job: j.id, State: work.StateCancelled, Unstarted: !j.hasStarted(), Reason: reasonCancelled})
+		t.logDecision(Decision{Job: j.id, Event: "cancelled", Reason: "its caller asked"})
+	}
+	j.cancelRequested = true
+	j.resubmission = nil
+	j.endedAt = now
+	if !j.state.Ended() {
+		t.finishJob(now, j, work.StateCancelled)
+	}
+}
+
 // withdrawResubmission drops the submission that waits for a job to be stopped.
 func (t *Table) withdrawResubmission(j *job, reason string) {
 	if j.resubmission == nil {
--- a/jobs/resubmit_test.go
+++ b/jobs/resubmit_test.go
@@ -183,3 +183,49 @@
 		}
 	}
 }
+
+// Guards against callers that wait for a cancelled best-effort job until their time is up, and
+// against a submission that starts it anew, before or after its runs have ended.
+func TestCancelledBestEffortJob(t *testing.T) {
+	f := newFixture(t, 1).attach()
+	id := testJob(1, 1, true).ID
+	f.submit(testJob(1, 1, true))
+	if known, stored := f.table.Cancel(f.now, testQueue, id); !known || !stored {
+		t.Errorf("known %v, stored %v, want an answer at once", known, stored)
+	}
+	want := []BestEffortResult{{Job: id, State: work.StateCancelled, Reason: reasonCancelled}}
+	if diff := cmp.Diff(want, f.table.Results()); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+	for _, stopped := range []bool{false, true} {
+		if stopped {
+			f.report("h0", end(f.started["h0"][0], 1, work.OutcomeStopped))
+		}
+		if status, reason := f.table.Submit(f.now, testJob(1, 1, true)); status != SubmitRefused || reason != reasonCancelled {
+			t.Errorf("runs ended %v: submit status %d, reason %q, want %d", stopped, status, reason, SubmitRefused)
+		}
+	}
+	if got := f.startCount(); got != 1 {
+		t.Errorf("%d starts, want 1", got)
+	}
+	f.advance(recentRetention + time.Second)
+	if f.table.HasJob(id) {
+		t.Error("still in the table after its retention")
+	}
+}
+
+// Guards against a start of a submission that waits for a job to be stopped when that is cancelled,
+// and against its caller waiting on.
+func TestCancelledResubmission(t *testing.T) {
+	f, d := stoppedFixture(t, 1)
+	f.submit(longJob(1))
+	f.table.Cancel(f.now, testQueue, longJob(1).ID)
+	want := []BestEffortResult{{Job: longJob(1).ID, State: work.StateCancelled, Reason: reasonCancelled}}
+	if diff := cmp.Diff(want, f.table.Results()); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+	f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeStopped))
+	if got := f.startCount(); got != 1 {
+		t.Errorf("%d starts, want 1", got)
+	}
+}
