jobs: a best-effort job is shown with a state

What callers saw: a GET for a best-effort job that has not ended, at the coordinator that runs it, was answered 200 with {"state":""}: a state that can't be read. Clients are said not to ask for such jobs.

Cause: the shown state is the stored one, and nothing of such a job is stored.

Evidence, before: state_test.go:21: known true as "", want "queued".

Change: it is queued from its acceptance, so it is shown as queued, running and by its result.

--- a/jobs/job.go
+++ b/jobs/job.go
@@ -60,7 +60,7 @@
 	spec  *work.Job
 	shard int
 	phase phase
-	// state is the decided state, storedState the one that is stored.
+	// state is the decided state, storedState the one that is stored, and shown to callers.
 	state       work.State
 	storedState work.State
 	tasks       [][]task
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -49,6 +49,7 @@
 	j := newJob(spec, bestEffortShard, submittedAt)
 	t.recallAbandoned(j)
 	j.phase = phaseActive
+	j.storedState = work.StateQueued
 	t.jobs[spec.ID] = j
 	t.enqueueJob(now, j)
 }
