jobs: run numbers of a given up job outlast a submission without starts

What callers saw: nothing by itself; a job that was submitted for the third time could begin with run 1 again, which endpoints that have ended a run of it refuse, for a round trip.

Cause: what is remembered of a job that was given up passes to its next submission; if that was given up before a start, it was forgotten.

Evidence, before: resubmit_test.go:251: run 1 after run 1.

Change: such a submission is remembered with the numbers that it had got.

--- a/jobs/abandoned.go
+++ b/jobs/abandoned.go
@@ -17,15 +17,16 @@
 	stalledAt map[string]*agentState
 }
 
-// rememberAbandoned records a best-effort job that is given up after a start.
+// rememberAbandoned records a best-effort job that is given up after a start, also of an earlier
+// submission.
 //
 // Answers the pattern of an endpoint at which tasks stand still: a job that its caller submits
 // again would wait there once more.
 func (t *Table) rememberAbandoned(now time.Time, j *job) {
-	if !j.started {
+	if !j.hasStarted() {
 		return
 	}
-	a := &abandonedJob{at: now, stalledAt: make(map[string]*agentState)}
+	a := &abandonedJob{at: now, lastRun: j.runBase, stalledAt: make(map[string]*agentState)}
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
 			tk := &j.tasks[step][i]
--- a/jobs/resubmit_test.go
+++ b/jobs/resubmit_test.go
@@ -229,3 +229,25 @@
 		t.Errorf("%d starts, want 1", got)
 	}
 }
+
+// Guards against runs with the numbers of earlier ones, and against the answer that a job has not
+// run, after a submission in between that started nothing.
+func TestRunNumbersOutlastASubmissionWithoutStarts(t *testing.T) {
+	f, d := stoppedFixture(t, 1)
+	first := f.started[d.Agent][0]
+	f.report(d.Agent, end(first, 1, work.OutcomeStopped))
+	id := testJob(1, 1, true).ID
+	f.table.HoldBestEffort(f.now.Add(time.Millisecond), f.now.Add(50*time.Millisecond))
+	f.submit(testJob(1, 1, true))
+	if f.table.Abandon(f.now, id, "left") {
+		t.Error("reported as not started although an earlier submission has started")
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.submit(testJob(1, 1, true))
+	if got := f.startCount(); got != 2 {
+		t.Fatalf("%d starts, want 2", got)
+	}
+	if last := f.started[d.Agent][1]; last.Run.Number <= first.Run.Number {
+		t.Errorf("run %d after run %d", last.Run.Number, first.Run.Number)
+	}
+}
