platform: refuse heartbeats with numbers that can't be true

A heartbeat of another writer that decodes was passed on, whatever its numbers. After "born": the endpoint's own heartbeats count as older: they are answered 200 and passed over, so its draining is not seen any more. Capacities near the largest integer enter sums, and a port of 0, 65536 or -1 was not looked at.

Operators saw an endpoint that takes starts until it ends, and no line about it.

Change: the adapter answers 400 to a birth more than 24 h in the future or below 0, a sequence below 0 or above 2^40, an amount of a resource out of 0..2^40, an address whose port is none, and bytes that are no UTF-8. One line and a counter (entries_rejected{heartbeat}) name the heartbeat; package logs gets Rejects for it, with one line a second and source. The same bound of amounts stands in package work for the other readers.

--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -9,6 +9,7 @@
 
 	"carobpulley/guard"
 	"carobpulley/link"
+	"carobpulley/logs"
 	"carobpulley/platform"
 	"carobpulley/wire/relay"
 )
@@ -28,6 +29,7 @@
 		return err
 	}
 	defer p.close()
+	rejects := logs.NewRejects(p.log, p.meter)
 	agent := guard.New(guard.Config{
 		Self:         p.self,
 		MaxLease:     p.settings.MaxLease,
@@ -42,7 +44,7 @@
 	return p.serve([]listener{
 		{addr: p.settings.Inner, handler: inner},
 		p.metrics(),
-		{addr: p.settings.Beats, handler: platform.NewHeartbeatHandler(p.settings.Service, agent)},
+		{addr: p.settings.Beats, handler: platform.NewHeartbeatHandler(p.settings.Service, agent, rejects)},
 	}, func(ctx context.Context, _ closeCallersFunc) error { return agent.Run(p.ctx, ctx) })
 }
 
--- a/work/check.go
+++ b/work/check.go
@@ -14,6 +14,15 @@
 	return nil
 }
 
+// Check returns an error unless every amount is from 0 to MaxResource, so that sums over the tasks of a
+// job or the endpoints of a fleet don't overflow.
+func (r Resources) Check() error {
+	if min(r.CPU, r.MemMB, r.GPU) < 0 || max(r.CPU, r.MemMB, r.GPU) > MaxResource {
+		return invalidf("resources", "%+v is out of range", r)
+	}
+	return nil
+}
+
 // Check returns an error unless the job is well-formed and within the limits of
 // this package.
 func (j *Job) Check() error {
--- a/work/job.go
+++ b/work/job.go
@@ -15,6 +15,8 @@
 	MaxSteps = 64
 	// MaxTasks bounds the tasks of a job over all steps.
 	MaxTasks = 4096
+	// MaxResource bounds each amount of Resources, in the unit of that resource.
+	MaxResource = 1 << 40
 	// IDLength is the number of hexadecimal digits of a job id.
 	IDLength = 16
 )
