runs: a heartbeat or a shutdown message ends no run

What callers saw: tasks that run twice at a time, and slow jobs, after one odd heartbeat. Operators saw "runner crashed" or "runner left" of an endpoint that goes on, then an endpoint without starts.

Cause: the agent believed what a heartbeat or DELETE claims of the endpoint's life. A later birth or another instance ended all runs as crashed, a DELETE as lost, though they were at work. After another instance the polls went to that one; the endpoint's refusal (421) then counted as its end. At the start of an agent the same refusal made it answer attachments before it had read what its endpoint runs. A heartbeat of an earlier life that was delayed counted as a restart when a poll had shown the new life first. After a wrong birth the true heartbeats were passed over for good.

Change: such a heartbeat is a claim. The agent polls at once as the claimed instance (guard.probeLoop), and the endpoint's answer decides: lists under the claimed birth put it in force, 421 or lists under another birth drop it, and a claim that waits takes the place of a heartbeat that was dropped. Runs end by the endpoint's lists under another birth, by 421 to an instance that had answered, by a refused connection, or with the lease. A DELETE stops starts, until the endpoint's next heartbeat, and a poll looks at once. A new instance whose clock was set back is accepted, as its birth is compared with that shown by the endpoint, not ordered. A poll that found nobody and was sent before the life in force was known tells nothing of it. What was dropped is logged and counted (entries_rejected{claim}).

Weighed: several heartbeats in agreement before one is believed (3 s until a restart is noticed); the address that sends the heartbeat (all come from the agent's own host). The endpoint's answer costs one poll.

Left: between two answers of the endpoint a true DELETE takes effect on runs with the next poll, sent at once, not with the message itself.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -12,6 +12,7 @@
 
 	"carobpulley"
 	"carobpulley/link"
+	"carobpulley/logs"
 	"carobpulley/meter"
 	"carobpulley/runs"
 	"carobpulley/work"
@@ -105,8 +106,11 @@
 	lastContact time.Time
 	// announced is the endpoint's capacity in the last appended address.
 	announced *work.EndpointCapacity
-	// heartbeats gets a value when a heartbeat changes what is known of the endpoint.
+	// heartbeats gets a value when a heartbeat changes what is known of the endpoint, and probes one
+	// when an answer of the endpoint is needed at once.
 	heartbeats chan struct{}
+	probes     chan struct{}
+	rejects    *logs.Rejects
 	// stopped is closed when Run returns.
 	stopped chan struct{}
 }
@@ -126,6 +130,8 @@
 		lastReport:   make(map[string]time.Time),
 		lastContact:  now,
 		heartbeats:   make(chan struct{}, 1),
+		probes:       make(chan struct{}, 1),
+		rejects:      logs.NewRejects(log, cfg.Meter),
 		stopped:      make(chan struct{}),
 		controller: runs.New(runs.Config{
 			Agent:       cfg.Self.Name,
@@ -146,6 +152,7 @@
 	defer cancel()
 	group, abort := errgroup.WithContext(abort)
 	group.Go(func() error { return a.pollLoop(abort) })
+	group.Go(func() error { return a.probeLoop(abort) })
 	group.Go(func() error { return a.reportLoop(abort) })
 	group.Go(func() error { return a.tickLoop(abort) })
 	group.Go(func() error { return a.announceLoop(abort) })
@@ -216,31 +223,3 @@
 	default:
 	}
 }
-
-// HandleHeartbeat implements carobpulley.HeartbeatSink.
-func (a *Agent) HandleHeartbeat(hb carobpulley.Heartbeat) {
-	a.mu.Lock()
-	changed := a.controller.HandleHeartbeat(time.Now(), hb)
-	a.logLosses()
-	a.mu.Unlock()
-	if changed {
-		select {
-		case a.heartbeats <- struct{}{}:
-		default:
-		}
-		a.log.Info().Str("instance", hb.Instance).Int64("life", hb.Generation).Bool("draining", hb.Draining).Msg("runner")
-		a.reportToAll()
-	}
-}
-
-// HandleShutdown implements carobpulley.HeartbeatSink.
-func (a *Agent) HandleShutdown(instance string) {
-	a.mu.Lock()
-	changed := a.controller.HandleShutdown(time.Now(), instance)
-	a.logLosses()
-	a.mu.Unlock()
-	if changed {
-		a.log.Info().Str("instance", instance).Msg("runner left")
-		a.reportToAll()
-	}
-}
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -61,11 +61,16 @@
 		changed = a.controller.HandlePoll(now, sent, lists)
 	}
 	a.logLosses()
+	a.logRejects(now)
+	hb, adopted := a.controller.AdoptedHeartbeat()
 	commands := a.controller.Commands()
 	usable := a.controller.Usable()
 	usableChanged := usable != a.usable
 	a.usable = usable
 	a.mu.Unlock()
+	if adopted {
+		a.heartbeatChanged(hb)
+	}
 	a.execute(ctx, commands)
 	if usableChanged {
 		a.reportToAll()
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -139,7 +139,20 @@
 
 	heartbeat    carobpulley.Heartbeat
 	hasHeartbeat bool
-	shutDown     bool
+	// confirmed is set once the endpoint has answered as the instance and the generation of the
+	// heartbeat in force, which was adopted at adoptedAt.
+	confirmed bool
+	adoptedAt time.Time
+	// claim is the latest heartbeat of another life of the endpoint; nil if there is none.
+	claim *claim
+	// adopted is set once a poll has put a heartbeat in force, and rejected holds the heartbeats that
+	// were rejected, until they are asked for.
+	adopted  bool
+	rejected []RejectedHeartbeat
+	// shutDown is set while the endpoint has announced that it has shut down.
+	shutDown bool
+	// gone is set once the endpoint is known to have ended, until one answers again.
+	gone         bool
 	draining     bool
 	unresponsive bool
 	// listsKnown is set once it is known what the endpoint runs: its lists were read, or this
@@ -158,8 +171,9 @@
 	// number up to which it may drop ends.
 	lastListed int64
 	ackedUpTo  int64
-	// generation is the highest generation that a heartbeat or a poll has shown.
+	// generation is the latest generation that the endpoint's lists have shown, first at generationAt.
 	generation   int64
+	generationAt time.Time
 	runs         map[work.Run]*run
 	ends         []*end
 	shards       map[int]*shard
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -92,6 +92,8 @@
 	Lease  carobpulley.Lease
 	// AckedUpTo is the number up to which the endpoint may drop ends.
 	AckedUpTo int64
+	// claim is what the poll is to decide; nil if it is a poll of the instance in force.
+	claim *claim
 }
 
 // BeginPoll returns the parameters of the next poll.
@@ -102,17 +104,15 @@
 // HandlePoll handles the endpoint's lists. It reports whether a run ended or the endpoint became
 // usable or restarted.
 func (c *Controller) HandlePoll(now time.Time, sent Poll, lists carobpulley.RunLists) bool {
-	if sent.Lease.Instance != c.heartbeat.Instance || lists.Generation != 0 && lists.Generation < c.generation {
-		return false
+	if sent.claim != nil {
+		return c.handleProbe(now, sent, lists.Generation)
 	}
-	if c.generation != 0 && lists.Generation > c.generation {
-		c.handleRestart(now, !c.heartbeat.Draining)
-		c.generation = lists.Generation
-		return true
+	usable, changed := c.observeLife(now, sent, lists.Generation)
+	if !usable {
+		return changed
 	}
-	c.generation = max(c.generation, lists.Generation)
 	c.listsKnown = true
-	changed := c.unresponsive || c.clockMS == 0
+	changed = c.unresponsive || c.clockMS == 0
 	c.unresponsive = false
 	c.failedPolls = 0
 	c.clockMS = lists.Clock
@@ -208,10 +208,13 @@
 	case refusal == carobpulley.RefusalStaleToken:
 		c.RaiseToken(sent.Lease.Token)
 		return false
+	case sent.claim != nil:
+		c.handleProbeError(sent, refusal)
+		return false
 	case refusal == carobpulley.RefusalWrongInstance:
-		return c.handleCrash(now)
+		return c.handleWrongInstance(now, sent)
 	case err != nil && carobpulley.KindOf(err) == carobpulley.KindGone:
-		return c.handleCrash(now)
+		return !c.predatesLife(sent) && c.handleCrash(now)
 	}
 	c.failedPolls++
 	if c.failedPolls < maxFailedPolls {
@@ -221,11 +224,3 @@
 	c.unresponsive = true
 	return changed
 }
-
-// handleCrash handles an endpoint that no longer exists.
-func (c *Controller) handleCrash(now time.Time) bool {
-	changed := !c.unresponsive || len(c.runs) > 0
-	c.handleRestart(now, !c.heartbeat.Draining)
-	c.unresponsive = true
-	return changed
-}
