runs: a heartbeat with a too high number doesn't hide the endpoint's own

After one heartbeat of another writer with the endpoint's instance and birth, and a sequence number far above the true one, the endpoint's own heartbeats were answered 200 and passed over as old for good: its draining was not seen, so tasks were started on an endpoint about to leave, and a wrong capacity stayed in force.

Cause: one number that nothing confirms decided the order for good.

Change: three successive heartbeats with rising numbers below the one in force, over 2 s or more, replace it: 4.5 s with heartbeats each 1.5 s. Delayed heartbeats arrive together, and the newest follows them, so they don't. Draining takes effect at once whatever the number, since an endpoint that drains doesn't get ready again within its life; a later heartbeat that says ready takes it back. What was replaced is logged and counted (entries_rejected{claim}).

Weighed: taking the time of arrival instead of the number (a late "ready" would undo draining); forgetting the number after some silence (an odd writer's number would be believed for as long).

Evidence: on the code before, TestMessageOfAnotherWriterEndsNoRun/high_sequence: the endpoint's draining did not take effect at once TestHighSequenceIsReplaced: capacity 1 in force, want 10000 Its second row, delayed heartbeats that arrive together, passed before and guards the order of true ones.

Left: another writer that goes on with rising numbers can't be told from the endpoint by numbers.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -145,6 +145,8 @@
 	adoptedAt time.Time
 	// claim is the latest heartbeat of another life of the endpoint; nil if there is none.
 	claim *claim
+	// streak is that of the heartbeats that were passed over as old.
+	streak streak
 	// adopted is set once a poll has put a heartbeat in force, and rejected holds the heartbeats that
 	// were rejected, until they are asked for.
 	adopted  bool
--- a/runs/heartbeat.go
+++ b/runs/heartbeat.go
@@ -7,13 +7,29 @@
 	"carobpulley/work"
 )
 
+const (
+	// minStreak is the number of successive heartbeats with rising sequence numbers, and
+	// minStreakTime the least time from the first to the last of them, that replace one with a higher
+	// number. Heartbeats that were delayed arrive together, and the newest one follows them.
+	minStreak     = 3
+	minStreakTime = 2 * time.Second
+)
+
 // claim is a heartbeat whose instance or generation no answer of the endpoint has shown.
 type claim struct {
 	carobpulley.Heartbeat
 	at time.Time
 }
 
-// RejectedHeartbeat is a heartbeat that the endpoint contradicts.
+// streak counts successive heartbeats with rising sequence numbers below that of the heartbeat in
+// force.
+type streak struct {
+	sequence int64
+	length   int
+	since    time.Time
+}
+
+// RejectedHeartbeat is a heartbeat that the endpoint, or its later heartbeats, contradict.
 type RejectedHeartbeat struct {
 	carobpulley.Heartbeat
 	Reason string
@@ -25,6 +41,8 @@
 	RejectedInstance = "another instance answers"
 	// RejectedGeneration means that the endpoint's lists show another generation.
 	RejectedGeneration = "the lists show another generation"
+	// RejectedSequence means that heartbeats with lower numbers go on.
+	RejectedSequence = "heartbeats with lower numbers follow"
 )
 
 // HandleHeartbeat handles a heartbeat of the endpoint. Anyone may have sent it, so it ends no run: one
@@ -34,7 +52,7 @@
 func (c *Controller) HandleHeartbeat(now time.Time, hb carobpulley.Heartbeat) bool {
 	switch {
 	case c.isSameLife(hb):
-		return c.refresh(hb)
+		return c.refresh(now, hb)
 	case c.hasHeartbeat && hb.Instance == c.heartbeat.Instance && hb.Generation != 0 && hb.Generation < c.generation:
 		// It was delayed, and its sender has restarted.
 		return false
@@ -66,21 +84,45 @@
 	c.shutDown = false
 	c.confirmed = false
 	c.adoptedAt = now
+	c.streak = streak{}
 }
 
 // refresh handles a heartbeat of the life in force. It reports whether its generation or the draining
 // state has changed, or a shutdown was announced before.
-func (c *Controller) refresh(hb carobpulley.Heartbeat) bool {
+func (c *Controller) refresh(now time.Time, hb carobpulley.Heartbeat) bool {
 	sameGeneration := hb.Generation == c.heartbeat.Generation
 	if sameGeneration && hb.Sequence <= c.heartbeat.Sequence {
-		return false
+		if !c.outweighs(now, hb) {
+			// An endpoint that drains never gets ready again, so this holds however late it is.
+			changed := hb.Draining && !c.heartbeat.Draining
+			c.heartbeat.Draining = c.heartbeat.Draining || hb.Draining
+			return changed
+		}
+		c.reject(c.heartbeat, RejectedSequence)
 	}
 	changed := !sameGeneration || c.shutDown || c.heartbeat.Draining != hb.Draining
+	c.streak = streak{}
 	c.heartbeat = hb
 	c.shutDown = false
 	return changed
 }
 
+// outweighs reports whether a heartbeat with a lower sequence number than the one in force ends a
+// streak that replaces that one.
+func (c *Controller) outweighs(now time.Time, hb carobpulley.Heartbeat) bool {
+	s := &c.streak
+	switch {
+	case hb.Sequence == c.heartbeat.Sequence:
+		return false
+	case s.length == 0 || hb.Sequence <= s.sequence:
+		*s = streak{sequence: hb.Sequence, length: 1, since: now}
+		return false
+	}
+	s.sequence = hb.Sequence
+	s.length++
+	return s.length >= minStreak && now.Sub(s.since) >= minStreakTime
+}
+
 // HandleShutdown handles the announcement that the endpoint has shut down. Nothing starts from now on;
 // the runs end when the endpoint's address refuses connections. It reports whether it changed the
 // state.
@@ -175,7 +217,7 @@
 	switch {
 	case shown(c.claim.Heartbeat):
 		if c.hasHeartbeat && c.confirmed {
-			c.adopted = c.refresh(c.claim.Heartbeat) || c.adopted
+			c.adopted = c.refresh(now, c.claim.Heartbeat) || c.adopted
 		} else {
 			c.adopt(now, c.claim.Heartbeat)
 			c.adopted = true
--- a/runs/oddheartbeat_test.go
+++ b/runs/oddheartbeat_test.go
@@ -86,6 +86,9 @@
 		c.HandleHeartbeat(f.now, hb)
 	},
 	"shutdown": func(f *fixture, c *Controller) { c.HandleShutdown(f.now, "i") },
+	"high sequence": func(f *fixture, c *Controller) {
+		c.HandleHeartbeat(f.now, f.heartbeat(1<<40))
+	},
 }
 
 // Guards against a heartbeat or a shutdown of another writer that ends runs: they are at work, and
@@ -114,6 +117,33 @@
 	}
 }
 
+// Guards against the capacity of another writer's heartbeat that stays in force since its number is
+// higher than the endpoint's own ones, and against delayed heartbeats that replace a newer one.
+func TestHighSequenceIsReplaced(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		interval time.Duration
+		want     int64
+	}{
+		{"the endpoint's own heartbeats follow", 1500 * time.Millisecond, 10_000},
+		{"delayed heartbeats arrive together", time.Millisecond, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			high := f.heartbeat(1000)
+			high.Capacity.CPU = 1
+			f.controller.HandleHeartbeat(f.now, high)
+			for sequence := int64(2); sequence <= 1+minStreak; sequence++ {
+				f.advance(tt.interval)
+				f.controller.HandleHeartbeat(f.now, f.heartbeat(sequence))
+			}
+			if got := f.controller.State(f.now, "c").Capacity.CPU; got != tt.want {
+				t.Errorf("capacity %d in force, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against a heartbeat of an earlier generation, delayed by a partition, that counts as a restart
 // since a poll has shown the new generation before any of its heartbeats.
 func TestDelayedHeartbeatOfAnEarlierGeneration(t *testing.T) {
@@ -209,12 +239,12 @@
 		"later birth": {RejectedGeneration}, "no birth": {RejectedGeneration},
 		"earlier birth":  nil, // a delayed heartbeat is no odd one
 		"other instance": {RejectedInstance}, "other instance, later birth": {RejectedInstance},
-		"shutdown": nil,
+		"shutdown": nil, "high sequence": {RejectedSequence},
 	}
 	for name, send := range oddMessages {
 		e := newTruth(t)
 		send(e.f, e.f.controller)
-		for sequence := int64(2); sequence <= 3; sequence++ {
+		for sequence := int64(2); sequence <= 1+minStreak; sequence++ {
 			e.answer()
 			e.f.advance(1500 * time.Millisecond)
 			e.f.controller.HandleHeartbeat(e.f.now, e.f.heartbeat(sequence))
