--- a/runs/poll.go
+++ b/runs/poll.go
@@ -96,6 +96,8 @@
 	Lease  carobpulley.Lease
 	// AckedUpTo is the number up to which the endpoint may drop ends.
 	AckedUpTo int64
+	// claim is what the poll is to decide; nil if it is a poll of the instance in force.
+	claim *claim
 }
 
 // BeginPoll returns the parameters of the next poll.
@@ -106,14 +108,10 @@
 // HandlePoll handles the endpoint's lists. It reports whether a run ended or the endpoint became
 // usable or restarted.
 func (c *Controller) HandlePoll(now time.Time, sent Poll, lists carobpulley.RunLists) bool {
-	if sent.Lease.Instance != c.heartbeat.Instance || lists.Generation != 0 && lists.Generation < c.generation {
+	usable, restarted := c.observeLife(now, sent, lists.Generation)
+	if !usable {
 		return false
 	}
-	restarted := c.generation != 0 && lists.Generation > c.generation
-	if restarted {
-		c.handleRestart(now, !c.announced())
-	}
-	c.generation = max(c.generation, lists.Generation)
 	c.listsKnown = true
 	changed := restarted || c.unresponsive || c.clockMS == 0
 	c.unresponsive = false
@@ -212,10 +210,13 @@
 	case refusal == carobpulley.RefusalStaleToken:
 		c.RaiseToken(sent.Lease.Token)
 		return false
+	case sent.claim != nil:
+		c.handleProbeError(sent, refusal)
+		return false
 	case refusal == carobpulley.RefusalWrongInstance:
-		return c.handleGone(now, sent)
+		return c.handleWrongInstance(now, sent)
 	case err != nil && carobpulley.KindOf(err) == carobpulley.KindGone:
-		return c.handleGone(now, sent)
+		return !c.predatesLife(sent) && c.handleGone(now, sent)
 	}
 	c.failedPolls++
 	if c.failedPolls < maxFailedPolls {
--- a/runs/restart.go
+++ b/runs/restart.go
@@ -79,5 +79,7 @@
 		}
 	}
 	c.unresponsive = true
+	c.gone = true
+	c.adoptClaim(now)
 	return changed
 }
