jobs: run numbers of a given up job outlast a submission that finds no room

What callers saw: no answer in any number of tries at one coordinator, and before a 200 with the state cancelled for each of them. A job was given up, submitted again, given up for want of room before a start, and submitted a third time: it began with run 1 again. An agent that remembers the end of run 1 takes such a start for a repetition and accepts it, but the end was reported long ago: the task stayed placed there for good, and so did the job, as cancelled, once its caller had left.

Evidence, before: resubmit_test.go:273: run 1 after run 1.

Change: such a submission is remembered too.

--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -86,6 +86,7 @@
 		}
 		t.results = append(t.results, BestEffortResult{Job: g.job.id, State: work.StateCancelled, Unstarted: !g.job.hasStarted(), Reason: reason})
 		t.logDecision(Decision{Job: g.job.id, Event: "given up", Reason: reason})
+		t.rememberAbandoned(now, g.job)
 		t.finishJob(now, g.job, work.StateCancelled)
 		n = -1
 	}
--- a/jobs/resubmit_test.go
+++ b/jobs/resubmit_test.go
@@ -251,3 +251,25 @@
 		t.Errorf("run %d after run %d", last.Run.Number, first.Run.Number)
 	}
 }
+
+// Guards against runs with the numbers of earlier ones after a submission in between that found no
+// room in time: an agent takes such a start for the repetition of one whose run has ended, and the
+// task is neither run nor reported (found by TestCallerComesBackWhileItsJobIsStopped).
+func TestRunNumbersOutlastASubmissionWithoutRoom(t *testing.T) {
+	f, d := stoppedFixture(t, 1)
+	first := f.started[d.Agent][0]
+	f.report(d.Agent, end(first, 1, work.OutcomeStopped))
+	f.table.HoldBestEffort(f.now.Add(time.Millisecond), f.now.Add(2*time.Second))
+	f.submit(testJob(1, 1, true))
+	f.advance(2 * time.Second)
+	if results := f.table.Results(); len(results) != 1 || results[0].Unstarted {
+		t.Fatalf("results %+v, want one, after a start", results)
+	}
+	f.submit(testJob(1, 1, true))
+	if got := f.startCount(); got != 2 {
+		t.Fatalf("%d starts, want 2", got)
+	}
+	if last := f.started[d.Agent][1]; last.Run.Number <= first.Run.Number {
+		t.Errorf("run %d after run %d", last.Run.Number, first.Run.Number)
+	}
+}
