jobs: a stop without an end leads to the agent's list of runs

What callers saw: no answer in any number of tries at one coordinator, and before a 200 with the state cancelled for each of them, for as long as the agent stayed attached.

Cause: an agent reports the ends of the runs that it knows. It knows none for a stop that came before the start, or for a start that it took for the repetition of one whose run had ended. The table waited for the end of such a run without a bound, and with it the job stayed. The class: a wait for a message that nobody is bound to send.

Evidence, before: "stopping_test.go:121: the agent's list is not asked for although a stop has no end".

Change: 2 s after the stop of a run of an ended best-effort job the attachment is renewed. The list that comes with it tells whether the run is on: then it stays placed and is stopped again, else the job goes and the waiting submission starts. Nothing else of the agent is touched by an attachment. Durable jobs are left as they are: no submission waits for their runs.

--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -218,6 +218,7 @@
 		return
 	}
 	tk.stopping = true
+	tk.stopCheckAt = time.Time{}
 	d := t.pendingDispatch(tk.agent)
 	d.Stops = append(d.Stops, tk.key())
 }
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -45,6 +45,9 @@
 	// endpoint it would have ended well before.
 	overdueAt time.Time
 	stopping  bool
+	// stopCheckAt is the time from which the agent's list is asked for if no end of the run of an
+	// ended job is known; zero until the first check.
+	stopCheckAt time.Time
 }
 
 // ack is an end to acknowledge once the job's changes are stored.
--- a/jobs/resubmit_test.go
+++ b/jobs/resubmit_test.go
@@ -170,7 +170,18 @@
 	first := f.started[held][0]
 	f.advance(time.Second)
 	f.table.Abandon(f.now, testJob(1, 1, true).ID, "left")
-	f.advance(recentRetention + time.Second)
+	for limit := f.now.Add(recentRetention + time.Second); f.now.Before(limit); f.table.Tick(f.now) {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for _, name := range f.agents {
+			if f.table.Incarnation(name) != 0 {
+				f.report(name)
+				continue
+			}
+			r := f.newReport(name, f.table.FollowingAttachment(name))
+			r.Running = []work.Run{first.Run}
+			f.table.HandleAttachment(f.now, r, nil)
+		}
+	}
 	f.started = map[string][]work.Start{}
 	f.submit(testJob(1, 1, true))
 	f.report(held, end(first, 1, work.OutcomeStopped))
--- a/jobs/stopping_test.go
+++ b/jobs/stopping_test.go
@@ -105,3 +105,24 @@
 		t.Error("the job's run counts as on after the agent timeout")
 	}
 }
+
+// Guards against a task that stays placed for ever, and a submission that waits for it, because the
+// agent does not know the run that is to be stopped and so reports no end.
+func TestStopWithoutAnEndIsChecked(t *testing.T) {
+	f, d := stoppedFixture(t, 1)
+	f.submit(longJob(1))
+	attached := func() bool { return f.table.Incarnation("h0") != 0 }
+	for limit := f.now.Add(2 * stopCheckInterval); attached() && f.now.Before(limit); {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.report("h0")
+		f.table.Tick(f.now)
+	}
+	if attached() {
+		t.Fatal("the agent's list is not asked for although a stop has no end")
+	}
+	f.table.HandleAttachment(f.now, f.newReport("h0", f.table.FollowingAttachment("h0")), nil)
+	f.takeDispatches()
+	if got := len(f.started[d.Agent]); got != 2 {
+		t.Errorf("%d starts after a list without the run, want 2", got)
+	}
+}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -317,6 +317,7 @@
 		}
 	}
 	t.stopOverdue(now)
+	t.checkStops(now)
 	t.abandonUnstarted(now)
 	t.dropExpired(now)
 	t.forgetCrashes(now)
