--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -64,6 +64,8 @@
 	// lossRate is the share of commands that are not answered; half of these are applied after
 	// a delay, the others never.
 	lossRate float64
+	// stopsLost is set while stops are neither carried out nor answered.
+	stopsLost bool
 }
 
 // NewEndpoint returns an endpoint without runs. behavior returns the duration and the outcome of
@@ -312,6 +314,10 @@
 
 // Stop implements carobpulley.EndpointClient.
 func (e *Endpoint) Stop(ctx context.Context, lease carobpulley.Lease, run work.Run) (carobpulley.StartAnswer, error) {
+	if e.losesStops() {
+		<-ctx.Done()
+		return carobpulley.StartAnswer{}, &carobpulley.Error{Op: "order", Kind: carobpulley.KindUnknown}
+	}
 	return e.execute(ctx, func() carobpulley.StartAnswer {
 		if lease.Token < e.token {
 			return carobpulley.StartAnswer{Refusal: carobpulley.RefusalStaleToken}
