runs: a run that a list shows is no longer counted for an earlier crash

What callers would see: a job is failed for crashes of endpoints at which no run of it was, or one that crashes its endpoints goes on longer than it should.

Cause: a restart marks the runs, and a poll decides on each. A run that the poll showed to be at work went on with its mark. If that endpoint crashed later, the record named the generation before, with the evidence of that time, or there was none if the earlier generation had left as announced; if its lease expired later, the run was told crashed instead of lost.

Evidence: TestRunListedAfterARestartIsNotOfTheEarlierGeneration failed before (evidence "a/i/1" instead of "a/i/2"; after an announced shutdown no crash).

Change: a list that shows the run clears the marks, as the confirmation of its start does. It was made by the generation that is known, so the run is there and not at the one that has ended.

--- a/runs/poll.go
+++ b/runs/poll.go
@@ -170,6 +170,7 @@
 		r.phase = phaseRunning
 		r.phaseSince = now
 		r.confirmedAt = now
+		r.crashed, r.left = nil, false
 		r.listed = Listing{SentAt: sent.SentAt, HandledAt: now, ClockMS: c.clockMS}
 	}
 }
