runs: the answer to a start counts for its own attempt only

What callers may see: a task runs at two endpoints at a time (TWICE), where an endpoint leaves and comes back under its id, or two coordinators start a task under the same run number.

Cause: the answer to a start was matched by the run alone. The answer to an earlier attempt, or to the start of another coordinator's run of the same number that has ended meanwhile, counted for the attempt under way: a refused connection told its run not started, and 200 confirmed a start that may not have been carried out, which lets the next list end it as lost. Class: one message taken for another.

Change: a run knows the least token of its latest attempt, and an answer to a lower one is passed over. A repeated start carries a higher token than the earlier attempt, unless that one was answered; a start under the number of a run that has ended here raises the token for this.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -87,7 +87,10 @@
 	// brokenAt is the time at which the connection of the start ended before its answer, if it did.
 	brokenAt time.Time
 	// token is the highest token with which an unanswered start may have been sent.
-	token    int64
+	token int64
+	// minToken is the least token of the latest attempt at the start: an answer to a lower one is to an
+	// earlier attempt, or to the start of another coordinator's run of the same number.
+	minToken int64
 	attempts int
 	// phaseSince is the time at which the phase was entered.
 	phaseSince time.Time
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -208,7 +208,10 @@
 	if s.Suspect && c.hasOtherSuspect(s.Run.Task) {
 		return ReasonSuspect
 	}
-	return c.launchOrQueue(now, &run{start: *s, coordinator: coordinator, incarnation: co.incarnation, phaseSince: now})
+	if _, again := c.endedRuns[s.Run]; again {
+		c.token++ // the start of the run that has ended may still get an answer
+	}
+	return c.launchOrQueue(now, &run{start: *s, coordinator: coordinator, incarnation: co.incarnation, phaseSince: now, minToken: c.token})
 }
 
 // launchOrQueue starts a run, or queues it if it has to wait and may. It returns the reason for which
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -10,11 +10,14 @@
 // HandleStartReply handles the endpoint's answer to a start that was sent with a lease.
 func (c *Controller) HandleStartReply(now time.Time, key work.Run, l carobpulley.Lease, a carobpulley.StartAnswer, err error) {
 	r := c.runs[key]
-	if r != nil && r.crashed != nil && r.phase == phaseUncertain {
+	if r == nil || l.Token < r.minToken {
+		return
+	}
+	if r.crashed != nil && r.phase == phaseUncertain {
 		c.crashStart(now, key, r, a.Refusal, err)
 		return
 	}
-	if r == nil || r.phase != phaseStarting {
+	if r.phase != phaseStarting {
 		return
 	}
 	if err != nil {
@@ -70,6 +73,7 @@
 	r.phase = phaseStarting
 	r.phaseSince = now
 	r.brokenAt = time.Time{}
+	r.minToken = c.token
 	c.commands = append(c.commands, Command{Start: &r.start})
 }
 
