runs: the end of a best-effort run is not reported to a later process of its coordinator

What callers may see: a task runs at two endpoints at a time (TWICE) after its coordinator has restarted and the caller has submitted the job there again.

Cause: ends of best-effort runs went to the coordinator by its name. Run numbers begin anew with each process, so the new one could take the end of the earlier one's run 1 for that of its own run 1, whose start was under way to the same agent, and place the task elsewhere. The next tick drops such ends, but it also makes them, when it ends the runs that have lost their coordinator, and a report follows at once. Class: one message taken for another.

Evidence: TestEndOfAnEarlierProcessIsNotReportedToTheNext failed before (the end of the run of process 7 in the report to process 8).

Change: an end of a best-effort run has a coordinator to report to only while that process is attached. Ends of durable jobs go to the owner of the shard as before: owners number their runs apart.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -289,12 +289,16 @@
 	return ""
 }
 
-// coordinatorOfEnd returns the coordinator to which an end is reported.
+// coordinatorOfEnd returns the coordinator to which an end is reported; empty if there is none. A later
+// process of a best-effort run's coordinator may have given the same number to a run of its own.
 func (c *Controller) coordinatorOfEnd(e *end) string {
-	if e.coordinator != "" {
-		return e.coordinator
+	if e.coordinator == "" {
+		return c.shardOwner(e.Run.Task)
 	}
-	return c.shardOwner(e.Run.Task)
+	if co := c.coordinators[e.coordinator]; co == nil || co.incarnation != e.incarnation {
+		return ""
+	}
+	return e.coordinator
 }
 
 // newEnd returns an end that belongs to its run's coordinator.
