runs: the answer to a report marks only the ends that the report held

What callers may see: a best-effort job that was submitted again at another coordinator gets no answer in its time, though its run has ended or was refused.

Cause: the ends that a coordinator had received were marked by their run. Two coordinators number their runs of one task alike. Where the second one's run had ended when the answer to the first one's report came, its end counted as received too and was dropped, and its coordinator waited for it until the caller left. Class: one message taken for another.

TestEndIsReportedToEachCoordinatorOfARunNumber failed before (no end).

Change: a report keeps the ends that it holds, and its answer marks these.

--- a/runs/report.go
+++ b/runs/report.go
@@ -13,6 +13,7 @@
 	SentAt int64
 	State  work.EndpointState
 	Ends   []work.End
+	ends   []*end
 	// Running is set only in the answer to an AttachRequest.
 	Running []work.Run
 	// Crashes holds the crashes that the coordinator has not got, and lastCrash the number of the
@@ -48,6 +49,7 @@
 		resend := e.reported && e.Sequence > 0 && !e.acked && now.Sub(e.reportedAt) > endResendInterval
 		if (!e.reported || resend) && c.coordinatorOfEnd(e) == coordinator {
 			r.Ends = append(r.Ends, e.End)
+			r.ends = append(r.ends, e)
 		}
 	}
 	return r
@@ -126,15 +128,9 @@
 			s.proof = at
 		}
 	}
-	received := make(map[work.Run]bool, len(sent.Ends))
-	for i := range sent.Ends {
-		received[sent.Ends[i].Run] = true
-	}
-	for _, e := range c.ends {
-		if received[e.Run] {
-			e.reported = true
-			e.reportedAt = now
-		}
+	for _, e := range sent.ends { // a run of the same number may have ended since
+		e.reported = true
+		e.reportedAt = now
 	}
 	c.HandleAcks(reply.AckedGeneration, reply.Acked)
 	c.pruneEnds()
