runs: an agent that has restarted isn't taken to know what an instance runs that it has not read

What callers may see: a task runs at two endpoints at a time (TWICE) after the agent beside the first has restarted.

Cause: an agent lets coordinators attach, to which all runs that it doesn't list are over, once it has read its endpoint's lists or seen the endpoint's generation begin. Any sign of a restart counted as the latter. A heartbeat of an instance that has ended and arrives late is the first that a new process may hear of: that another instance answers, or sends a heartbeat, then only shows that the heartbeat was old. Class: evidence older than the fact.

TestAgentThatRestartedWaitsForTheListsOfTheTrueInstance failed before in its three cases.

Change: of the signs of a restart only a refused connection tells that nothing of the earlier process runs. After the others, a new process reads the lists, or waits until the leases of the earlier one have expired; a process that knew the lists before goes on to know them, since what began later got its starts from it.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -149,8 +149,8 @@
 	shutDown     bool
 	draining     bool
 	unresponsive bool
-	// listsKnown is set once it is known what the endpoint runs: its lists were read, or this
-	// process saw its generation begin.
+	// listsKnown is set once it is known what the endpoint runs of an earlier process of this agent: its
+	// lists were read, or nothing listened at its address.
 	listsKnown bool
 	// failedPolls counts consecutive failed polls.
 	failedPolls int
--- /dev/null
+++ b/runs/inherit_test.go
@@ -0,0 +1,43 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"carobpulley"
+	"carobpulley/work"
+)
+
+// Guards against a run that counts as over, and is started elsewhere, since the agent beside it has
+// restarted: a heartbeat of an instance that has ended arrives late, and that another instance answers,
+// or sends a heartbeat, is taken for its having begun just now.
+func TestAgentThatRestartedWaitsForTheListsOfTheTrueInstance(t *testing.T) {
+	heartbeat := func(instance string, generation int64) carobpulley.Heartbeat {
+		return carobpulley.Heartbeat{Instance: instance, Generation: generation, Sequence: 1, Service: "s", Capacity: work.Resources{CPU: 10_000, MemMB: 1000}}
+	}
+	for name, meet := range map[string]func(c *Controller, now time.Time){
+		"another instance answers": func(c *Controller, now time.Time) {
+			c.HandlePollError(now, c.BeginPoll(now), carobpulley.RefusalWrongInstance, nil)
+		},
+		"another instance sends a heartbeat": func(c *Controller, now time.Time) {
+			c.HandleHeartbeat(now, heartbeat("j", 2))
+			for range maxFailedPolls {
+				c.HandlePollError(now, c.BeginPoll(now), "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown})
+			}
+		},
+		"the instance has shut down": func(c *Controller, now time.Time) { c.HandleShutdown(now, "i") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := testStart
+			c := New(Config{Agent: "a", Incarnation: 2, Token: 100, MaxLease: time.Second, Shards: testShards}, now)
+			c.HandleHeartbeat(now, heartbeat("i", 1))
+			meet(c, now)
+			if c.CanAttach(now) {
+				t.Error("a coordinator may attach, to which all runs that aren't listed are over")
+			}
+			if now = now.Add(1100 * time.Millisecond); !c.CanAttach(now) {
+				t.Error("no coordinator may attach although the leases of the earlier process have expired")
+			}
+		})
+	}
+}
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -220,6 +220,7 @@
 	case refusal == carobpulley.RefusalWrongInstance:
 		return c.handleGone(now, sent)
 	case err != nil && carobpulley.KindOf(err) == carobpulley.KindGone:
+		c.listsKnown = true // nothing is there that could run anything
 		return c.handleGone(now, sent)
 	}
 	c.failedPolls++
--- a/runs/restart.go
+++ b/runs/restart.go
@@ -10,7 +10,6 @@
 // before this is known may be at the next generation, so a later poll decides on each; see isOver.
 // crashed is set unless the endpoint has left as announced.
 func (c *Controller) handleRestart(now time.Time, crashed bool) {
-	c.listsKnown = true
 	evidence := c.crashEvidence()
 	for key, r := range c.runs {
 		if r.phase == phaseQueued {
