--- a/runs/controller.go
+++ b/runs/controller.go
@@ -87,7 +87,10 @@
 	// brokenAt is the time at which the connection of the start ended before its answer, if it did.
 	brokenAt time.Time
 	// token is the highest token with which an unanswered start may have been sent.
-	token    int64
+	token int64
+	// minToken is the least token of the latest attempt at the start: an answer to a lower one is to an
+	// earlier attempt, or to the start of another coordinator's run of the same number.
+	minToken int64
 	attempts int
 	// phaseSince is the time at which the phase was entered.
 	phaseSince time.Time
@@ -161,8 +164,8 @@
 	gone         bool
 	draining     bool
 	unresponsive bool
-	// listsKnown is set once it is known what the endpoint runs: its lists were read, or this
-	// process saw its generation begin.
+	// listsKnown is set once it is known what the endpoint runs of an earlier process of this agent: its
+	// lists were read, or nothing listened at its address.
 	listsKnown bool
 	// failedPolls counts consecutive failed polls.
 	failedPolls int
@@ -302,12 +305,16 @@
 	return ""
 }
 
-// coordinatorOfEnd returns the coordinator to which an end is reported.
+// coordinatorOfEnd returns the coordinator to which an end is reported; empty if there is none. A later
+// process of a best-effort run's coordinator may have given the same number to a run of its own.
 func (c *Controller) coordinatorOfEnd(e *end) string {
-	if e.coordinator != "" {
-		return e.coordinator
+	if e.coordinator == "" {
+		return c.shardOwner(e.Run.Task)
 	}
-	return c.shardOwner(e.Run.Task)
+	if co := c.coordinators[e.coordinator]; co == nil || co.incarnation != e.incarnation {
+		return ""
+	}
+	return e.coordinator
 }
 
 // newEnd returns an end that belongs to its run's coordinator.
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -10,11 +10,14 @@
 // HandleStartReply handles the endpoint's answer to a start that was sent with a lease.
 func (c *Controller) HandleStartReply(now time.Time, key work.Run, l carobpulley.Lease, a carobpulley.StartAnswer, err error) {
 	r := c.runs[key]
-	if r != nil && r.crashed != nil && r.phase == phaseUncertain {
+	if r == nil || l.Token < r.minToken {
+		return
+	}
+	if r.crashed != nil && r.phase == phaseUncertain {
 		c.crashStart(now, key, r, a.Refusal, err)
 		return
 	}
-	if r == nil || r.phase != phaseStarting {
+	if r.phase != phaseStarting {
 		return
 	}
 	if err != nil {
@@ -70,6 +73,7 @@
 	r.phase = phaseStarting
 	r.phaseSince = now
 	r.brokenAt = time.Time{}
+	r.minToken = c.token
 	c.commands = append(c.commands, Command{Start: &r.start})
 }
 
@@ -168,6 +172,7 @@
 		r.phase = phaseRunning
 		r.phaseSince = now
 		r.confirmedAt = now
+		r.crashed, r.left = nil, false
 		r.listed = Listing{SentAt: sent.SentAt, HandledAt: now, ClockMS: c.clockMS}
 	}
 }
@@ -216,7 +221,11 @@
 	case refusal == carobpulley.RefusalWrongInstance:
 		return c.handleWrongInstance(now, sent)
 	case err != nil && carobpulley.KindOf(err) == carobpulley.KindGone:
-		return !c.predatesLife(sent) && c.handleGone(now, sent)
+		if c.predatesLife(sent) {
+			return false
+		}
+		c.listsKnown = true // nothing is there that could run anything
+		return c.handleGone(now, sent)
 	}
 	c.failedPolls++
 	if c.failedPolls < maxFailedPolls {
