platform, runs: an odd row doesn't make an endpoint's lists unreadable

What callers saw: after one row that can't be read in the lists of an endpoint, the endpoint counts as unresponsive for as long as the row is there; with its lease all its runs are lost. A row without a number was taken for an unknown run, beside which nothing starts.

Cause: the lists were decoded as one document, so that one number too large, fraction, field of another type or deep nesting failed all of it. Leaving the row out alone would be worse: its run would be missing from the list and be told lost while it is at work.

RunLists names the rows that can't be read, and package runs takes none of them for an absence: a run that was neither listed beside such a row nor started after it may be that row, and is not judged missing. An agent that starts beside such a row renews no lease and refuses attachments until the leases of an earlier process have expired.

Weighed: failing the poll but keeping the runs (nothing starts there for good); ending all starts while a row can't be read (as bad as before).

Left: a row with a plausible but wrong number of an end is believed; the ends up to it are then dropped at the endpoint.

--- a/endpointclient.go
+++ b/endpointclient.go
@@ -22,6 +22,12 @@
 	Generation int64
 	Running    []ListedRun
 	Finished   []work.End
+	// UnreadRunning names the rows of running runs that can't be read. Each may be any
+	// run; the same row has the same name in later lists.
+	UnreadRunning []string
+	// UnreadEnds holds, for each row of a finished run that can't be read, the number of
+	// the end listed before it; 0 if there is none.
+	UnreadEnds []int64
 }
 
 // StartAnswer is an endpoint's answer to a command to start or stop a run.
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -87,6 +87,10 @@
 	attempts int
 	// phaseSince is the time at which the phase was entered.
 	phaseSince time.Time
+	// launchedAt is the time at which the start was decided on; zero for a run found on the endpoint.
+	launchedAt time.Time
+	// listedIn is the number of the last list that showed the run.
+	listedIn int64
 	// confirmedAt is the time at which the endpoint confirmed the start.
 	confirmedAt time.Time
 	// listed is the answer that listed the run after its start had got no answer.
@@ -173,6 +177,9 @@
 	// number up to which it may drop ends.
 	lastListed int64
 	ackedUpTo  int64
+	// listedEnds holds the numbers above ackedUpTo of the ends that were listed.
+	listedEnds map[int64]bool
+	unread     unread
 	// generation is the latest generation that the endpoint's lists have shown, first at generationAt.
 	generation   int64
 	generationAt time.Time
@@ -226,6 +233,7 @@
 		coordinators: make(map[string]*attachedCoordinator),
 		earlyStops:   make(map[work.Run]time.Time),
 		endedRuns:    make(map[work.Run]endedRun),
+		listedEnds:   make(map[int64]bool),
 
 		refusedStarts: make(map[startKey]time.Time),
 	}
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"maps"
 	"time"
 
 	"carobpulley/work"
@@ -261,7 +262,11 @@
 			first = min(first, e.Sequence)
 		}
 	}
+	if held := c.unread.firstEnd; held > 0 {
+		first = min(first, held)
+	}
 	c.ackedUpTo = max(c.ackedUpTo, first-1)
+	maps.DeleteFunc(c.listedEnds, func(n int64, _ bool) bool { return n <= c.ackedUpTo })
 	for _, e := range c.ends {
 		if !e.reported || e.Sequence > 0 && !e.acked {
 			open = append(open, e)
--- a/runs/heartbeat.go
+++ b/runs/heartbeat.go
@@ -335,6 +335,8 @@
 	}
 	c.lastListed = 0
 	c.ackedUpTo = 0
+	clear(c.listedEnds)
+	c.unread = unread{lists: c.unread.lists}
 	c.clockMS = 0
 	c.unresponsive = false
 }
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -11,7 +11,7 @@
 // proof by more than ProofTTL.
 func (c *Controller) Lease(now time.Time) carobpulley.Lease {
 	l := carobpulley.Lease{Instance: c.heartbeat.Instance, Token: c.token}
-	if c.clockMS == 0 {
+	if c.clockMS == 0 || !c.listsKnown {
 		return l
 	}
 	c.markExpiredEnds(now)
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -111,14 +111,16 @@
 	if !usable {
 		return changed
 	}
-	c.listsKnown = true
+	c.observeUnread(now, lists)
+	// What can't be read may be a run of an earlier process, until its lease has expired.
+	c.listsKnown = c.listsKnown || len(lists.UnreadRunning) == 0 || now.After(c.inheritedLeaseExpiry())
 	changed = c.unresponsive || c.clockMS == 0
 	c.unresponsive = false
 	c.failedPolls = 0
 	c.clockMS = lists.Clock
 	c.clockAt = now
 	for i := range lists.Finished {
-		if lists.Finished[i].Sequence > c.lastListed {
+		if c.isNewEnd(lists.Finished[i].Sequence) {
 			c.handleListedEnd(now, lists.Finished[i])
 			changed = true
 		}
@@ -134,14 +136,14 @@
 // start, and those that it no longer lists. It reports whether a run ended as lost.
 func (c *Controller) reconcile(now time.Time, sent Poll, lists carobpulley.RunLists) bool {
 	changed := false
-	complete := len(lists.Finished) < maxPageSize
+	complete := len(lists.Finished)+len(lists.UnreadEnds) < maxPageSize
 	listed := make(map[work.Run]bool, len(lists.Running))
 	for i := range lists.Running {
 		listed[lists.Running[i].Run] = true
 		c.handleListedRun(now, sent, lists.Running[i].Run)
 	}
 	for key, r := range c.runs {
-		if complete && !listed[key] && c.handleUnlistedRun(now, sent, key, r) {
+		if complete && !listed[key] && !c.mayBeUnread(r) && c.handleUnlistedRun(now, sent, key, r) {
 			changed = true
 		}
 	}
@@ -158,10 +160,11 @@
 		}
 		// An earlier process of this agent started it, or a command reached a later generation of
 		// the endpoint. It is stopped before anything else starts.
-		c.runs[key] = &run{start: work.Start{Run: key}, phase: phaseRunning, phaseSince: sent.SentAt, confirmedAt: now, stopping: true}
+		c.runs[key] = &run{start: work.Start{Run: key}, phase: phaseRunning, phaseSince: sent.SentAt, confirmedAt: now, stopping: true, listedIn: c.unread.lists}
 		c.commands = append(c.commands, Command{Stop: key})
 		return
 	}
+	r.listedIn = c.unread.lists
 	if r.phase == phaseUncertain {
 		r.phase = phaseRunning
 		r.phaseSince = sent.SentAt
@@ -194,6 +197,7 @@
 // handleListedEnd records an end that the endpoint lists for the first time.
 func (c *Controller) handleListedEnd(now time.Time, e work.End) {
 	c.lastListed = max(c.lastListed, e.Sequence)
+	c.listedEnds[e.Sequence] = true
 	r := c.runs[e.Run]
 	e.ElapsedMS = elapsed(now, r)
 	delete(c.runs, e.Run)
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -46,6 +46,7 @@
 func (c *Controller) launch(now time.Time, key work.Run, r *run) {
 	r.phase = phaseStarting
 	r.phaseSince = now
+	r.launchedAt = now
 	c.runs[key] = r
 	c.commands = append(c.commands, Command{Start: &r.start})
 }
