work, coord: an odd control record replaces no process and takes no shard

What callers saw: an agent or a shard's owner that can't be reached, since another writer's record gave its name another address; durable jobs without an owner for good after a claim with the epoch, which no later claim exceeds.

Cause: a record that decodes was taken, whatever its key and its numbers.

Change: a record must name the process or the shard of its key; an address needs a port, a share and a capacity in range, a claim a shard that the topic can have, an owner with an address, and an epoch up to 2^40. The others hold, one line and entries_rejected{control} name what was left out, and a corrected record is taken up. Records of the operators and of jobs that can't be read are counted the same way.

Left: the newest record of a key is the odd one until its process announces itself again. A coordinator that starts meanwhile does not know that agent, or claims the shard from epoch 1 on and is fenced (by reading).

--- a/coord/control.go
+++ b/coord/control.go
@@ -133,7 +133,7 @@
 	for i := range records {
 		r, err := work.DecodeControl(records[i].Key, records[i].Value)
 		if err != nil {
-			c.log.Error().Err(err).Str("key", records[i].Key).Msg("undecodable control record ignored")
+			c.rejects.Add(time.Now(), "control", 1, records[i].Key, err)
 			continue
 		}
 		switch {
@@ -250,7 +250,7 @@
 	for i := range records {
 		change, err := c.configSource.Decode(records[i])
 		if err != nil {
-			c.log.Error().Err(err).Str("key", records[i].Key).Msg("undecodable operators' record ignored")
+			c.rejects.Add(time.Now(), "operators", 1, records[i].Key, err)
 			continue
 		}
 		if change.Domain != "" {
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -13,6 +13,7 @@
 	"carobpulley/domain"
 	"carobpulley/jobs"
 	"carobpulley/link"
+	"carobpulley/logs"
 	"carobpulley/meter"
 	"carobpulley/runs"
 	"carobpulley/share"
@@ -56,6 +57,7 @@
 	store        carobpulley.Store
 	configSource carobpulley.ConfigSource
 	peers        *link.Peers
+	rejects      *logs.Rejects
 	baseCtx      context.Context
 
 	mu      sync.Mutex
@@ -125,6 +127,7 @@
 		store:        store,
 		configSource: configSource,
 		peers:        peers,
+		rejects:      logs.NewRejects(log, cfg.Meter),
 		baseCtx:      baseCtx,
 		table: jobs.New(jobs.Config{
 			Name:            cfg.Self.Name,
--- a/coord/ownership.go
+++ b/coord/ownership.go
@@ -159,7 +159,7 @@
 	}
 	now := time.Now()
 	for _, err := range c.table.AcquireShard(now, claim.Shard, claim.Epoch, records) {
-		c.log.Error().Err(err).Int("shard", claim.Shard).Msg("undecodable shard record ignored")
+		c.rejects.Add(now, "jobs", 1, work.ClaimKey(claim.Shard), err)
 	}
 	j := newJournal(c, partition, claim.Epoch)
 	c.journals[claim.Shard] = j
--- a/work/control.go
+++ b/work/control.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Prefixes of the keys in the control topic.
@@ -14,6 +15,14 @@
 	shardPrefix       = "shard/"
 )
 
+// Bounds of the numbers in control records.
+const (
+	// MaxEpoch bounds the epoch of a claim: each claim adds one.
+	MaxEpoch = 1 << 40
+	// MaxShare bounds Address.Share, in CPU cores.
+	MaxShare = 1 << 16
+)
+
 // Address identifies a process and the address at which it listens.
 type Address struct {
 	Name        string         `json:"name"`
@@ -61,43 +70,73 @@
 // ClaimKey returns the key of a shard's claim.
 func ClaimKey(shard int) string { return shardPrefix + strconv.Itoa(shard) }
 
-// DecodeControl decodes a record of the control topic.
+// DecodeControl decodes a record of the control topic. A record that names another process or shard
+// than its key is refused: it would replace what that one's own record says.
 func DecodeControl(key string, value []byte) (ControlRecord, error) {
 	if name, ok := strings.CutPrefix(key, agentPrefix); ok {
 		if value == nil {
 			return ControlRecord{DeletedAgent: name}, nil
 		}
-		a, err := decodeAddress(value)
+		a, err := decodeAddress(name, value)
 		return ControlRecord{Agent: a}, err
 	}
 	if value == nil {
 		return ControlRecord{}, nil
 	}
-	if strings.HasPrefix(key, coordinatorPrefix) {
-		a, err := decodeAddress(value)
+	if name, ok := strings.CutPrefix(key, coordinatorPrefix); ok {
+		a, err := decodeAddress(name, value)
 		return ControlRecord{Coordinator: a}, err
 	}
 	if strings.HasPrefix(key, shardPrefix) {
-		var c Claim
-		if err := json.Unmarshal(value, &c); err != nil {
-			return ControlRecord{}, invalidf("decode claim", "%v", err)
-		}
-		return ControlRecord{Claim: &c}, nil
+		c, err := decodeClaim(key, value)
+		return ControlRecord{Claim: c}, err
 	}
 	return ControlRecord{}, nil
 }
 
-func decodeAddress(value []byte) (*Address, error) {
+func decodeClaim(key string, value []byte) (*Claim, error) {
+	var c Claim
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, invalidf("decode claim", "%v", err)
+	}
+	if c.Shard < 0 || c.Shard >= MaxShards || ClaimKey(c.Shard) != key {
+		return nil, invalidf("decode claim", "shard %d under the key %q", c.Shard, key)
+	}
+	if c.Epoch > MaxEpoch {
+		return nil, invalidf("decode claim", "epoch %d is out of range", c.Epoch)
+	}
+	if err := c.Owner.check(c.Owner.Name); err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+func decodeAddress(name string, value []byte) (*Address, error) {
 	var a Address
 	if err := json.Unmarshal(value, &a); err != nil {
 		return nil, invalidf("decode address", "%v", err)
 	}
-	if a.Name == "" || !a.Addr.IsValid() {
-		return nil, invalidf("decode address", "name or address is missing")
+	if err := a.check(name); err != nil {
+		return nil, err
 	}
 	return &a, nil
 }
 
+// check returns an error unless the address is that of a process with a name.
+func (a *Address) check(name string) error {
+	switch {
+	case a.Name == "" || a.Name != name || !utf8.ValidString(name):
+		return invalidf("decode address", "name %q under the key of %q", a.Name, name)
+	case !a.Addr.IsValid() || a.Addr.Port() == 0:
+		return invalidf("decode address", "address %s can't be called", a.Addr)
+	case a.Share < 0 || a.Share > MaxShare:
+		return invalidf("decode address", "share %g is out of range", a.Share)
+	case a.Endpoint != nil:
+		return a.Endpoint.Capacity.Check()
+	}
+	return nil
+}
+
 // EncodeControl returns the value of the record for an Address or a Claim.
 func EncodeControl(v any) ([]byte, error) {
 	b, err := json.Marshal(v)
