work: numbers of jobs and queues don't overflow in sums

A submission or a stored job with amounts or estimates near the largest integer passed the checks; the sum over its tasks, and the time along its steps, were negative then. The sum of two amounts overflowed too, so a start fitted a full endpoint. A queue's stretch or target out of range gave its jobs an objective in the past or none.

Sums of amounts stay at the limit of the type, and an objective at 30 days.

--- a/work/check.go
+++ b/work/check.go
@@ -32,6 +32,9 @@
 	if len(j.Spec) > MaxSpecBytes {
 		return invalidf("job", "specification of %d bytes, more than %d", len(j.Spec), MaxSpecBytes)
 	}
+	if j.Epoch > MaxEpoch || j.AcceptedMS < 0 {
+		return invalidf("job", "epoch %d or time %d is out of range", j.Epoch, j.AcceptedMS)
+	}
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return invalidf("job", "%d steps, not 1 to %d", len(j.Steps), MaxSteps)
 	}
@@ -52,11 +55,11 @@
 	if s.Count < 1 || s.Count > MaxTasks {
 		return invalidf("step", "step %d has %d tasks", number, s.Count)
 	}
-	if s.Resources.CPU < 0 || s.Resources.MemMB < 0 || s.Resources.GPU < 0 {
-		return invalidf("step", "step %d has a negative need", number)
+	if err := s.Resources.Check(); err != nil {
+		return err
 	}
-	if s.EstimateMS < 0 || s.MaxPerEndpoint < 0 {
-		return invalidf("step", "step %d has a negative estimate or spread", number)
+	if s.EstimateMS < 0 || s.EstimateMS > MaxEstimateMS || s.MaxPerEndpoint < 0 {
+		return invalidf("step", "step %d has an estimate or spread out of range", number)
 	}
 	for _, a := range s.After {
 		if a < 0 || a >= number {
--- a/work/job.go
+++ b/work/job.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +18,10 @@
 	MaxTasks = 4096
 	// MaxResource bounds each amount of Resources, in the unit of that resource.
 	MaxResource = 1 << 40
+	// MaxEstimateMS bounds the estimated duration of a task, in milliseconds: 7 days.
+	MaxEstimateMS = 7 * 24 * 3600 * 1000
+	// MaxObjective bounds the objective of a job's response time.
+	MaxObjective = 30 * 24 * time.Hour
 	// IDLength is the number of hexadecimal digits of a job id.
 	IDLength = 16
 )
@@ -32,9 +37,19 @@
 	GPU int64 `json:"gpu,omitempty"`
 }
 
-// Add returns the sum of r and other.
+// Add returns the sum of r and other. Sums beyond the type stay at its limit.
 func (r Resources) Add(other Resources) Resources {
-	return Resources{r.CPU + other.CPU, r.MemMB + other.MemMB, r.GPU + other.GPU}
+	return Resources{addSaturated(r.CPU, other.CPU), addSaturated(r.MemMB, other.MemMB), addSaturated(r.GPU, other.GPU)}
+}
+
+func addSaturated(a, b int64) int64 {
+	switch {
+	case b > 0 && a > math.MaxInt64-b:
+		return math.MaxInt64
+	case b < 0 && a < math.MinInt64-b:
+		return math.MinInt64
+	}
+	return a + b
 }
 
 // Sub returns the difference of r and other.
@@ -117,8 +132,8 @@
 // target for the job.
 func (j *Job) Objective() time.Duration {
 	stretch := max(j.Queue.Stretch, 1)
-	base := time.Duration(float64(j.CriticalPath()) * stretch)
-	return base + time.Duration(j.Queue.TargetMS)*time.Millisecond
+	objective := float64(j.CriticalPath())*stretch + float64(j.Queue.TargetMS)*float64(time.Millisecond)
+	return time.Duration(min(objective, float64(MaxObjective)))
 }
 
 // Tasks returns the number of tasks over all steps.
