platform, coord: an odd route doesn't keep a configuration from holding

What callers saw: 503 from a coordinator that has started after one route of the configuration can't be read, for as long as it stands; a coordinator that ran kept the routes of the version before. After a version near the largest integer no later one was put in force.

Cause: the configuration was decoded as one document, and its numbers were taken as they are.

What can't be read is left out, logged and counted (entries_rejected{configuration}); the others hold.

Weighed: keeping the earlier version's route (there is none at the start, and the queue may have been changed on purpose).

--- a/caller.go
+++ b/caller.go
@@ -59,6 +59,8 @@
 type ConfigChange struct {
 	// Config is a new version of the configuration; nil if the record holds none.
 	Config *work.RoutingConfig
+	// LeftOut tells which parts of the configuration can't be read and are left out.
+	LeftOut []error
 	// Domain is a failure domain that is taken out of or put back into service;
 	// empty if the record concerns no domain.
 	Domain string
--- a/coord/configpeer.go
+++ b/coord/configpeer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -110,7 +111,7 @@
 		if err != nil {
 			return err
 		}
-		c.applyConfig(change.Config, r, peer)
+		c.applyConfig(change, r, peer)
 		c.table.PlaceReady(time.Now())
 		c.flush()
 	}
@@ -120,11 +121,15 @@
 
 // applyConfig puts a configuration in force unless it is nil or not newer than the present one. The
 // caller holds the lock.
-func (c *Coordinator) applyConfig(config *work.RoutingConfig, r carobpulley.KeyedRecord, from string) {
+func (c *Coordinator) applyConfig(change carobpulley.ConfigChange, r carobpulley.KeyedRecord, from string) {
+	config := change.Config
 	if config == nil || c.routing != nil && config.Version <= c.routing.Version {
 		return
 	}
 	c.log.Info().Int64("version", config.Version).Int("routes", len(config.Routes)).Str("from", from).Msg("configuration in force")
+	if n := len(change.LeftOut); n > 0 {
+		c.rejects.Add(time.Now(), "configuration", n, r.Key, errors.Join(change.LeftOut...))
+	}
 	c.cfg.Meter.Set("plan_version", config.Version)
 	c.routing = config
 	c.configRecord = r
--- a/coord/control.go
+++ b/coord/control.go
@@ -256,7 +256,7 @@
 		if change.Domain != "" {
 			c.domainsChanged(c.domains.Apply(records[i].Offset, change.Domain, change.OutOfService), "store")
 		}
-		c.applyConfig(change.Config, records[i], "store")
+		c.applyConfig(change, records[i], "store")
 	}
 	c.table.PlaceReady(time.Now())
 	c.flush()
