link, coord: numbers of peers' messages that can't be true are not believed

One message with an offset near the largest integer outweighed, for good, what a process read of the failure domains later, and kept a coordinator from asking its peers for a configuration. Amounts out of range overflowed in sums: a start with a negative amount fits a full endpoint.

A peer's configuration with such an offset counts as no answer and is asked again. Epochs and shards out of range are left out. A start whose amounts are out of range fits nowhere, an endpoint with such amounts gets no tasks, and spans of time stay within 30 days.

--- a/coord/configpeer.go
+++ b/coord/configpeer.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"carobpulley"
+	"carobpulley/link"
 	"carobpulley/wire/relay"
 	"carobpulley/work"
 )
@@ -105,6 +106,9 @@
 	if m.GetOffset() <= c.configOffset() {
 		return nil
 	}
+	if m.GetOffset() > link.MaxOffset || m.GetRecordOffset() < 0 || m.GetRecordOffset() > link.MaxOffset {
+		return &carobpulley.Error{Op: "config", Kind: carobpulley.KindInvalid, Msg: "offset out of range"}
+	}
 	if len(m.GetValue()) > 0 {
 		r := carobpulley.KeyedRecord{Key: m.GetKey(), Value: m.GetValue(), Offset: m.GetRecordOffset()}
 		change, err := c.configSource.Decode(r)
--- a/coord/odd_test.go
+++ b/coord/odd_test.go
@@ -1,12 +1,14 @@
 package coord
 
 import (
+	"math"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"carobpulley"
+	"carobpulley/wire/relay"
 	"carobpulley/work"
 )
 
@@ -50,3 +52,26 @@
 		t.Errorf("corrected records: claim %+v, agents (-want +got):\n%s", c.claims[0], diff)
 	}
 }
+
+// Guards against a peer's answer with an offset that no record has: this coordinator would never ask for
+// a newer configuration.
+func TestPeersOffsetIsBounded(t *testing.T) {
+	c := newControlTest(t, &recordedStore{})
+	c.configSource = versionSource{}
+	c.lock()
+	defer c.mu.Unlock()
+	for _, m := range []*relay.ConfigReply{
+		{Offset: math.MaxInt64},
+		{Offset: math.MaxInt64, Key: "k", Value: []byte("9")},
+		{Offset: 3, Key: "k", Value: []byte("9"), RecordOffset: -1},
+		{Offset: 3, Key: "k", Value: []byte("9"), RecordOffset: math.MaxInt64},
+	} {
+		if err := c.handlePeerConfig("peer", m); err == nil || c.configOffset() != 0 {
+			t.Errorf("%v: offset %d, error %v", m, c.configOffset(), err)
+		}
+	}
+	good := &relay.ConfigReply{Offset: 5, Key: "k", Value: []byte("7"), RecordOffset: 4}
+	if err := c.handlePeerConfig("peer", good); err != nil || c.configOffset() != 5 || c.routing.Version != 7 {
+		t.Errorf("good answer: offset %d, error %v", c.configOffset(), err)
+	}
+}
--- a/link/convert.go
+++ b/link/convert.go
@@ -20,11 +20,21 @@
 func EpochsFromWire(in []*relay.ShardEpoch) map[int]uint64 {
 	out := make(map[int]uint64, len(in))
 	for _, e := range in {
-		out[int(e.GetShard())] = e.GetEpoch()
+		if e.GetShard() < work.MaxShards && e.GetEpoch() <= work.MaxEpoch {
+			out[int(e.GetShard())] = e.GetEpoch()
+		}
 	}
 	return out
 }
 
+// boundResources returns amounts as they are, or for amounts out of range those that fit no endpoint.
+func boundResources(r work.Resources) work.Resources {
+	if r.Check() != nil {
+		return work.Resources{CPU: work.MaxResource, MemMB: work.MaxResource, GPU: work.MaxResource}
+	}
+	return r
+}
+
 func runToWire(r work.Run) *relay.Run {
 	return &relay.Run{Task: r.Task, Run: r.Number}
 }
@@ -69,8 +79,8 @@
 	for _, s := range in {
 		out = append(out, work.Start{
 			Run: runFromWire(s.GetRun()), Spec: s.GetSpec(), Checkpoint: s.GetCheckpoint(),
-			Resources: work.Resources{CPU: s.GetCpu(), MemMB: s.GetMemMb(), GPU: s.GetGpu()},
-			Durable:   s.GetKept(), SlackMS: s.GetSlackMs(), WaitMS: s.GetWaitMs(),
+			Resources: boundResources(work.Resources{CPU: s.GetCpu(), MemMB: s.GetMemMb(), GPU: s.GetGpu()}),
+			Durable:   s.GetKept(), SlackMS: boundMS(s.GetSlackMs()), WaitMS: max(boundMS(s.GetWaitMs()), 0),
 			Suspect: s.GetSuspect(),
 		})
 	}
@@ -97,8 +107,22 @@
 	return out
 }
 
-// EndpointStateFromWire converts the received state of an endpoint.
+// maxMS bounds a span of time in a message, in milliseconds: 30 days.
+const maxMS = 30 * 24 * 3600 * 1000
+
+func boundMS(ms int64) int64 { return min(max(ms, -maxMS), maxMS) }
+
+// EndpointStateFromWire converts the received state of an endpoint. One with amounts out of range gets
+// no tasks.
 func EndpointStateFromWire(r *relay.Runner) work.EndpointState {
+	s := endpointStateFromWire(r)
+	if s.Capacity.Check() != nil || s.Used.Check() != nil {
+		s.Capacity, s.Used, s.Ready = work.Resources{}, work.Resources{}, false
+	}
+	return s
+}
+
+func endpointStateFromWire(r *relay.Runner) work.EndpointState {
 	return work.EndpointState{
 		Instance: r.GetInstance(), Service: r.GetService(), Domain: r.GetZone(), Labels: r.GetLabels(),
 		Capacity: work.Resources{CPU: r.GetCpu(), MemMB: r.GetMemMb(), GPU: r.GetGpu()},
@@ -126,7 +150,7 @@
 	for _, e := range m.GetEnds() {
 		out.Ends = append(out.Ends, work.End{
 			Sequence: e.GetNumber(), Run: runFromWire(e.GetRun()), Outcome: work.Outcome(e.GetHow()),
-			ElapsedMS: e.GetElapsedMs(), Checkpoint: e.GetCheckpoint(),
+			ElapsedMS: max(boundMS(e.GetElapsedMs()), 0), Checkpoint: e.GetCheckpoint(),
 		})
 	}
 	for _, c := range m.GetCrashes() {
