--- a/runs/lost_test.go
+++ b/runs/lost_test.go
@@ -40,3 +40,18 @@
 		t.Errorf("ends after a list that was asked for later (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a run that this process did not start, such as that of a command which was carried out
+// late, being taken for over while it is at work, so that others start beside it.
+func TestListOlderThanAnUnknownRunDoesNotEndIt(t *testing.T) {
+	f := newFixture(t)
+	earlier := f.controller.BeginPoll(f.now)
+	f.advance(time.Millisecond)
+	later := f.controller.BeginPoll(f.now)
+	f.advance(time.Millisecond)
+	f.controller.HandlePoll(f.now, earlier, carobpulley.RunLists{Clock: 5010, Generation: 1, Running: []carobpulley.ListedRun{{Run: newRun(1)}}})
+	f.controller.HandlePoll(f.now, later, carobpulley.RunLists{Clock: 5009, Generation: 1})
+	if !f.controller.HasRun(newRun(1)) || f.controller.Usable() {
+		t.Error("the run counts as over, and starts are sent beside it")
+	}
+}
