runs: the runs of an earlier process are lost only after the leases that it gave

What callers may see: a task runs at two endpoints at a time (TWICE) after the agent beside the first has restarted, while answers of the endpoint are lost.

Cause: where an endpoint leaves two polls unanswered, its runs are lost once the last lease has expired that this process has sent. A new process has sent none, so the runs that it found at the endpoint, which go on by a lease of the earlier process, were lost at the next tick, and the coordinators that attached then took theirs to be over. Class: an end inferred from silence.

TestRunOfAnEarlierProcessIsNotLostBeforeItsLeaseExpires failed before ("lost 100ms after the start of the process").

Change: the runs are lost after the latest lease that an earlier process can have given, too, as it already holds for ends and for attachments.

--- a/runs/inherit_test.go
+++ b/runs/inherit_test.go
@@ -41,3 +41,23 @@
 		})
 	}
 }
+
+// Guards against a run that counts as lost, and is started elsewhere, while it is at work: the agent beside
+// it has restarted, and its endpoint leaves some polls unanswered before the lease that the earlier process
+// gave has expired.
+func TestRunOfAnEarlierProcessIsNotLostBeforeItsLeaseExpires(t *testing.T) {
+	now := testStart
+	c := New(Config{Agent: "a", Incarnation: 2, Token: 100, MaxLease: time.Second, Shards: testShards}, now)
+	c.HandlePoll(now, c.BeginPoll(now), carobpulley.RunLists{Clock: 5000, Generation: 1, Running: []carobpulley.ListedRun{{Run: newRun(1)}}})
+	for now = now.Add(50 * time.Millisecond); now.Sub(testStart) < time.Second; now = now.Add(50 * time.Millisecond) {
+		c.HandlePollError(now, c.BeginPoll(now), "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown})
+		c.Tick(now)
+		if !c.HasRun(newRun(1)) {
+			t.Fatalf("the run is lost %v after the start of the process", now.Sub(testStart))
+		}
+	}
+	c.Tick(now.Add(100 * time.Millisecond))
+	if c.HasRun(newRun(1)) {
+		t.Error("the run is kept although its lease has expired")
+	}
+}
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -69,7 +69,7 @@
 // markExpiredEnds marks the ends that precede an expiry of the endpoint's lease. They never count
 // as recorded, so their tasks may be run elsewhere.
 func (c *Controller) markExpiredEnds(now time.Time) {
-	if now.Before(c.leaseExpiresAt) || now.Before(c.inheritedLeaseExpiry()) {
+	if !c.leasesExpired(now) {
 		return
 	}
 	for _, e := range c.ends {
@@ -77,6 +77,11 @@
 	}
 }
 
+// leasesExpired reports whether every lease that this process, or an earlier one, gave has expired.
+func (c *Controller) leasesExpired(now time.Time) bool {
+	return !now.Before(c.leaseExpiresAt) && !now.Before(c.inheritedLeaseExpiry())
+}
+
 // startRefusal returns the reason for which no start that is dispatched now can be sent with a
 // lease; empty if one can.
 func (c *Controller) startRefusal(now time.Time) string {
@@ -231,7 +236,7 @@
 	c.markExpiredEnds(now)
 	c.stopOrphans(now)
 	changed := c.processQueue(now)
-	if !c.unresponsive || len(c.runs) == 0 || now.Before(c.leaseExpiresAt) {
+	if !c.unresponsive || len(c.runs) == 0 || !c.leasesExpired(now) {
 		return changed
 	}
 	for key, r := range c.runs {
