emul: callers that come back at another coordinator, and troubled endpoints

Endpoints of the emulator can now lose answers, carry single commands out 2 to 12 s late, never, or with a lease that counts from their arrival, and delay commands and answers so that they overtake each other, by kind of command.

--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -64,6 +64,8 @@
 	// lossRate is the share of commands that are not answered; half of these are applied after
 	// a delay, the others never.
 	lossRate float64
+	// troubles holds the trouble of each kind of command.
+	troubles [commandCount]Trouble
 }
 
 // NewEndpoint returns an endpoint without runs. behavior returns the duration and the outcome of
@@ -232,7 +234,7 @@
 	e.mu.Lock()
 	if e.down {
 		e.mu.Unlock()
-		return carobpulley.StartAnswer{}, &carobpulley.Error{Op: "order", Kind: carobpulley.KindGone}
+		return carobpulley.StartAnswer{}, commandError(carobpulley.KindGone)
 	}
 	draw := e.rng.Float64()
 	generation := e.generation
@@ -258,7 +260,7 @@
 			time.AfterFunc(delay, func() { applyIfUp() })
 		}
 		<-ctx.Done()
-		return carobpulley.StartAnswer{}, &carobpulley.Error{Op: "order", Kind: carobpulley.KindUnknown}
+		return carobpulley.StartAnswer{}, commandError(carobpulley.KindUnknown)
 	}
 	if err := sleep(ctx, commandLatency); err != nil {
 		return carobpulley.StartAnswer{}, err
@@ -267,16 +269,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
-		return carobpulley.StartAnswer{}, &carobpulley.Error{Op: "order", Kind: carobpulley.KindBroken}
+		return carobpulley.StartAnswer{}, commandError(carobpulley.KindBroken)
 	}
 	return a, nil
 }
 
-// Start implements carobpulley.EndpointClient.
-func (e *Endpoint) Start(ctx context.Context, lease carobpulley.Lease, start work.Start) (carobpulley.StartAnswer, error) {
-	return e.execute(ctx, func() carobpulley.StartAnswer { return e.startRun(lease, start) })
-}
-
 func (e *Endpoint) startRun(lease carobpulley.Lease, start work.Start) carobpulley.StartAnswer {
 	if lease.Token < e.token {
 		return carobpulley.StartAnswer{Refusal: carobpulley.RefusalStaleToken}
@@ -310,21 +307,17 @@
 	return carobpulley.StartAnswer{}
 }
 
-// Stop implements carobpulley.EndpointClient.
-func (e *Endpoint) Stop(ctx context.Context, lease carobpulley.Lease, run work.Run) (carobpulley.StartAnswer, error) {
-	return e.execute(ctx, func() carobpulley.StartAnswer {
-		if lease.Token < e.token {
-			return carobpulley.StartAnswer{Refusal: carobpulley.RefusalStaleToken}
-		}
-		e.token = lease.Token
-		e.lastEnded[run.Task] = max(e.lastEnded[run.Task], run.Number)
-		e.endRun(run, work.OutcomeStopped)
-		return carobpulley.StartAnswer{}
-	})
+func (e *Endpoint) stopRun(lease carobpulley.Lease, run work.Run) carobpulley.StartAnswer {
+	if lease.Token < e.token {
+		return carobpulley.StartAnswer{Refusal: carobpulley.RefusalStaleToken}
+	}
+	e.token = lease.Token
+	e.lastEnded[run.Task] = max(e.lastEnded[run.Task], run.Number)
+	e.endRun(run, work.OutcomeStopped)
+	return carobpulley.StartAnswer{}
 }
 
-// Renew implements carobpulley.EndpointClient.
-func (e *Endpoint) Renew(ctx context.Context, lease carobpulley.Lease, acknowledged int64, maxWait time.Duration) (carobpulley.RunLists, string, error) {
+func (e *Endpoint) renew(ctx context.Context, lease carobpulley.Lease, acknowledged int64, maxWait time.Duration) (carobpulley.RunLists, string, error) {
 	var added chan struct{}
 	a, err := e.execute(ctx, func() carobpulley.StartAnswer {
 		if lease.Token < e.token {
