runs: ends go only to the coordinator's process that started the run

What callers saw: two runs of one task at a time (TWICE), after a coordinator was killed and restarted and a caller came back at it, 1.3 s after its broken call.

Cause: an agent told the ends of best-effort runs by the coordinator's name. Run numbers begin at 1 again in each process. A run of the earlier process that had waited at the agent for room, and ended without having reached the endpoint, was told to the restarted process just after that had placed the same task there as run 1. The coordinator took it for the end of its own run and placed run 2, while the start of run 1 was on its way and was carried out. In the same way an answer of one coordinator that acknowledged an end marked the end of another coordinator's run with that name and number as told, so that coordinator never got it.

Change: an end of a best-effort run is reported to, and acknowledged by, the process that started the run only. Ends of an earlier process stay unreported until they are dropped, as before; no process but that one can use them. Ends of durable jobs belong to the owner of the shard, as before.

--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -50,7 +50,7 @@
 		c.recordShardOwner(number, epoch, a.Coordinator)
 	}
 	for _, e := range c.ends {
-		if c.coordinatorOfEnd(e) == a.Coordinator {
+		if c.reportsTo(e, a.Coordinator) {
 			e.reported = false
 		}
 	}
--- /dev/null
+++ b/runs/process_test.go
@@ -0,0 +1,63 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobpulley/work"
+)
+
+// attachProcess lets a process of a coordinator attach, and returns the agent's answer.
+func (f *fixture) attachProcess(name string, incarnation uint64) Report {
+	f.t.Helper()
+	a := AttachRequest{Coordinator: name, Incarnation: incarnation, Addr: "127.0.0.1:1", Attachment: 1}
+	if !f.controller.HandleAttach(f.now, a) {
+		f.t.Fatalf("attach of %s refused", name)
+	}
+	return f.controller.FullReport(f.now, a)
+}
+
+// Guards against a restarted coordinator that takes the end of a run of its earlier process for that
+// of its own run, whose number begins at 1 again.
+func TestEndsAreToldToTheProcessThatStartedTheRun(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", work.Start{Run: newRun(1), Spec: "x", Resources: work.Resources{CPU: 9000}})
+	f.confirmStarts()
+	f.dispatch("c", work.Start{Run: newRun(2), Spec: "x", Resources: work.Resources{CPU: 2000}, WaitMS: 100})
+	f.advance(200 * time.Millisecond)
+	f.controller.Tick(f.now)
+	if diff := cmp.Diff([]work.End{{Run: newRun(2), Outcome: work.OutcomeNoCapacity}}, f.controller.Report(f.now, "c").Ends); diff != "" {
+		t.Fatalf("ends of the process that started the run (-want +got):\n%s", diff)
+	}
+	full := f.attachProcess("c", 8)
+	if diff := cmp.Diff([]work.End(nil), full.Ends); diff != "" {
+		t.Errorf("ends in the answer to the next process (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]work.End(nil), f.controller.Report(f.now, "c").Ends); diff != "" {
+		t.Errorf("ends reported to the next process (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an end that its coordinator never gets, because another coordinator has received the
+// end of an earlier run with the same name and number.
+func TestEndsOfRunsWithOneNameAreReportedEach(t *testing.T) {
+	f := newFixture(t)
+	f.attach("d", 1, nil)
+	start := work.Start{Run: newRun(1), Spec: "x", Resources: work.Resources{CPU: 2000}, WaitMS: 100}
+	f.dispatch("c", work.Start{Run: newRun(2), Spec: "x", Resources: work.Resources{CPU: 9000}})
+	f.confirmStarts()
+	f.dispatch("c", start)
+	f.advance(200 * time.Millisecond)
+	f.controller.Tick(f.now)
+	sent := f.controller.Report(f.now, "c")
+	f.dispatch("d", start)
+	f.advance(200 * time.Millisecond)
+	f.controller.Tick(f.now)
+	f.controller.HandleReportReply(f.now, "c", sent, ReportReply{})
+	want := []work.End{{Run: newRun(1), Outcome: work.OutcomeNoCapacity}}
+	if diff := cmp.Diff(want, f.controller.Report(f.now, "d").Ends); diff != "" {
+		t.Errorf("ends reported to the second coordinator (-want +got):\n%s", diff)
+	}
+}
--- a/runs/report.go
+++ b/runs/report.go
@@ -36,6 +36,17 @@
 	return false
 }
 
+// reportsTo reports whether an end is to be reported to a coordinator. That of a best-effort run
+// belongs to the process that started it: to another one it would look like the end of a run of its
+// own, as run numbers begin at 1 in each process.
+func (c *Controller) reportsTo(e *end, coordinator string) bool {
+	if e.coordinator == "" {
+		return c.coordinatorOfEnd(e) == coordinator
+	}
+	co := c.coordinators[coordinator]
+	return e.coordinator == coordinator && co != nil && co.incarnation == e.incarnation
+}
+
 // Report returns the endpoint's state, the unreported ends of the coordinator, and those that are
 // due to be reported again.
 func (c *Controller) Report(now time.Time, coordinator string) Report {
@@ -46,7 +57,7 @@
 	}
 	for _, e := range c.ends {
 		resend := e.reported && e.Sequence > 0 && !e.acked && now.Sub(e.reportedAt) > endResendInterval
-		if (!e.reported || resend) && c.coordinatorOfEnd(e) == coordinator {
+		if (!e.reported || resend) && c.reportsTo(e, coordinator) {
 			r.Ends = append(r.Ends, e.End)
 		}
 	}
@@ -128,7 +139,7 @@
 		received[sent.Ends[i].Run] = true
 	}
 	for _, e := range c.ends {
-		if received[e.Run] {
+		if received[e.Run] && c.reportsTo(e, coordinator) {
 			e.reported = true
 			e.reportedAt = now
 		}
--- a/runs/state.go
+++ b/runs/state.go
@@ -61,7 +61,7 @@
 // HasUnreportedEnds reports whether an end has not been reported to the coordinator.
 func (c *Controller) HasUnreportedEnds(coordinator string) bool {
 	for _, e := range c.ends {
-		if !e.reported && c.coordinatorOfEnd(e) == coordinator {
+		if !e.reported && c.reportsTo(e, coordinator) {
 			return true
 		}
 	}
