runs: an answer to a report counts for the process that the report was for

Cause: the answer to a report was matched by the attachment's number alone, and each process of a coordinator counts attachments and runs from 1. An answer of the earlier process that arrived after the next one had attached could stop a run of the next one with the same number, and mark its end as told. Change: the report keeps the incarnation that it was for, and an answer for another one is dropped.

TestEndOfAnEarlierLifeIsIgnored rules out that the end of an earlier life of an endpoint is taken for that of a run of the next one; it passes without the change.

--- a/runs/process_test.go
+++ b/runs/process_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carobpulley"
 	"carobpulley/work"
 )
 
@@ -61,3 +62,47 @@
 		t.Errorf("ends reported to the second coordinator (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an answer of a coordinator's earlier process that stops a run of the next one, or hides
+// its end, as both number their attachments and runs from 1.
+func TestAnswerOfAnEarlierProcessIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	sent := f.controller.Report(f.now, "c")
+	f.attachProcess("c", 8)
+	f.report("c", nil)
+	_, stale := f.controller.HandleDispatch(f.now, Dispatch{Coordinator: "c", Incarnation: 8, Attachment: 1, Echo: f.echo, Starts: []work.Start{newStart(1, 100)}})
+	if stale || f.confirmStarts() != 1 {
+		t.Fatal("the start was refused")
+	}
+	f.controller.HandleReportReply(f.now, "c", sent, ReportReply{Stops: []work.Run{newRun(1)}})
+	if diff := cmp.Diff([]Command(nil), f.controller.Commands()); diff != "" {
+		t.Errorf("commands after the answer of the earlier process (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an end of an earlier life of an endpoint that is taken for that of a run of the next
+// one: its list arrives after the endpoint's new heartbeat, and numbers ends from 1 as well.
+func TestEndOfAnEarlierLifeIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	sent := f.controller.BeginPoll(f.now)
+	f.advance(20 * time.Millisecond)
+	f.controller.HandleHeartbeat(f.now, carobpulley.Heartbeat{
+		Instance: "i", Generation: 2, Sequence: 1, Service: "s", Capacity: work.Resources{CPU: 10_000, MemMB: 1000},
+	})
+	first := f.controller.BeginPoll(f.now)
+	f.controller.HandlePoll(f.now, first, carobpulley.RunLists{Clock: 1000, Generation: 2})
+	f.report("c", nil)
+	f.dispatch("c", newStart(1, 100))
+	if got := f.confirmStarts(); got != 1 {
+		t.Fatalf("%d starts, want 1", got)
+	}
+	f.controller.HandlePoll(f.now, sent, carobpulley.RunLists{
+		Clock: 5020, Generation: 1, Finished: []work.End{{Sequence: 1, Run: newRun(1), Outcome: work.OutcomeDone}},
+	})
+	if diff := cmp.Diff([]work.End(nil), f.controller.Report(f.now, "c").Ends); diff != "" {
+		t.Errorf("ends (-want +got):\n%s", diff)
+	}
+	if !f.controller.HasRun(newRun(1)) {
+		t.Error("the run has ended")
+	}
+}
--- a/runs/report.go
+++ b/runs/report.go
@@ -19,6 +19,8 @@
 	// last one.
 	Crashes   []work.Crash
 	lastCrash int64
+	// incarnation is that of the coordinator's process.
+	incarnation uint64
 }
 
 // HasRunsOrEnds reports whether the agent holds a run or an end of the coordinator.
@@ -53,6 +55,7 @@
 	r := Report{SentAt: c.encodeTime(now), State: c.State(now, coordinator)}
 	if co := c.coordinators[coordinator]; co != nil {
 		r.Attachment = co.attachment
+		r.incarnation = co.incarnation
 		r.Crashes, r.lastCrash = c.unreportedCrashes(co)
 	}
 	for _, e := range c.ends {
@@ -122,7 +125,7 @@
 // HandleReportReply handles the answer to a report.
 func (c *Controller) HandleReportReply(now time.Time, coordinator string, sent Report, reply ReportReply) {
 	co := c.coordinators[coordinator]
-	if co == nil || co.attachment != sent.Attachment {
+	if co == nil || co.incarnation != sent.incarnation || co.attachment != sent.Attachment {
 		return
 	}
 	at := c.decodeTime(sent.SentAt)
