--- a/emul/elsewhere_test.go
+++ b/emul/elsewhere_test.go
@@ -119,6 +119,11 @@
 			killFirst(f)
 			f.restartAgents()
 		}),
+		faultAndLeave("two endpoints cut off", func(f *Fleet) {
+			for _, e := range f.Endpoints[:2] {
+				e.SetTrouble(Trouble{Unsent: 1}, all...)
+			}
+		}, noFault),
 		faultAndLeave("answers lost", troubled(Trouble{Lost: 1}, all...), noFault),
 		faultAndLeave("answers lost, agents restarted", troubled(Trouble{Lost: 1}, all...), (*Fleet).restartAgents),
 		faultAndLeave("killed, answers of renewals lost", troubled(Trouble{Lost: 1}, CommandRenew), killFirst),
