--- a/emul/resubmit_test.go
+++ b/emul/resubmit_test.go
@@ -29,7 +29,13 @@
 			f.silence(n, true, on)
 		}),
 		"orders held": forAll(func(f *Fleet, n int, on bool) { f.SetOrdersHeld(fmt.Sprint("agent-", n), on) }),
-		"stops lost":  forAll(func(f *Fleet, n int, on bool) { f.Endpoints[n].SetStopsLost(on) }),
+		"stops lost": forAll(func(f *Fleet, n int, on bool) {
+			trouble := Trouble{}
+			if on {
+				trouble.Unsent = 1
+			}
+			f.Endpoints[n].SetTrouble(trouble, CommandStop)
+		}),
 		"answers lost": forAll(func(f *Fleet, n int, on bool) {
 			f.Endpoints[n].SetLossRate(map[bool]float64{true: 0.5}[on])
 		}),
