runs: a poll that got no answer renews no lease when it arrives seconds later

What callers may see: a task runs at two endpoints at a time (TWICE), after its coordinator was killed, where endpoints carry commands out seconds late and count a lease from its arrival.

Cause: a start without an answer raises the token, so that the endpoint refuses it later; a poll didn't. One that was carried out 2 s to 12 s later extended the lease, when the agent had stopped renewing it.

Change: a poll that timed out raises the token, as the next poll shows to the endpoint. One whose connection has ended was carried out, or never will be, and doesn't. Starts that are under way meanwhile are refused and repeated.

--- a/runs/poll.go
+++ b/runs/poll.go
@@ -57,7 +57,13 @@
 		r.brokenAt = now
 	}
 	r.token = l.Token
-	if c.token == l.Token {
+	c.retireToken(l.Token)
+}
+
+// retireToken makes the next commands carry a higher token, so that the endpoint refuses an earlier one
+// that reaches it after them.
+func (c *Controller) retireToken(token int64) {
+	if c.token == token {
 		c.token++
 	}
 }
@@ -231,6 +237,10 @@
 		c.listsKnown = true // nothing is there that could run anything
 		return c.handleGone(now, sent)
 	}
+	if refusal == "" && carobpulley.KindOf(err) == carobpulley.KindUnknown {
+		// It may still be carried out and renew a lease that nothing else renews any more.
+		c.retireToken(sent.Lease.Token)
+	}
 	c.failedPolls++
 	if c.failedPolls < maxFailedPolls {
 		return false
