platform: an odd item doesn't keep a topic from being read

What operators saw: a process that reads nothing of a topic any more, with "store" lines, after one item of a page of newest records can't be read; a domain back in service after an item without its value. A page that ended with a key that is no UTF-8 was asked for again without end, since the bytes were replaced in the next question.

Cause: a page was decoded as one document, and a missing value counted as a deleted key.

Change: items are decoded one by one. One without a readable key is left out; one with a key and nothing else has an empty value, which no reader takes for a deletion. Keys keep their bytes. A page that doesn't advance ends the read with an error. Items are logged and counted (entries_rejected{newest}).

Left: a store that itself replaces bytes of a key in its pages may skip keys after it; no test shows what the platform's store does.

--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -38,7 +38,7 @@
 		Meter:        p.meter,
 
 		DomainOutWithin: p.settings.DomainOutWithin,
-	}, p.log, platform.NewEndpointClient(p.settings.Runner, rejects), platform.NewStoreClient(p.settings.Store), platform.ConfigSource{}, link.NewPeers(), firstToken())
+	}, p.log, platform.NewEndpointClient(p.settings.Runner, rejects), platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers(), firstToken())
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewAgentServiceHandler(agent))
 	return p.serve([]listener{
--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -8,6 +8,7 @@
 
 	"carobpulley/coord"
 	"carobpulley/link"
+	"carobpulley/logs"
 	"carobpulley/platform"
 	"carobpulley/wire/relay"
 )
@@ -29,13 +30,14 @@
 	defer p.close()
 	baseCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	rejects := logs.NewRejects(p.log, p.meter)
 	coordinator := coord.New(baseCtx, coord.Config{
 		Self:            p.self,
 		StatusRetention: p.settings.StatusFor,
 		Shards:          p.shards,
 		DrainTimeout:    p.drainTimeout(),
 		Meter:           p.meter,
-	}, p.log, platform.NewStoreClient(p.settings.Store), platform.ConfigSource{}, link.NewPeers())
+	}, p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
 	callers := platform.NewCallerHandler(coordinator, p.log)
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewCoordinatorServiceHandler(coordinator.Handler()))
