--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -9,6 +9,7 @@
 
 	"carobpulley/guard"
 	"carobpulley/link"
+	"carobpulley/logs"
 	"carobpulley/platform"
 	"carobpulley/wire/relay"
 )
@@ -28,6 +29,7 @@
 		return err
 	}
 	defer p.close()
+	rejects := logs.NewRejects(p.log, p.meter)
 	agent := guard.New(guard.Config{
 		Self:         p.self,
 		MaxLease:     p.settings.MaxLease,
@@ -36,13 +38,13 @@
 		Meter:        p.meter,
 
 		DomainOutWithin: p.settings.DomainOutWithin,
-	}, p.log, platform.NewEndpointClient(p.settings.Runner), platform.NewStoreClient(p.settings.Store), platform.ConfigSource{}, link.NewPeers(), firstToken())
+	}, p.log, platform.NewEndpointClient(p.settings.Runner, rejects), platform.NewStoreClient(p.settings.Store), platform.ConfigSource{}, link.NewPeers(), firstToken())
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewAgentServiceHandler(agent))
 	return p.serve([]listener{
 		{addr: p.settings.Inner, handler: inner},
 		p.metrics(),
-		{addr: p.settings.Beats, handler: platform.NewHeartbeatHandler(p.settings.Service, agent)},
+		{addr: p.settings.Beats, handler: platform.NewHeartbeatHandler(p.settings.Service, agent, rejects)},
 	}, func(ctx context.Context, _ closeCallersFunc) error { return agent.Run(p.ctx, ctx) })
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -45,6 +45,9 @@
 	// endpoint it would have ended well before.
 	overdueAt time.Time
 	stopping  bool
+	// stopCheckAt is the time from which the agent's list is asked for if no end of the run of an
+	// ended job is known; zero until the first check.
+	stopCheckAt time.Time
 }
 
 // ack is an end to acknowledge once the job's changes are stored.
@@ -60,7 +63,7 @@
 	spec  *work.Job
 	shard int
 	phase phase
-	// state is the decided state, storedState the one that is stored.
+	// state is the decided state, storedState the one that is stored, and shown to callers.
 	state       work.State
 	storedState work.State
 	tasks       [][]task
@@ -76,6 +79,12 @@
 	inBatch bool
 	// crashUnstored is set while a crash of an endpoint under one of the tasks is not stored.
 	crashUnstored bool
+	// startedBefore is set if tasks of an earlier submission of the best-effort job have started.
+	startedBefore bool
+	// cancelRequested is set for a best-effort job that a caller has cancelled.
+	cancelRequested bool
+	// resubmission is the latest submission of a best-effort job that is being stopped.
+	resubmission *resubmission
 	// reason is why the job has failed, if not by the outcome of its runs.
 	reason string
 	acks   []ack
@@ -94,6 +103,9 @@
 // durable reports whether the job is stored, in contrast to a best-effort job.
 func (j *job) durable() bool { return j.shard != bestEffortShard }
 
+// hasStarted reports whether a task of the job was placed, also for an earlier submission.
+func (j *job) hasStarted() bool { return j.started || j.startedBefore }
+
 // abandonFactor is the multiple of the objective after which a job's answer has no
 // value, according to RULES.md.
 const abandonFactor = 3
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -317,6 +317,7 @@
 		}
 	}
 	t.stopOverdue(now)
+	t.checkStops(now)
 	t.abandonUnstarted(now)
 	t.dropExpired(now)
 	t.forgetCrashes(now)
@@ -342,7 +343,7 @@
 	}
 	t.recent = t.recent[n:]
 	for id, a := range t.abandoned {
-		if now.Sub(a.at) > recentRetention {
+		if now.Sub(a.at) > recentRetention && t.jobs[id] == nil {
 			delete(t.abandoned, id)
 		}
 	}
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -94,6 +94,10 @@
 	attempts int
 	// phaseSince is the time at which the phase was entered.
 	phaseSince time.Time
+	// launchedAt is the time at which the start was decided on; zero for a run found on the endpoint.
+	launchedAt time.Time
+	// listedIn is the number of the last list that showed the run.
+	listedIn int64
 	// confirmedAt is the time at which the endpoint confirmed the start.
 	confirmedAt time.Time
 	// listed is the answer that listed the run after its start had got no answer.
@@ -146,7 +150,22 @@
 
 	heartbeat    carobpulley.Heartbeat
 	hasHeartbeat bool
-	shutDown     bool
+	// confirmed is set once the endpoint has answered as the instance and the generation of the
+	// heartbeat in force, which was adopted at adoptedAt.
+	confirmed bool
+	adoptedAt time.Time
+	// claim is the latest heartbeat of another life of the endpoint; nil if there is none.
+	claim *claim
+	// streak is that of the heartbeats that were passed over as old.
+	streak streak
+	// adopted is set once a poll has put a heartbeat in force, and rejected holds the heartbeats that
+	// were rejected, until they are asked for.
+	adopted  bool
+	rejected []RejectedHeartbeat
+	// shutDown is set while the endpoint has announced that it has shut down.
+	shutDown bool
+	// gone is set once the endpoint is known to have ended, until one answers again.
+	gone         bool
 	draining     bool
 	unresponsive bool
 	// listsKnown is set once it is known what the endpoint runs of an earlier process of this agent: its
@@ -165,8 +184,12 @@
 	// number up to which it may drop ends.
 	lastListed int64
 	ackedUpTo  int64
-	// generation is the highest generation that a heartbeat or a poll has shown.
+	// listedEnds holds the numbers above ackedUpTo of the ends that were listed.
+	listedEnds map[int64]bool
+	unread     unread
+	// generation is the latest generation that the endpoint's lists have shown, first at generationAt.
 	generation   int64
+	generationAt time.Time
 	runs         map[work.Run]*run
 	ends         []*end
 	shards       map[int]*shard
@@ -217,6 +240,7 @@
 		coordinators: make(map[string]*attachedCoordinator),
 		earlyStops:   make(map[work.Run]time.Time),
 		endedRuns:    make(map[work.Run]endedRun),
+		listedEnds:   make(map[int64]bool),
 
 		refusedStarts: make(map[startKey]time.Time),
 	}
--- a/runs/crash_test.go
+++ b/runs/crash_test.go
@@ -160,7 +160,7 @@
 			next.Generation, next.Sequence = 2, 1
 			f.controller.HandleHeartbeat(f.now, leaving)
 			f.controller.HandleHeartbeat(f.now, next)
-			f.controller.HandlePoll(f.now, f.controller.BeginPoll(f.now), carobpulley.RunLists{Clock: 1, Generation: 2})
+			f.controller.HandlePoll(f.now, f.controller.BeginProbe(f.now), carobpulley.RunLists{Clock: 1, Generation: 2})
 		},
 		"announced, new generation known by a poll": func(f *fixture) {
 			leaving := hb
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -57,7 +57,13 @@
 		r.brokenAt = now
 	}
 	r.token = l.Token
-	if c.token == l.Token {
+	c.retireToken(l.Token)
+}
+
+// retireToken makes the next commands carry a higher token, so that the endpoint refuses an earlier one
+// that reaches it after them.
+func (c *Controller) retireToken(token int64) {
+	if c.token == token {
 		c.token++
 	}
 }
@@ -100,6 +106,8 @@
 	Lease  carobpulley.Lease
 	// AckedUpTo is the number up to which the endpoint may drop ends.
 	AckedUpTo int64
+	// claim is what the poll is to decide; nil if it is a poll of the instance in force.
+	claim *claim
 }
 
 // BeginPoll returns the parameters of the next poll.
@@ -110,22 +118,20 @@
 // HandlePoll handles the endpoint's lists. It reports whether a run ended or the endpoint became
 // usable or restarted.
 func (c *Controller) HandlePoll(now time.Time, sent Poll, lists carobpulley.RunLists) bool {
-	if sent.Lease.Instance != c.heartbeat.Instance || lists.Generation != 0 && lists.Generation < c.generation {
+	usable, restarted := c.observeLife(now, sent, lists.Generation)
+	if !usable {
 		return false
 	}
-	restarted := c.generation != 0 && lists.Generation > c.generation
-	if restarted {
-		c.handleRestart(now, !c.announced())
-	}
-	c.generation = max(c.generation, lists.Generation)
-	c.listsKnown = true
+	c.observeUnread(now, lists)
+	// What can't be read may be a run of an earlier process, until its lease has expired.
+	c.listsKnown = c.listsKnown || len(lists.UnreadRunning) == 0 || now.After(c.inheritedLeaseExpiry())
 	changed := restarted || c.unresponsive || c.clockMS == 0
 	c.unresponsive = false
 	c.failedPolls = 0
 	c.clockMS = lists.Clock
 	c.clockAt = now
 	for i := range lists.Finished {
-		if lists.Finished[i].Sequence > c.lastListed {
+		if c.isNewEnd(lists.Finished[i].Sequence) {
 			c.handleListedEnd(now, lists.Finished[i])
 			changed = true
 		}
@@ -141,14 +147,14 @@
 // start, and those that it no longer lists. It reports whether a run ended as lost.
 func (c *Controller) reconcile(now time.Time, sent Poll, lists carobpulley.RunLists) bool {
 	changed := false
-	complete := len(lists.Finished) < maxPageSize
+	complete := len(lists.Finished)+len(lists.UnreadEnds) < maxPageSize
 	listed := make(map[work.Run]bool, len(lists.Running))
 	for i := range lists.Running {
 		listed[lists.Running[i].Run] = true
 		c.handleListedRun(now, sent, lists.Running[i].Run)
 	}
 	for key, r := range c.runs {
-		if complete && !listed[key] && c.handleUnlistedRun(now, sent, key, r) {
+		if complete && !listed[key] && !c.mayBeUnread(r) && c.handleUnlistedRun(now, sent, key, r) {
 			changed = true
 		}
 	}
@@ -165,10 +171,11 @@
 		}
 		// An earlier process of this agent started it, or a command reached a later generation of
 		// the endpoint. It is stopped before anything else starts.
-		c.runs[key] = &run{start: work.Start{Run: key}, phase: phaseRunning, phaseSince: sent.SentAt, confirmedAt: now, stopping: true}
+		c.runs[key] = &run{start: work.Start{Run: key}, phase: phaseRunning, phaseSince: now, confirmedAt: now, stopping: true, listedIn: c.unread.lists}
 		c.commands = append(c.commands, Command{Stop: key})
 		return
 	}
+	r.listedIn = c.unread.lists
 	if r.phase == phaseUncertain {
 		// A list shows that the run has ended only if it was asked for after this one was made.
 		r.phase = phaseRunning
@@ -203,6 +210,7 @@
 // handleListedEnd records an end that the endpoint lists for the first time.
 func (c *Controller) handleListedEnd(now time.Time, e work.End) {
 	c.lastListed = max(c.lastListed, e.Sequence)
+	c.listedEnds[e.Sequence] = true
 	r := c.runs[e.Run]
 	e.ElapsedMS = elapsed(now, r)
 	delete(c.runs, e.Run)
@@ -217,12 +225,22 @@
 	case refusal == carobpulley.RefusalStaleToken:
 		c.RaiseToken(sent.Lease.Token)
 		return false
+	case sent.claim != nil:
+		c.handleProbeError(sent, refusal)
+		return false
 	case refusal == carobpulley.RefusalWrongInstance:
-		return c.handleGone(now, sent)
+		return c.handleWrongInstance(now, sent)
 	case err != nil && carobpulley.KindOf(err) == carobpulley.KindGone:
+		if c.predatesLife(sent) {
+			return false
+		}
 		c.listsKnown = true // nothing is there that could run anything
 		return c.handleGone(now, sent)
 	}
+	if refusal == "" && carobpulley.KindOf(err) == carobpulley.KindUnknown {
+		// It may still be carried out and renew a lease that nothing else renews any more.
+		c.retireToken(sent.Lease.Token)
+	}
 	c.failedPolls++
 	if c.failedPolls < maxFailedPolls {
 		return false
