runs: a test of a restarted agent that hears of an earlier instance late

What it guards against: an agent that has restarted reads the lists of its endpoint, then gets a delayed heartbeat of an instance that has ended; the refusal of the poll of that instance ended the runs that the lists had shown, and the coordinators that attached then took theirs to be over.

--- a/runs/inherit_test.go
+++ b/runs/inherit_test.go
@@ -61,3 +61,18 @@
 		t.Error("the run is kept although its lease has expired")
 	}
 }
+
+// Guards against the same where a heartbeat of an earlier instance arrives after the lists were read: that
+// it is not that instance which answers tells nothing of the run.
+func TestRunOfAnEarlierProcessOutlivesALateHeartbeat(t *testing.T) {
+	now := testStart
+	c := New(Config{Agent: "a", Incarnation: 2, Token: 100, MaxLease: time.Second, Shards: testShards}, now)
+	c.HandlePoll(now, c.BeginPoll(now), carobpulley.RunLists{Clock: 5000, Generation: 2, Running: []carobpulley.ListedRun{{Run: newRun(1)}}})
+	now = now.Add(time.Millisecond)
+	c.HandleHeartbeat(now, carobpulley.Heartbeat{Instance: "i", Generation: 1, Sequence: 40, Service: "s", Capacity: work.Resources{CPU: 10_000, MemMB: 1000}})
+	now = now.Add(time.Millisecond)
+	c.HandlePollError(now, c.BeginPoll(now), carobpulley.RefusalWrongInstance, nil)
+	if !c.HasRun(newRun(1)) || c.CanAttach(now) {
+		t.Errorf("the run is known: %v, a coordinator may attach: %v", c.HasRun(newRun(1)), c.CanAttach(now))
+	}
+}
