runs: a first heartbeat of another life than the polls showed is a restart

Every run at agent-3 was judged lost in the moment in which it ended.

Cause: a restarted agent polls its endpoint before the first heartbeat. If the endpoint began another life between the two, the heartbeat was taken as the first news of the endpoint, and nothing was reset: the agent went on acknowledging ends up to the last number of the earlier life, so the endpoint dropped each new end unread, and it computed leases from the clock of the earlier life.

Evidence: TestEndpointRebornBeforeTheFirstHeartbeat, without the change: the first poll of the new life has DeadlineMS 93000 and AckedUpTo 5, and the end "done" is reported as "lost".

Change: a heartbeat whose generation differs from the one that a poll has shown is a restart, also if it is the first.

--- a/runs/heartbeat.go
+++ b/runs/heartbeat.go
@@ -15,7 +15,9 @@
 		return false
 	}
 	changed := !c.hasHeartbeat || c.shutDown || c.heartbeat.Draining != hb.Draining || c.heartbeat.Instance != hb.Instance || c.heartbeat.Generation != hb.Generation
-	restarted := c.hasHeartbeat && (c.heartbeat.Instance != hb.Instance || hb.Generation != 0 && c.generation != hb.Generation)
+	// A poll may have shown an earlier generation before the first heartbeat.
+	restarted := c.hasHeartbeat && c.heartbeat.Instance != hb.Instance ||
+		(c.hasHeartbeat || c.generation != 0) && hb.Generation != 0 && c.generation != hb.Generation
 	if restarted {
 		c.handleRestart(now, !c.heartbeat.Draining)
 	}
