--- a/runs/controller.go
+++ b/runs/controller.go
@@ -372,5 +372,5 @@
 
 // Usable reports whether starts can be sent to the endpoint.
 func (c *Controller) Usable() bool {
-	return !c.draining && !c.hasUnknownRuns() && c.hasHeartbeat && !c.shutDown && !c.heartbeat.Draining && !c.unresponsive && c.clockMS != 0
+	return !c.draining && !c.hasUnknownRuns() && c.hasHeartbeat && !c.shutDown && !c.heartbeat.Draining && !c.unresponsive && c.clockMS != 0 && !c.restartClaimed()
 }
--- a/runs/heartbeat.go
+++ b/runs/heartbeat.go
@@ -76,6 +76,12 @@
 	return hb.Generation == c.heartbeat.Generation
 }
 
+// restartClaimed reports whether the heartbeat in force is of another generation than the lists have
+// shown, which the next answer to a poll decides.
+func (c *Controller) restartClaimed() bool {
+	return c.hasHeartbeat && !c.confirmed && c.generation != 0 && c.heartbeat.Generation != 0 && c.heartbeat.Generation != c.generation
+}
+
 // adopt puts a heartbeat of an instance or generation in force that the endpoint has yet to show.
 func (c *Controller) adopt(now time.Time, hb carobpulley.Heartbeat) {
 	c.heartbeat = hb
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -112,6 +112,10 @@
 
 // BeginPoll returns the parameters of the next poll.
 func (c *Controller) BeginPoll(now time.Time) Poll {
+	if c.restartClaimed() {
+		// The clock and the numbers of ends are those of the earlier generation.
+		return Poll{SentAt: now, Lease: carobpulley.Lease{Instance: c.heartbeat.Instance, Token: c.token}}
+	}
 	return Poll{SentAt: now, Lease: c.Lease(now), AckedUpTo: c.ackedUpTo}
 }
 
