jobs, coord: after a pause nothing of any best-effort job starts until departures are seen

What callers may see: a task runs at two endpoints at a time (TWICE) after a coordinator was paused.

Cause: a coordinator that wakes holds the jobs that it had accepted before, since their callers may have left and submitted them elsewhere. Submissions that had waited in its connections are accepted after the pause, and started at once, though their callers may have left as well. Class: a permission (a caller that waits) whose age is counted from its receipt.

Change: all best-effort jobs wait until the end of the allowance.

--- a/coord/stall.go
+++ b/coord/stall.go
@@ -5,8 +5,8 @@
 const (
 	// pauseThreshold is the time without a tick from which this process counts as paused.
 	pauseThreshold = 400 * time.Millisecond
-	// wakeAllowance is how long nothing of earlier best-effort jobs starts after a pause: the
-	// departure of their callers has to be seen first.
+	// wakeAllowance is how long nothing of best-effort jobs starts after a pause: the departure of
+	// their callers has to be seen first.
 	wakeAllowance = 250 * time.Millisecond
 )
 
@@ -19,8 +19,8 @@
 	if c.lastTick.IsZero() || pause < pauseThreshold {
 		return
 	}
-	c.table.HoldBestEffort(now, now.Add(wakeAllowance))
-	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, earlier best-effort jobs wait")
+	c.table.HoldBestEffort(now.Add(wakeAllowance))
+	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, best-effort jobs wait")
 	c.cfg.Meter.Add("pauses", 1)
 	c.lastTick = now
 }
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -166,17 +166,15 @@
 	if !j.answerBy.IsZero() && !now.Before(j.answerBy) {
 		return false
 	}
-	return !now.Before(t.heldUntil) || j.acceptedAt.After(t.heldBefore)
+	return !now.Before(t.heldUntil)
 }
 
-// HoldBestEffort keeps tasks of best-effort jobs that were accepted before a time from starting
-// for a while.
+// HoldBestEffort keeps tasks of best-effort jobs from starting until a time.
 //
 // Answers a process that wakes after a pause: callers that left meanwhile have submitted their
-// jobs elsewhere, and a start here would be a second run of the same task.
-func (t *Table) HoldBestEffort(acceptedBefore, until time.Time) {
-	t.heldBefore, t.heldUntil = acceptedBefore, until
-}
+// jobs elsewhere, and a start here would be a second run of the same task. Submissions that waited in
+// the process's connections are accepted after the pause, so those are held too.
+func (t *Table) HoldBestEffort(until time.Time) { t.heldUntil = until }
 
 // availableAgents returns the agents that may get tasks now, sorted by name.
 func (t *Table) availableAgents(now time.Time) []*agentState {
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -63,9 +63,9 @@
 	shared bool
 	// shareKnown is set once the share was computed from the members in the store.
 	shareKnown bool
-	// heldUntil is the time until which tasks of best-effort jobs accepted before heldBefore
+	// heldUntil is the time until which tasks of best-effort jobs
 	// don't start.
-	heldBefore, heldUntil time.Time
+	heldUntil time.Time
 	// growAt is the time of the next extension of the share, and growPause the pause before
 	// the last one.
 	growAt    time.Time
