--- a/runs/controller.go
+++ b/runs/controller.go
@@ -154,7 +154,7 @@
 	// heartbeat in force, which was adopted at adoptedAt.
 	confirmed bool
 	adoptedAt time.Time
-	// claim is the latest heartbeat of another life of the endpoint; nil if there is none.
+	// claim is the latest heartbeat of another generation of the endpoint; nil if there is none.
 	claim *claim
 	// streak is that of the heartbeats that were passed over as old.
 	streak streak
--- a/runs/heartbeat.go
+++ b/runs/heartbeat.go
@@ -50,7 +50,7 @@
 // endpoint's instance, generation or draining state has changed.
 func (c *Controller) HandleHeartbeat(now time.Time, hb carobpulley.Heartbeat) bool {
 	switch {
-	case c.isSameLife(hb):
+	case c.isSameGeneration(hb):
 		return c.refresh(now, hb)
 	case c.hasHeartbeat && hb.Instance == c.heartbeat.Instance && hb.Generation != 0 && hb.Generation < c.generation:
 		// It was delayed, and its sender has restarted.
@@ -65,8 +65,8 @@
 	return true
 }
 
-// isSameLife reports whether a heartbeat is of the instance and the generation in force.
-func (c *Controller) isSameLife(hb carobpulley.Heartbeat) bool {
+// isSameGeneration reports whether a heartbeat is of the instance and the generation in force.
+func (c *Controller) isSameGeneration(hb carobpulley.Heartbeat) bool {
 	if !c.hasHeartbeat || hb.Instance != c.heartbeat.Instance {
 		return false
 	}
@@ -92,7 +92,7 @@
 	c.streak = streak{}
 }
 
-// refresh handles a heartbeat of the life in force. It reports whether its generation or the draining
+// refresh handles a heartbeat of the generation in force. It reports whether its generation or the draining
 // state has changed, or a shutdown was announced before.
 func (c *Controller) refresh(now time.Time, hb carobpulley.Heartbeat) bool {
 	sameGeneration := hb.Generation == c.heartbeat.Generation
@@ -183,9 +183,9 @@
 	}
 }
 
-// observeLife handles the generation that the endpoint's lists show. It reports whether the lists can
+// observeGeneration handles the generation that the endpoint's lists show. It reports whether the lists can
 // be used, which those of an earlier generation can't, and whether the endpoint has restarted.
-func (c *Controller) observeLife(now time.Time, sent Poll, generation int64) (usable, restarted bool) {
+func (c *Controller) observeGeneration(now time.Time, sent Poll, generation int64) (usable, restarted bool) {
 	if sent.claim != nil {
 		replaced := c.handleProbe(now, sent, generation)
 		return replaced, replaced
@@ -260,7 +260,7 @@
 // handleWrongInstance handles a poll that an endpoint has refused since it is another instance. An
 // instance that has never answered did not exist; one that has is gone.
 func (c *Controller) handleWrongInstance(now time.Time, sent Poll) bool {
-	if sent.Lease.Instance != c.heartbeat.Instance || c.predatesLife(sent) {
+	if sent.Lease.Instance != c.heartbeat.Instance || c.predatesGeneration(sent) {
 		return false
 	}
 	if !c.confirmed {
@@ -270,9 +270,9 @@
 	return c.handleGone(now, sent)
 }
 
-// predatesLife reports whether a poll was sent before the life in force was known. That it found no
-// endpoint, or another one, tells nothing of that life.
-func (c *Controller) predatesLife(sent Poll) bool {
+// predatesGeneration reports whether a poll was sent before the generation in force was known. That it
+// found no endpoint, or another one, tells nothing of it.
+func (c *Controller) predatesGeneration(sent Poll) bool {
 	return sent.SentAt.Before(c.adoptedAt) || sent.SentAt.Before(c.generationAt)
 }
 
--- a/runs/overtake_test.go
+++ b/runs/overtake_test.go
@@ -332,7 +332,7 @@
 }
 
 // Guards against the same where the endpoint crashes and comes back under its id: heartbeats of its
-// earlier life arrive late, and starts that were sent to it reach the next one.
+// earlier generation arrive late, and starts that were sent to it reach the next one.
 func TestNoRunIsToldOverAtAnEndpointThatIsReborn(t *testing.T) {
 	for _, first := range []uint64{52, 117, 180} {
 		for seed := first; seed < first+9; seed++ {
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -122,7 +122,7 @@
 // HandlePoll handles the endpoint's lists. It reports whether a run ended or the endpoint became
 // usable or restarted.
 func (c *Controller) HandlePoll(now time.Time, sent Poll, lists carobpulley.RunLists) bool {
-	usable, restarted := c.observeLife(now, sent, lists.Generation)
+	usable, restarted := c.observeGeneration(now, sent, lists.Generation)
 	if !usable {
 		return false
 	}
@@ -235,7 +235,7 @@
 	case refusal == carobpulley.RefusalWrongInstance:
 		return c.handleWrongInstance(now, sent)
 	case err != nil && carobpulley.KindOf(err) == carobpulley.KindGone:
-		if c.predatesLife(sent) {
+		if c.predatesGeneration(sent) {
 			return false
 		}
 		c.listsKnown = true // nothing is there that could run anything
--- a/runs/process_test.go
+++ b/runs/process_test.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// Guards against an end of an earlier life of an endpoint that is taken for that of a run of the next
+// Guards against an end of an earlier generation of an endpoint that is taken for that of a run of the next
 // one: its list arrives after the endpoint's new heartbeat, and numbers ends from 1 as well.
 func TestEndOfAnEarlierLifeIsIgnored(t *testing.T) {
 	f := newFixture(t)
--- a/runs/rebirth_test.go
+++ b/runs/rebirth_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against ends that are dropped unread, so that their tasks run again, because the endpoint began
-// another life between a restarted agent's first poll and its first heartbeat: ends are numbered from 1
+// another generation between a restarted agent's first poll and its first heartbeat: ends are numbered from 1
 // again, and its clock starts anew.
 func TestEndpointRebornBeforeTheFirstHeartbeat(t *testing.T) {
 	f := &fixture{t: t, now: testStart}
@@ -33,7 +33,7 @@
 		return sent
 	}
 	if diff := cmp.Diff(Poll{SentAt: f.now, Lease: carobpulley.Lease{Instance: "i", Token: f.controller.Token()}}, poll(carobpulley.RunLists{}), cmpopts.IgnoreUnexported(Poll{})); diff != "" {
-		t.Errorf("first poll of the new life (-want +got):\n%s", diff)
+		t.Errorf("first poll of the new generation (-want +got):\n%s", diff)
 	}
 	f.attach("c", 1, nil)
 	f.dispatch("c", newStart(1, 100))
--- a/runs/world_faults_test.go
+++ b/runs/world_faults_test.go
@@ -292,9 +292,9 @@
 }
 
 func (w *world) restartAgent() {
-	w.life++
+	w.process++
 	w.pausedUntil = time.Time{}
-	w.c = New(Config{Agent: "a", Incarnation: uint64(w.life), Token: 100 + int64(w.life)*1_000_000, MaxLease: time.Second, Shards: testShards}, w.now)
+	w.c = New(Config{Agent: "a", Incarnation: uint64(w.process), Token: 100 + int64(w.process)*1_000_000, MaxLease: time.Second, Shards: testShards}, w.now)
 	for name := range w.attached {
 		w.attached[name] = false
 	}
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -29,8 +29,8 @@
 	now   time.Time
 	queue events
 	c     *Controller
-	// life counts the processes of the agent.
-	life int
+	// process counts the processes of the agent.
+	process int
 	// calm is set once there are no more faults.
 	calm bool
 
@@ -111,10 +111,10 @@
 
 // agent runs a step of the agent's process, after its pause, unless the process was replaced.
 func (w *world) agent(do func()) {
-	life := w.life
+	process := w.process
 	if w.now.Before(w.pausedUntil) {
 		w.after(w.pausedUntil.Sub(w.now)+time.Duration(w.rng.Int64N(int64(4*time.Millisecond))), func() {
-			if w.life == life {
+			if w.process == process {
 				w.agent(do)
 			}
 		})
@@ -126,10 +126,10 @@
 // call carries a command to the endpoint and its answer back. A command that is late ends with its
 // endpoint.
 func (w *world) call(instance string, timeout time.Duration, carryOut func(), handle func(refused bool), fail func(error)) {
-	life := w.life
+	process := w.process
 	mine := func(do func()) func() {
 		return func() {
-			if w.life == life {
+			if w.process == process {
 				w.agent(do)
 			}
 		}
@@ -203,9 +203,9 @@
 }
 
 func (w *world) mine(do func()) func() {
-	life := w.life
+	process := w.process
 	return func() {
-		if w.life == life {
+		if w.process == process {
 			w.agent(do)
 		}
 	}
