--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -16,8 +16,9 @@
 
 // cases holds the cases by name. Each returns what broke the rule; empty if nothing did.
 var cases = map[string]func(record string, trouble bool) ([]string, error){
-	"crash": crashCase,
-	"count": countCase,
+	"crash":  crashCase,
+	"count":  countCase,
+	"cancel": cancelCase,
 }
 
 func main() {
