--- a/review/stage/rig.go
+++ b/review/stage/rig.go
@@ -520,9 +520,14 @@
 
 // post submits a job once.
 func (g *rig) post(c *http.Client, front int, r route, j *work.Job) answer {
+	return g.postWaiting(c, front, r, j, 1500*time.Millisecond)
+}
+
+// postWaiting submits a job once and waits up to a time for its answer.
+func (g *rig) postWaiting(c *http.Client, front int, r route, j *work.Job, wait time.Duration) answer {
 	body, err := stand.SubmissionBody(j)
 	if err != nil {
 		return answer{}
 	}
-	return g.call(c, front, http.MethodPost, r, j.ID, body, 1500*time.Millisecond)
+	return g.call(c, front, http.MethodPost, r, j.ID, body, wait)
 }
