--- a/review/stage/count.go
+++ b/review/stage/count.go
@@ -14,7 +14,7 @@
 	"carobpulley/work"
 )
 
-// countCase: five times one of 11 runners fails 4 in 10 of its runs for 6.5 s, and the process that owns the
+// countCase: six times one of 11 runners fails 4 in 10 of its runs for 6.5 s, and the process that owns the
 // jobs is killed meanwhile. A job may be shown as failed only if max-attempts runs of one of its tasks have ended failed.
 // TROUBLE=grey leaves the kills out; STOP=term stops the processes by SIGTERM instead.
 func countCase(record string, trouble bool) (broken []string, err error) {
@@ -42,8 +42,8 @@
 	}
 	const (
 		callers = 24
-		length  = 52 * time.Second
-		kills   = 5
+		length  = 58 * time.Second
+		kills   = 6
 		pause   = 8 * time.Second
 	)
 	began := time.Now()
@@ -59,7 +59,7 @@
 					ids = append(ids, id)
 					mu.Unlock()
 				}
-				time.Sleep(time.Duration(220+n*4) * time.Millisecond)
+				time.Sleep(time.Duration(150+n*3) * time.Millisecond)
 			}
 		})
 	}
--- a/review/stage/rig.go
+++ b/review/stage/rig.go
@@ -301,7 +301,9 @@
 
 // owner returns the front whose process owns the jobs, by the newest claim in the store.
 func (g *rig) owner() *host {
-	records, _, err := g.store.View().Newest(g.ctx, carobpulley.Partition{Topic: carobpulley.TopicControl})
+	ctx, cancel := context.WithTimeout(g.ctx, time.Second)
+	defer cancel()
+	records, _, err := g.store.View().Newest(ctx, carobpulley.Partition{Topic: carobpulley.TopicControl})
 	if err != nil {
 		return nil
 	}
