review: a zone that is cut off runs tasks twice (TWICE)

Cause: Table.requeueIfUnresponsive takes the runs of an agent without a report for over, since the proof that this owner gave last has expired. A front of another zone may own the jobs by then, has taken the runs over and keeps them alive; the old owner's authority lasts up to 1.7 s into the cut, so it starts the tasks again in its own zone.

--- a/review/stage/link.go
+++ b/review/stage/link.go
@@ -7,11 +7,18 @@
 	"io"
 	"net"
 	"net/netip"
+	"regexp"
 	"sync"
+	"sync/atomic"
 )
 
+var machineName = regexp.MustCompile(`(coordinator|agent)-[0-9]+`)
+
 // link forwards the connections to one address.
+//
+// Machines name themselves in their messages to each other: coordinator-N or agent-N.
 type link struct {
+	at netip.AddrPort
 	to string
 
 	mu    sync.Mutex
@@ -21,6 +28,9 @@
 	silent int
 	// cut is set while nothing passes, on new connections either.
 	cut bool
+	// wait blocks while bytes of a connection may not pass; nil stands for one that never does. The
+	// argument names the machine that opened the connection, as far as it is known.
+	wait func(ctx context.Context, from string)
 }
 
 func newLink(ctx context.Context, at netip.AddrPort, to string) (*link, error) {
@@ -28,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{to: to}
+	k := &link{at: l.Addr().(*net.TCPAddr).AddrPort(), to: to}
 	go func() { <-ctx.Done(); _ = l.Close() }()
 	go func() {
 		for {
@@ -82,15 +92,25 @@
 	stop := context.AfterFunc(ctx, func() { _, _ = near.Close(), far.Close() })
 	defer stop()
 	var wg sync.WaitGroup
-	wg.Go(func() { k.copy(far, near, number) })
-	wg.Go(func() { k.copy(near, far, number) })
+	var from atomic.Pointer[string]
+	unknown := ""
+	from.Store(&unknown)
+	wg.Go(func() { k.copy(ctx, far, near, number, &from, true) })
+	wg.Go(func() { k.copy(ctx, near, far, number, &from, false) })
 	wg.Wait()
 }
 
-func (k *link) copy(dst, src net.Conn, number int) {
+func (k *link) copy(ctx context.Context, dst, src net.Conn, number int, from *atomic.Pointer[string], opener bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
+		if k.wait != nil {
+			if name := machineName.Find(buf[:n]); opener && name != nil && *from.Load() == "" {
+				s := string(name)
+				from.Store(&s)
+			}
+			k.wait(ctx, *from.Load())
+		}
 		if n > 0 && !k.isSilent(number) {
 			_, _ = dst.Write(buf[:n]) // the next read shows the end
 		}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -16,10 +16,10 @@
 
 // cases holds the cases by name. Each returns what broke the rule; empty if nothing did.
 var cases = map[string]func(record string, trouble bool) ([]string, error){
-	"crash":   crashCase,
 	"count":   countCase,
 	"cancel":  cancelCase,
 	"pending": pendingCase,
+	"split":   splitCase,
 }
 
 func main() {
--- a/review/stage/rig.go
+++ b/review/stage/rig.go
@@ -86,6 +86,9 @@
 	runners []*runner
 	wg      sync.WaitGroup
 	closing sync.Mutex
+	// apart is set if each front reaches each other machine through a link of its own.
+	apart bool
+	cut   zoneCut
 	// storeDelay is the time that each call of the store takes more, in nanoseconds.
 	storeDelay atomic.Int64
 
@@ -99,12 +102,16 @@
 type host struct {
 	name     string
 	role     string
+	zone     string
 	addr     netip.Addr
 	settings string
 	log      *os.File
 	// link leads to the store, and inner from the other machines to the process.
 	link, inner *link
-	env         []string
+	// out holds the links from a front to the other machines by the addresses to which they lead.
+	outMu sync.Mutex
+	out   map[netip.AddrPort]*link
+	env   []string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -240,7 +247,7 @@
 	if err != nil {
 		return err
 	}
-	h := &host{name: s.Name, role: role, addr: a, settings: filepath.Join(g.dir, s.Name+".yaml")}
+	h := &host{name: s.Name, role: role, zone: s.Domain, addr: a, settings: filepath.Join(g.dir, s.Name+".yaml")}
 	if err := os.WriteFile(h.settings, b, 0o600); err != nil {
 		return err
 	}
@@ -252,7 +259,11 @@
 	if err != nil {
 		return err
 	}
-	store := stand.StoreHandler(g.store.View())
+	var view carobpulley.Store = g.store.View()
+	if g.apart && role == "coordinator" {
+		view = apartStore{Store: view, g: g, h: h}
+	}
+	store := stand.StoreHandler(view)
 	srv := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(time.Duration(g.storeDelay.Load()))
 		store.ServeHTTP(w, r)
@@ -265,6 +276,14 @@
 	if h.inner, err = newLink(g.ctx, at(portAdvertised), at(portInner).String()); err != nil {
 		return err
 	}
+	if g.apart {
+		h.link.wait = func(ctx context.Context, _ string) { g.awaitPath(ctx, h.zone, "") }
+		h.inner.wait = func(ctx context.Context, from string) {
+			if from != "" {
+				g.awaitPath(ctx, h.zone, zoneNamed(from))
+			}
+		}
+	}
 	h.env = []string{platform.SettingsEnv + "=" + h.settings, "CAROB_ADVERTISE=" + at(portAdvertised).String(), "PATH=" + os.Getenv("PATH")}
 	*to = append(*to, h)
 	return g.run(h)
