jobs, coord: an owner starts a task again only after a read of the store that is newer than the inference

Cause: an owner takes the runs of an agent for over 1.32 s after the agent's last report, since its own last proof has expired there. A successor, 0.7 s after the owner goes silent, proves the same runs anew; the old owner's authority lasts 2.5 s from its last read, so it started the tasks at the agents of its zone, which know no other owner. Ruled out: a run that an agent no longer lists (no such line), a successor that waits too short (the second start is the old owner's).

Change: a durable task whose run is over by inference waits for an ownership proof whose read was sent after the inference. Either a newer owner had claimed by then, and the read shows it, or it can only attach after the run's last proof has expired. The same on related paths, each with a case that fails without its check: runs that a new attachment does not list, ends and refusals under an attachment that no read covers yet, starts at such an agent, a takeover that waited for an agent in vain, and an authority that outlived a pause of the process, as it was a flag set by the next tick. It is a deadline now.

Packages emul, coord, jobs, load and runs pass.

--- a/coord/control.go
+++ b/coord/control.go
@@ -75,6 +75,7 @@
 	now := time.Now()
 	c.updateShare(now)
 	c.attachDetached(now)
+	c.table.PlaceReady(now)
 	c.flush()
 	return nil
 }
@@ -100,6 +101,8 @@
 	if sent.After(c.ownershipProof) {
 		c.ownershipProof = sent
 		c.table.ConfirmOwnership(sent)
+		c.table.PlaceReady(time.Now())
+		c.flush()
 	}
 	if len(records) > 0 {
 		c.notifyOwnershipChange()
@@ -107,23 +110,19 @@
 	return len(records), nil
 }
 
-// confirmOwnership reads the control topic at once, beside the waiting read, if ends wait for a
-// confirmation of the ownership: their endpoints take no starts meanwhile. The caller holds the
-// lock.
+// confirmOwnership reads the control topic at once, beside the waiting read, if ends or tasks wait for
+// a confirmation of the ownership: the endpoints of such ends take no starts meanwhile. The caller
+// holds the lock.
 func (c *Coordinator) confirmOwnership() {
 	now := time.Now()
-	if now.Before(c.nextConfirmAt) || !c.table.HasUnconfirmedEnds() {
+	if now.Before(c.nextConfirmAt) || !c.table.AwaitsProof() {
 		return
 	}
 	c.nextConfirmAt = now.Add(confirmInterval)
 	go func() {
 		if _, err := c.readControlTail(c.baseCtx, time.Now(), 0); err != nil {
 			c.recordStoreError("confirm", err)
-			return
 		}
-		c.lock()
-		defer c.mu.Unlock()
-		c.flush()
 	}()
 }
 
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -134,6 +134,7 @@
 			StatusRetention: cfg.StatusRetention + retentionMargin,
 			AgentTimeout:    agentTimeout,
 			TakeoverWait:    takeoverWait,
+			AuthorityTTL:    AuthorityTTL,
 			Shards:          cfg.Shards,
 		}),
 		agents:           make(map[string]work.Address),
@@ -181,7 +182,6 @@
 		c.lock()
 		now := time.Now()
 		c.lastTick = now
-		c.table.SetAuthority(now.Sub(c.ownershipProof) < AuthorityTTL)
 		c.table.Tick(now)
 		c.checkConfigAge(now)
 		c.followConfig(now)
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -33,9 +33,12 @@
 	// requestedAttachment is the highest number that NextAttachment has returned.
 	requestedAttachment uint64
 	// generation is the endpoint's generation, within which ends are numbered.
-	generation   string
-	endpoint     work.EndpointState
-	attached     bool
+	generation string
+	endpoint   work.EndpointState
+	attached   bool
+	// attachedAt is the time of the answer to the attachment. An agent that has restarted knows no
+	// owner of a shard until one attaches.
+	attachedAt   time.Time
 	lastReportAt time.Time
 	// member is set for an agent of this coordinator's share, and extraUntil for one that
 	// was added for more capacity.
@@ -199,6 +202,7 @@
 	}
 	a.attachment = r.Attachment
 	a.attached = true
+	a.attachedAt = now
 	a.released = false
 	a.soughtSince = time.Time{}
 	a.unseen = false
@@ -220,6 +224,7 @@
 	for tk := range a.placed {
 		if !listed[tk] {
 			t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "not run", Reason: "not on the agent's list"})
+			tk.requireProof(now)
 			t.requeueTask(now, tk)
 		}
 	}
@@ -338,6 +343,7 @@
 	a.dispatch = nil
 	for tk := range a.placed {
 		t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "lost", Reason: "nothing heard of its agent, its lease has lapsed"})
+		tk.requireProof(now)
 		t.requeueTask(now, tk)
 	}
 }
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -131,6 +131,7 @@
 		} else {
 			a.pausedUntil = now.Add(refusalPause)
 		}
+		tk.requireProof(a.attachedAt)
 		t.requeueTask(now, tk)
 	}
 	t.PlaceReady(now)
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -25,6 +25,7 @@
 	}
 	t.unassign(tk)
 	tk.run = max(tk.run, e.Run.Number)
+	tk.requireProof(a.attachedAt)
 	switch e.Outcome {
 	case work.OutcomeDone:
 		t.handleTaskDone(now, a, tk, e)
@@ -60,49 +61,6 @@
 	}
 }
 
-// ackAfterConfirmation acknowledges an end that changes nothing here once it is
-// confirmed that this coordinator owned the shard when it received the end. Otherwise
-// the shard's owner, or this coordinator once it has acquired the shard, may still need
-// the end; the agent reports it again.
-func (t *Table) ackAfterConfirmation(now time.Time, a *agentState, e *work.End) {
-	number := work.ShardOf(work.JobOfTask(e.Run.Task), t.cfg.Shards)
-	s := t.shards[number]
-	if e.Sequence <= 0 || s == nil {
-		return
-	}
-	if u, known := a.unconfirmedEnds[e.Sequence]; !known || u.epoch != s.epoch {
-		a.unconfirmedEnds[e.Sequence] = unconfirmedEnd{shard: number, epoch: s.epoch, receivedAt: now}
-	}
-}
-
-// ConfirmOwnership handles a read of the store that shows no newer owner of the owned
-// shards. It acknowledges the unconfirmed ends received before the read was sent.
-func (t *Table) ConfirmOwnership(sent time.Time) {
-	for _, a := range t.active {
-		for number, u := range a.unconfirmedEnds {
-			if !u.receivedAt.Before(sent) {
-				continue
-			}
-			delete(a.unconfirmedEnds, number)
-			if s := t.shards[u.shard]; s != nil && s.epoch == u.epoch {
-				a.acked = append(a.acked, number)
-				// The endpoint takes no starts until the end is acknowledged.
-				t.pendingDispatch(a)
-			}
-		}
-	}
-}
-
-// HasUnconfirmedEnds reports whether an end waits for a confirmation of the ownership.
-func (t *Table) HasUnconfirmedEnds() bool {
-	for _, a := range t.active {
-		if len(a.unconfirmedEnds) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // ackIgnored acknowledges an end that changes nothing. It may repeat an end that is
 // not stored yet, so it is acknowledged only after the job's pending changes are
 // stored.
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -45,6 +45,9 @@
 	// endpoint it would have ended well before.
 	overdueAt time.Time
 	stopping  bool
+	// proofAfter is the time that the proof of the ownership has to exceed for the next start; see
+	// requireProof.
+	proofAfter time.Time
 	// stopCheckAt is the time from which the agent's list is asked for if no end of the run of an
 	// ended job is known; zero until the first check.
 	stopCheckAt time.Time
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -130,6 +130,7 @@
 // PlaceReady starts waiting tasks as far as there is capacity, in the order of their
 // latest starts. Tasks whose latest start has passed come after all others.
 func (t *Table) PlaceReady(now time.Time) {
+	t.proof.awaited = false
 	if len(t.ready) == 0 {
 		return
 	}
@@ -161,7 +162,7 @@
 func (t *Table) mayStart(now time.Time, j *job) bool {
 	if j.durable() {
 		// A crash is stored before the next start, so that a new owner counts it too.
-		return t.authority && !j.crashUnstored
+		return now.Before(t.proof.validUntil(t.cfg.AuthorityTTL)) && !j.crashUnstored
 	}
 	if !j.answerBy.IsZero() && !now.Before(j.answerBy) {
 		return false
@@ -199,7 +200,12 @@
 	service := t.service(g.job)
 	n := 0
 	for _, tk := range g.tasks {
-		a := t.chooseAgent(now, tk, service, agents)
+		var a *agentState
+		if t.provenFor(tk) {
+			a = t.chooseAgent(now, tk, service, agents)
+		} else {
+			t.proof.awaited = true
+		}
 		if a == nil {
 			g.tasks[n] = tk
 			n++
@@ -232,10 +238,15 @@
 	if t.suspects[tk.job] {
 		agents = t.forSuspect(now, tk, agents, onTime)
 	}
+	unproven := false
 	for _, a := range agents {
 		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) {
 			continue
 		}
+		if !t.provenAt(tk, a) {
+			unproven = true
+			continue
+		}
 		if step.Label != "" && !slices.Contains(a.endpoint.Labels, step.Label) {
 			continue
 		}
@@ -250,6 +261,9 @@
 			best, least = a, cost
 		}
 	}
+	if best == nil && unproven {
+		t.proof.awaited = true
+	}
 	return best
 }
 
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -19,6 +19,8 @@
 	// TakeoverWait is the time after a claim by which every ownership proof of the
 	// earlier owner has expired.
 	TakeoverWait time.Duration
+	// AuthorityTTL is how long ownership is proved by a read of the store.
+	AuthorityTTL time.Duration
 	Shards       int
 }
 
@@ -41,11 +43,9 @@
 
 // Table is the state of all owned shards.
 type Table struct {
-	cfg     Config
-	routing *work.RoutingConfig
-	// authority is set while ownership is proved. Without it no task of a durable
-	// job starts.
-	authority    bool
+	cfg          Config
+	routing      *work.RoutingConfig
+	proof        proof
 	outOfService map[string]bool
 	// crashes holds, by job id, the endpoints that have crashed under the tasks of recent jobs.
 	crashes map[string]*jobCrashes
@@ -145,10 +145,6 @@
 // SetConfig sets the configuration in force.
 func (t *Table) SetConfig(c *work.RoutingConfig) { t.routing = c }
 
-// SetAuthority sets whether the ownership proof is recent enough to start tasks of
-// durable jobs.
-func (t *Table) SetAuthority(ok bool) { t.authority = ok }
-
 // SetDomainsOutOfService sets the failure domains that get no tasks.
 func (t *Table) SetDomainsOutOfService(domains []string) {
 	clear(t.outOfService)
@@ -290,6 +286,11 @@
 	for _, j := range t.jobs {
 		if j.shard == number && j.takeoverPending {
 			j.takeoverPending = false
+			for step := range j.tasks {
+				for i := range j.tasks[step] {
+					j.tasks[step][i].requireProof(now)
+				}
+			}
 			t.enqueueJob(now, j)
 		}
 	}
--- a/jobs/table_test.go
+++ b/jobs/table_test.go
@@ -18,6 +18,7 @@
 	testService      = "s"
 	testAgentTimeout = 1300 * time.Millisecond
 	testTakeoverWait = 4 * time.Second
+	testAuthorityTTL = time.Hour
 )
 
 // fixture is a table with agents whose endpoints have 64 cores each.
@@ -38,8 +39,7 @@
 func newFixture(t *testing.T, agents int) *fixture {
 	t.Helper()
 	f := &fixture{t: t, now: testStart, started: map[string][]work.Start{}, stopped: map[string][]work.Run{}, sentAt: map[string]int64{}}
-	f.table = New(Config{StatusRetention: time.Minute, AgentTimeout: testAgentTimeout, TakeoverWait: testTakeoverWait, Shards: 1})
-	f.table.SetAuthority(true)
+	f.table = New(Config{StatusRetention: time.Minute, AgentTimeout: testAgentTimeout, TakeoverWait: testTakeoverWait, AuthorityTTL: testAuthorityTTL, Shards: 1})
 	f.table.SetCoordinatorCount(1)
 	for n := range agents {
 		name := fmt.Sprint("h", n)
@@ -53,10 +53,17 @@
 	for _, name := range f.agents {
 		f.table.HandleAttachment(f.now, f.newReport(name, f.table.FollowingAttachment(name)), f.table.OwnedShards())
 	}
-	f.takeDispatches()
+	f.prove()
 	return f
 }
 
+// prove proves the ownership of the shards by a read of the store that is sent just after now.
+func (f *fixture) prove() {
+	f.table.ConfirmOwnership(f.now.Add(time.Nanosecond))
+	f.table.PlaceReady(f.now)
+	f.takeDispatches()
+}
+
 func (f *fixture) newReport(name string, attachment uint64, ends ...work.End) Report {
 	f.sentAt[name]++
 	return Report{
@@ -104,7 +111,7 @@
 			f.report(name)
 		}
 		f.table.Tick(f.now)
-		f.takeDispatches()
+		f.prove()
 	}
 }
 
@@ -275,7 +282,7 @@
 		t.Fatalf("%d starts before the report of the second agent", got)
 	}
 	f.table.HandleAttachment(f.now, f.newReport("h1", f.table.FollowingAttachment("h1")), f.table.OwnedShards())
-	f.takeDispatches()
+	f.prove()
 	if got := f.startCount(); got != 1 {
 		t.Fatalf("%d starts, want 1, of the task that no agent runs", got)
 	}
