jobs, work: a failed run counts once, by its number

Cause: the failures of a task were a number. While a takeover is pending, an end with a number not below that of the last run counts as current, and the task stays waiting under the same number, so each report of the end counted again: in the answer to the attachment, in the next report, and later ones until it is acknowledged. Ruled out: a second run that failed (no runner lists one).

An end whose run is counted changes nothing and is acknowledged like other ignored ends. The earlier build ignores the new field.

--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -46,12 +46,13 @@
 
 // isCurrentRun reports whether an end belongs to the task's current run: the run
 // placed at the agent or, while a takeover is pending, a run of an earlier owner whose
-// task has not been placed since.
+// task has not been placed since, unless it is a failure that is counted already.
 func (t *Table) isCurrentRun(a *agentState, tk *task, e *work.End) bool {
 	if tk.phase == taskPlaced {
 		return tk.agent == a && tk.run == e.Run.Number
 	}
-	return tk.job.takeoverPending && tk.run <= e.Run.Number
+	repeated := e.Outcome == work.OutcomeFailed && tk.failures.includes(e.Run.Number)
+	return tk.job.takeoverPending && tk.run <= e.Run.Number && !repeated
 }
 
 // ackEnd acknowledges an end of which nothing has to be stored.
@@ -116,14 +117,14 @@
 func (t *Table) handleTaskFailed(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
 	a.recordFailure(now, j.id)
-	tk.failures++
+	tk.failures.add(e.Run.Number)
 	tk.avoid = a
 	t.ackAfterStore(a, j, e)
 	t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Run: e.Run.Number, Agent: a.name, Event: "failed", Reason: "told by the runner"})
 	if j.state.Ended() {
 		return
 	}
-	if limit := t.maxAttempts(j); limit > 0 && tk.failures >= limit {
+	if limit := t.maxAttempts(j); limit > 0 && tk.failures.count >= limit {
 		t.finishJob(now, j, work.StateFailed)
 		t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Event: "failed", Reason: "its attempts are used up"})
 		return
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -35,7 +35,7 @@
 	phase taskPhase
 	// run is the number of the latest run.
 	run      int64
-	failures int
+	failures failures
 	agent    *agentState
 	// avoid is the agent whose run last failed, was lost, did not start or was
 	// overdue.
@@ -144,10 +144,15 @@
 	}
 	for _, f := range p.Failed {
 		if tk := j.task(f[0], f[1]); tk != nil {
-			tk.failures = f[2]
+			tk.failures.count = f[2]
 			j.started = true
 		}
 	}
+	for _, f := range p.FailedRuns {
+		if tk := j.task(int(f[0]), int(f[1])); tk != nil {
+			tk.failures.runs = append(tk.failures.runs, f[2])
+		}
+	}
 }
 
 func (j *job) task(step, index int) *task {
@@ -170,8 +175,11 @@
 			if tk.phase == taskDone {
 				p.Done = append(p.Done, [2]int{step, i})
 			}
-			if tk.failures > 0 {
-				p.Failed = append(p.Failed, [3]int{step, i, tk.failures})
+			if tk.failures.count > 0 {
+				p.Failed = append(p.Failed, [3]int{step, i, tk.failures.count})
+			}
+			for _, run := range tk.failures.runs {
+				p.FailedRuns = append(p.FailedRuns, [3]int64{int64(step), int64(i), run})
 			}
 		}
 	}
--- a/jobs/table_test.go
+++ b/jobs/table_test.go
@@ -32,13 +32,15 @@
 	stopped map[string][]work.Run
 	// sentAt holds the clock reading of each agent's latest report.
 	sentAt map[string]int64
+	// stored holds the newest record of each key.
+	stored map[string]carobpulley.KeyedRecord
 	// stayDown is set if an endpoint that crashes isn't back at the report of its crash.
 	stayDown bool
 }
 
 func newFixture(t *testing.T, agents int) *fixture {
 	t.Helper()
-	f := &fixture{t: t, now: testStart, started: map[string][]work.Start{}, stopped: map[string][]work.Run{}, sentAt: map[string]int64{}}
+	f := &fixture{t: t, now: testStart, started: map[string][]work.Start{}, stopped: map[string][]work.Run{}, sentAt: map[string]int64{}, stored: map[string]carobpulley.KeyedRecord{}}
 	f.table = New(Config{StatusRetention: time.Minute, AgentTimeout: testAgentTimeout, TakeoverWait: testTakeoverWait, AuthorityTTL: testAuthorityTTL, Shards: 1})
 	f.table.SetCoordinatorCount(1)
 	for n := range agents {
@@ -140,11 +142,19 @@
 	if batch == nil {
 		return nil
 	}
+	f.store(batch)
 	stored := f.table.CommitBatch(f.now, batch)
 	f.takeDispatches()
 	return stored
 }
 
+// store stores the records of a batch.
+func (f *fixture) store(batch *Batch) {
+	for _, r := range batch.Records {
+		f.stored[r.Key] = r
+	}
+}
+
 func end(s work.Start, number int64, outcome work.Outcome) work.End {
 	return work.End{Sequence: number, Run: s.Run, Outcome: outcome, ElapsedMS: 200}
 }
--- a/work/progress.go
+++ b/work/progress.go
@@ -25,6 +25,9 @@
 	// Failed lists tasks with the number of their runs that ended with
 	// OutcomeFailed, as step, index and number.
 	Failed [][3]int `json:"failed,omitempty"`
+	// FailedRuns lists the latest of these runs, as step, index and run number. Records of earlier
+	// builds lack them.
+	FailedRuns [][3]int64 `json:"failed_runs,omitempty"`
 	// Crashed lists the crashes of endpoints under the job's tasks.
 	Crashed []Crash `json:"crashed,omitempty"`
 	// Reason is why the job has failed, if not by the outcome of its runs.
