jobs: a failure counts at a takeover though the task runs again already

Cause: an earlier owner starts a task again as soon as a run has failed, before the failure is stored. If it is lost then, the new owner may hear first of the second run, which takes the task's place, and ignored the failure of the first one as that of another run; it was acknowledged without being counted.

Change: while the takeover is pending, a failure whose run is not counted yet counts, whichever run is current. After the takeover an agent that reports late was waited out, so the leases of its runs have expired.

Test: TestFailureBeforeARunningAttemptCounts failed before ("the job is queued after two failed runs", one start more), passes now in both orders. Package jobs passes.

--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if tk.phase == taskDone || !t.isCurrentRun(a, tk, e) {
-		t.ackIgnored(now, a, tk.job, e)
+		t.handleEarlierEnd(now, a, tk, e)
 		return
 	}
 	t.unassign(tk)
@@ -44,6 +44,17 @@
 	t.retireIfStored(now, tk.job)
 }
 
+// handleEarlierEnd handles an end that is not that of the task's current run. A failure that an earlier
+// owner has not stored counts, also if that owner had started the task again.
+func (t *Table) handleEarlierEnd(now time.Time, a *agentState, tk *task, e *work.End) {
+	counts := tk.phase != taskDone && tk.job.takeoverPending && e.Outcome == work.OutcomeFailed
+	if !counts || tk.failures.includes(e.Run.Number) {
+		t.ackIgnored(now, a, tk.job, e)
+		return
+	}
+	t.countFailure(now, a, tk, e)
+}
+
 // isCurrentRun reports whether an end belongs to the task's current run: the run
 // placed at the agent or, while a takeover is pending, a run of an earlier owner whose
 // task has not been placed since, unless it is a failure that is counted already.
@@ -115,10 +126,16 @@
 }
 
 func (t *Table) handleTaskFailed(now time.Time, a *agentState, tk *task, e *work.End) {
+	tk.avoid = a
+	t.countFailure(now, a, tk, e)
+	t.enqueueTask(now, tk)
+}
+
+// countFailure counts a failed run, and fails the job if its task may fail no more.
+func (t *Table) countFailure(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
 	a.recordFailure(now, j.id)
 	tk.failures.add(e.Run.Number)
-	tk.avoid = a
 	t.ackAfterStore(a, j, e)
 	t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Run: e.Run.Number, Agent: a.name, Event: "failed", Reason: "told by the runner"})
 	if j.state.Ended() {
@@ -127,9 +144,7 @@
 	if limit := t.maxAttempts(j); limit > 0 && tk.failures.count >= limit {
 		t.finishJob(now, j, work.StateFailed)
 		t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Event: "failed", Reason: "its attempts are used up"})
-		return
 	}
-	t.enqueueTask(now, tk)
 }
 
 // maxAttempts returns the maximum number of failed runs of a task: from the
--- a/jobs/failures_test.go
+++ b/jobs/failures_test.go
@@ -142,6 +142,36 @@
 	}
 }
 
+// Guards against a failed run that is not counted at a takeover, since the earlier owner had started the
+// task again before it stored the failure: the task would be started a third time.
+func TestFailureBeforeARunningAttemptCounts(t *testing.T) {
+	for _, failedFirst := range []bool{true, false} {
+		f, failed := newFailure(t, 2)
+		f = successor(t, f, 2)
+		second := work.Run{Task: failed.Run.Task, Number: failed.Run.Number + 1}
+		if failedFirst {
+			f.attachTo("h0", nil, failed)
+		}
+		f.attachTo("h1", []work.Run{second})
+		if !failedFirst {
+			f.attachTo("h0", nil, failed)
+		}
+		f.prove()
+		id := testJob(1, 1, false).ID
+		if state, _ := f.table.DecidedState(id); state.Ended() || f.startCount() > 0 {
+			t.Fatalf("failure reported first %v: the job is %s with %d starts while its second attempt is on", failedFirst, state, f.startCount())
+		}
+		f.commit()
+		f.report("h1", work.End{Sequence: 1, Run: second, Outcome: work.OutcomeFailed})
+		if state, _ := f.table.DecidedState(id); state != work.StateFailed {
+			t.Errorf("failure reported first %v: the job is %s after two failed runs, want %s", failedFirst, state, work.StateFailed)
+		}
+		if got := f.startCount(); got != 0 {
+			t.Errorf("failure reported first %v: %d starts after two failed runs", failedFirst, got)
+		}
+	}
+}
+
 // Guards against a new failure that an owner takes for one that a record of the earlier build counts.
 func TestNewFailureCountsBesideThoseOfTheEarlierBuild(t *testing.T) {
 	f, failed := newFailure(t, 1)
