coord: a submission whose shard is released as its wait ends is not refused as not run

Cause: the wait for the store ends by a timer, and the result of the job by a channel. If both are there, the timer may be taken; the job is no longer in the table of an owner that has released the shard, and Withdraw takes an unknown job for one that was withdrawn before. Its append may have been carried out.

Change: a result that is there goes first: "unknown" for a released shard, and the acceptance of a stored job. The release and its notice happen under the same lock, so an unknown job without a notice was withdrawn.

No run of real processes showed it.

--- a/coord/calls.go
+++ b/coord/calls.go
@@ -320,9 +320,19 @@
 	}
 }
 
+// withdrawSubmission ends a caller's wait for the store. A result that came at the same time goes first: a
+// job whose shard was released is not in the table either, but may be stored.
 func (c *Coordinator) withdrawSubmission(id string, ch chan waitResult) carobpulley.JobAnswer {
 	c.lock()
 	defer c.mu.Unlock()
+	select {
+	case w := <-ch:
+		if w.stored.Accepted {
+			return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: w.stored.State}
+		}
+		return unknownAnswer("the shard was given up meanwhile")
+	default:
+	}
 	c.removeWaiter(id, ch)
 	if c.table.Withdraw(id) {
 		return refusedAnswer("the store did not answer in time")
