--- a/emul/checker.go
+++ b/emul/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,12 @@
 	// acknowledged holds the tasks of durable jobs whose successful end an agent has
 	// acknowledged to an endpoint.
 	acknowledged map[string]bool
+	// failed counts the runs of each task that ended failed, and acknowledgedFailures those of durable
+	// jobs whose end an agent has acknowledged.
+	failed               map[string]int
+	acknowledgedFailures map[string]int
+	// maxAttempts is the number of failed runs after which no run of a task may start.
+	maxAttempts int
 	// done holds the tasks of which a run has ended successfully.
 	done       map[string]bool
 	violations []string
@@ -62,6 +69,7 @@
 		running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool),
 		histories: make(map[string][]runEvent), done: make(map[string]bool),
 		crashes: make(map[string]map[crashedEndpoint]bool), startsAfterCrashes: make(map[string]int),
+		failed: make(map[string]int), acknowledgedFailures: make(map[string]int), maxAttempts: math.MaxInt,
 	}
 }
 
@@ -84,20 +92,29 @@
 		c.violations = append(c.violations, "two runs of "+task+" at a time"+c.history(task))
 	}
 	c.checkCrashes(task)
+	if c.acknowledgedFailures[task] >= c.maxAttempts {
+		c.violations = append(c.violations, task+" started after its attempts were used up"+c.history(task))
+	}
 	if c.acknowledged[task] {
 		c.violations = append(c.violations, task+" started after its end was acknowledged"+c.history(task))
 	}
 }
 
-// recordAck records that an agent acknowledged an end to an endpoint. Only successful ends of
-// durable jobs count.
+// recordAck records that an agent acknowledged an end to an endpoint. Only ends of durable jobs
+// count.
 func (c *Checker) recordAck(start work.Start, outcome work.Outcome) {
-	if !start.Durable || outcome != work.OutcomeDone {
+	if !start.Durable {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.acknowledged[start.Run.Task] = true
+	switch outcome {
+	case work.OutcomeDone:
+		c.acknowledged[start.Run.Task] = true
+	case work.OutcomeFailed:
+		c.acknowledgedFailures[start.Run.Task]++
+	default:
+	}
 }
 
 func (c *Checker) recordStop(e runEvent, task string) {
@@ -114,6 +131,31 @@
 	c.done[task] = true
 }
 
+// recordFailed records a run that ended failed.
+func (c *Checker) recordFailed(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed[task]++
+}
+
+// CheckFailed records a violation for a job that is shown as failed although no task of it has used up
+// its attempts.
+func (c *Checker) CheckFailed(j *work.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var histories strings.Builder
+	for step := range j.Steps {
+		for n := range j.Steps[step].Count {
+			task := work.TaskName(j.ID, step, n)
+			if c.failed[task] >= c.maxAttempts {
+				return
+			}
+			histories.WriteString(c.history(task))
+		}
+	}
+	c.violations = append(c.violations, "job "+j.ID+" is shown as failed with attempts left"+histories.String())
+}
+
 // CheckCompleted records a violation for each task of a job that was answered as completed although
 // no run of the task has ended successfully.
 func (c *Checker) CheckCompleted(j *work.Job) {
--- a/emul/checker_test.go
+++ b/emul/checker_test.go
@@ -36,9 +36,25 @@
 			c.recordStop(started, task)
 			c.CheckCompleted(j)
 		}, 1},
+		"failed with an attempt left": {func(c *Checker) {
+			c.recordFailed(task)
+			c.CheckFailed(j)
+		}, 1},
+		"failed without an attempt left": {func(c *Checker) {
+			c.recordFailed(task)
+			c.recordFailed(task)
+			c.CheckFailed(j)
+		}, 0},
+		"a start after all attempts have failed": {func(c *Checker) {
+			for range 2 {
+				c.recordAck(work.Start{Run: work.Run{Task: task}, Durable: true}, work.OutcomeFailed)
+			}
+			c.recordStart(started, task)
+		}, 1},
 	}
 	for name, tt := range tests {
 		c := NewChecker()
+		c.maxAttempts = 2
 		tt.act(c)
 		if got := c.Violations(); len(got) != tt.want {
 			t.Errorf("%s: violations %q, want %d", name, got, tt.want)
--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -187,8 +187,12 @@
 		return
 	}
 	e.removeRun(key)
-	if outcome == work.OutcomeDone {
+	switch outcome {
+	case work.OutcomeDone:
 		e.checker.recordDone(key.Task)
+	case work.OutcomeFailed:
+		e.checker.recordFailed(key.Task)
+	default:
 	}
 	e.acknowledgeable[key] = run.start
 	e.lastEnded[key.Task] = max(e.lastEnded[key.Task], key.Number)
--- a/emul/random_test.go
+++ b/emul/random_test.go
@@ -211,8 +211,12 @@
 	jobs.Wait()
 	time.Sleep(recoveryBound)
 	for _, j := range durable {
-		if awaitEnd(t, f, 0, j.ID, time.Second) == work.StateCompleted {
+		switch awaitEnd(t, f, 0, j.ID, time.Second) {
+		case work.StateCompleted:
 			f.Checker.CheckCompleted(j)
+		case work.StateFailed:
+			f.Checker.CheckFailed(j)
+		default:
 		}
 	}
 	for _, j := range refused {
--- a/emul/zone_test.go
+++ b/emul/zone_test.go
@@ -1,6 +1,9 @@
 package emul
 
 import (
+	"math/rand/v2"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -8,20 +11,23 @@
 	"carobpulley/work"
 )
 
-// partitionDomain cuts the first coordinator and the agents of its failure domain off from all
-// other hosts and from the store, or connects them again.
-func partitionDomain(f *Fleet, cut bool) {
+// partitionDomain cuts a failure domain, with its coordinator and agents, off from all other hosts and
+// from the store, or connects it again.
+func partitionDomain(f *Fleet, domain int, cut bool) {
 	fault := FaultNone
 	if cut {
 		fault = FaultUnresponsive
 	}
-	inside := []*Process{f.coordinator(0)}
-	var outside []*Process
-	for n := 1; n < len(f.Coordinators); n++ {
-		outside = append(outside, f.coordinator(n))
+	var inside, outside []*Process
+	for n := range f.Coordinators {
+		if n == domain {
+			inside = append(inside, f.coordinator(n))
+		} else {
+			outside = append(outside, f.coordinator(n))
+		}
 	}
 	for n, p := range f.Agents {
-		if n%3 == 0 {
+		if n%3 == domain {
 			inside = append(inside, p)
 		} else {
 			outside = append(outside, p)
@@ -59,9 +65,9 @@
 		}
 		for range 3 {
 			load(2 * time.Second)
-			partitionDomain(f, true)
+			partitionDomain(f, 0, true)
 			load(4 * time.Second)
-			partitionDomain(f, false)
+			partitionDomain(f, 0, false)
 			load(2 * time.Second)
 			f.coordinator(1).Kill()
 			f.coordinator(2).Kill()
@@ -80,3 +86,40 @@
 		}
 	})
 }
+
+// Guards against tasks that run twice, attempts that are counted twice or not at all, and jobs that are
+// lost, when owners are replaced again and again beside runs that fail: by partitions of their domain,
+// kills, and a store that they don't reach.
+func TestReplacedOwnersDays(t *testing.T) {
+	first, count := seedRange(t)
+	for seed := first; seed < first+count; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			spec := testSpec()
+			spec.Seed = seed
+			spec.Endpoints = 6
+			spec.Shards = 1 + 3*int(seed%2)
+			var mu sync.Mutex
+			rng := rand.New(rand.NewPCG(seed, 5))
+			spec.Behavior = func(work.Start) (time.Duration, work.Outcome) {
+				mu.Lock()
+				defer mu.Unlock()
+				d := time.Duration(50+rng.IntN(1200)) * time.Millisecond
+				if rng.IntN(5) == 0 {
+					return d, work.OutcomeFailed
+				}
+				return d, work.OutcomeDone
+			}
+			actions := faultActions()
+			for range 3 {
+				actions = append(actions, faultActions()[:2]...) // coordinators that are killed and stopped
+				actions = append(actions, faultAction{"partition", targetNetwork, func(f *Fleet, rng *rand.Rand) {
+					domain := rng.IntN(3)
+					partitionDomain(f, domain, true)
+					time.Sleep(time.Duration(700+rng.IntN(3800)) * time.Millisecond)
+					partitionDomain(f, domain, false)
+				}})
+			}
+			runFleet(t, spec, func(t *testing.T, f *Fleet) { runSeed(t, f, seed, actions) })
+		})
+	}
+}
