--- a/jobs/place.go
+++ b/jobs/place.go
@@ -240,19 +240,13 @@
 	}
 	unproven := false
 	for _, a := range agents {
-		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) {
+		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) || !a.mayRun(tk, step) {
 			continue
 		}
 		if !t.provenAt(tk, a) {
 			unproven = true
 			continue
 		}
-		if step.Label != "" && !slices.Contains(a.endpoint.Labels, step.Label) {
-			continue
-		}
-		if step.MaxPerEndpoint > 0 && a.placedOfStep(tk) >= step.MaxPerEndpoint {
-			continue
-		}
 		cost := a.cost(tk, step, turnover)
 		if t.suspectsAt[a] != nil && t.suspectsAt[a] != tk.job {
 			cost *= suspectFactor
@@ -267,6 +261,15 @@
 	return best
 }
 
+// mayRun reports whether the label and the limit for each endpoint that a step asks for admit another task
+// of it at the agent.
+func (a *agentState) mayRun(tk *task, step *work.Step) bool {
+	if step.Label != "" && !slices.Contains(a.endpoint.Labels, step.Label) {
+		return false
+	}
+	return step.MaxPerEndpoint <= 0 || a.placedOfStep(tk) < step.MaxPerEndpoint
+}
+
 const (
 	// remoteDataFactor is the factor on the run time of a task outside its data's rack,
 	// as specified by the platform.
