jobs: the choice of an agent in a file of its own

place.go had grown beyond 400 lines with the queue of waiting tasks and the choice of an agent in it. The choice, its costs and their constants move to choose.go unchanged (the sorted lines of both files are the same but for imports). Package jobs passes.

--- a/jobs/place.go
+++ b/jobs/place.go
@@ -4,10 +4,6 @@
 	"slices"
 	"sort"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"carobpulley/work"
 )
 
 const (
@@ -18,23 +14,14 @@
 	// maxAgentWait bounds how long a start may wait at an agent for free capacity; then
 	// the task is placed again.
 	maxAgentWait = 150 * time.Millisecond
-	// agentQueueShare is the fraction of an endpoint's capacity that starts waiting at its
-	// agent may need. It is a little less than the agent allows, since other
-	// coordinators dispatch to the agent too.
-	agentQueueShare = 0.25
 	// defaultEstimate replaces a missing run time estimate.
 	defaultEstimate = time.Second
-	// turnoverEnds is the number of ended runs over which the turnover time is measured.
-	turnoverEnds = 500
 	// maxWaitShare is the fraction of a job's slack that its estimated wait may use; the
 	// rest covers bad estimates.
 	maxWaitShare = 0.7
 	// messageTime is the transit time of a dispatch and of the report of an end
 	// together.
 	messageTime = 15 * time.Millisecond
-	// crowdingShare is the part of the turnover time that a task is expected to wait at an
-	// endpoint that it fills up, since other coordinators start runs there too.
-	crowdingShare = 0.5
 )
 
 // taskGroup holds the tasks of a step that wait for capacity.
@@ -227,137 +214,6 @@
 	return j.spec.Queue.Service
 }
 
-// chooseAgent returns the agent with the shortest expected wait and run time, or nil if
-// none has capacity for the task or for its wait.
-func (t *Table) chooseAgent(now time.Time, tk *task, service string, agents []*agentState) *agentState {
-	var best *agentState
-	var least float64
-	step := &tk.job.spec.Steps[tk.step]
-	turnover := t.turnover(estimateOf(tk))
-	onTime := tk.job.due.Add(-estimateOf(tk)).After(now)
-	if t.suspects[tk.job] {
-		agents = t.forSuspect(now, tk, agents, onTime)
-	}
-	unproven := false
-	for _, a := range agents {
-		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) || !a.mayRun(tk, step) {
-			continue
-		}
-		if !t.provenAt(tk, a) {
-			unproven = true
-			continue
-		}
-		cost := a.cost(tk, step, turnover)
-		if t.suspectsAt[a] != nil && t.suspectsAt[a] != tk.job {
-			cost *= suspectFactor
-		}
-		if best == nil || cost < least {
-			best, least = a, cost
-		}
-	}
-	if best == nil && unproven {
-		t.proof.awaited = true
-	}
-	return best
-}
-
-// mayRun reports whether the label and the limit for each endpoint that a step asks for admit another task
-// of it at the agent.
-func (a *agentState) mayRun(tk *task, step *work.Step) bool {
-	if step.Label != "" && !slices.Contains(a.endpoint.Labels, step.Label) {
-		return false
-	}
-	return step.MaxPerEndpoint <= 0 || a.placedOfStep(tk) < step.MaxPerEndpoint
-}
-
-const (
-	// remoteDataFactor is the factor on the run time of a task outside its data's rack,
-	// as specified by the platform.
-	remoteDataFactor = 1.5
-	// avoidFactor is the cost factor for the agent that a task should avoid.
-	avoidFactor = 3
-	// suspectFactor is the cost factor for an agent at which a run may crash the endpoint.
-	suspectFactor = 3
-	// maxBias is the largest fraction by which a coordinator raises the cost of one of two
-	// equal agents over the other. The preferences differ between coordinators, so that
-	// they seldom dispatch to the same agent at the same time.
-	maxBias = 0.03
-)
-
-// biasFor returns this coordinator's cost factor for an agent, from 1 up to 1+maxBias.
-func (t *Table) biasFor(agent string) float64 {
-	const steps = 1000
-	return 1 + maxBias*float64(xxhash.Sum64String(t.cfg.Name+"/"+agent)%steps)/steps
-}
-
-// cost returns the expected run time of a task at the agent, scaled by this
-// coordinator's preferences, plus the expected wait.
-//
-// Answers the patterns of endpoints of unequal speed, and of several coordinators that start
-// runs at the same endpoints and see each other's runs late: those that all fill the fastest
-// endpoints first refuse each other's starts there while others are free.
-func (a *agentState) cost(tk *task, step *work.Step, turnover time.Duration) float64 {
-	cost := a.runTimeRatio * a.bias
-	if step.Rack != "" && !slices.Contains(a.endpoint.Labels, step.Rack) {
-		cost *= remoteDataFactor
-	}
-	if tk.avoid == a {
-		cost *= avoidFactor
-	}
-	capacity := float64(max(a.endpoint.Capacity.CPU, 1))
-	left := float64(a.free.CPU-tk.resources().CPU) / capacity
-	wait := max(-left, 0) * float64(turnover)
-	used := min(max(1-left, 0), 1)
-	crowding := crowdingShare * used * used * used * float64(turnover)
-	if a.dispatch != nil && len(a.dispatch.Starts) > 0 {
-		// One dispatch carries both starts.
-		crowding -= float64(messageTime) / 2
-	}
-	return cost*float64(estimateOf(tk)) + wait + crowding
-}
-
-// turnover returns the time in which the whole capacity of a busy endpoint becomes free once:
-// the mean time of the latest runs, weighted by the capacity that they used. Before the first
-// end it is the given estimate.
-func (t *Table) turnover(estimate time.Duration) time.Duration {
-	if t.endedCPU <= 0 {
-		return estimate
-	}
-	return time.Duration(t.endedCPUTime / t.endedCPU)
-}
-
-// recordTurnover takes an ended run into the turnover time.
-func (t *Table) recordTurnover(cpu int64, took time.Duration) {
-	const keep = 1 - 1.0/turnoverEnds
-	t.endedCPU = t.endedCPU*keep + float64(cpu)
-	t.endedCPUTime = t.endedCPUTime*keep + float64(cpu)*float64(took)
-}
-
-// hasCapacity reports whether a task can start at the agent or, if wait is set, wait
-// there for a short time.
-func (a *agentState) hasCapacity(resources work.Resources, wait bool) bool {
-	if resources.Fits(a.free) {
-		return true
-	}
-	if !wait {
-		return false
-	}
-	more := work.Resources{CPU: int64(agentQueueShare * float64(a.endpoint.Capacity.CPU)), MemMB: a.endpoint.Capacity.MemMB, GPU: a.endpoint.Capacity.GPU}
-	return resources.Fits(a.free.Add(more))
-}
-
-// placedOfStep returns the number of tasks of the task's step that are placed at the
-// agent.
-func (a *agentState) placedOfStep(tk *task) int {
-	n := 0
-	for other := range a.placed {
-		if other.job == tk.job && other.step == tk.step {
-			n++
-		}
-	}
-	return n
-}
-
 // startTask places a task at an agent and adds its start to the agent's next dispatch.
 func (t *Table) startTask(now time.Time, tk *task, a *agentState) {
 	tk.run = max(tk.run, tk.job.runBase) + 1
--- a/jobs/proof_test.go
+++ b/jobs/proof_test.go
@@ -63,14 +63,10 @@
 // Guards against the same at the end of a takeover that waits for an agent in vain: by then another
 // owner may have taken over the runs there.
 func TestTakeoverWithoutAgentWaitsForProof(t *testing.T) {
-	first := newOwner(t, 1)
+	first := newOwner(t, 2)
 	first.submit(testJob(1, 1, false))
-	batch, err := first.table.NextBatch(0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := newFixture(t, 2)
-	f.table.AcquireShard(f.now, 0, 2, batch.Records)
+	first.commit()
+	f := successor(t, first, 2)
 	f.agents = f.agents[:1]
 	f.attach()
 	f.now = f.now.Add(testTakeoverWait + time.Millisecond)
