emul: a job may be shown as failed after two crashes of endpoints under a task

Change: the checker counts the runs that were on at a crash, and accepts a failed job only with the attempts used up or with two such crashes under one task. TestCheckerFindsViolations has both sides.

--- a/emul/checker.go
+++ b/emul/checker.go
@@ -20,7 +20,9 @@
 	acknowledged map[string]bool
 	// failed counts the runs of each task that ended failed, and acknowledgedFailures those of durable
 	// jobs whose end an agent has acknowledged.
-	failed               map[string]int
+	failed map[string]int
+	// broken counts the runs of each task that were on when their endpoint crashed.
+	broken               map[string]int
 	acknowledgedFailures map[string]int
 	// maxAttempts is the number of failed runs after which no run of a task may start.
 	maxAttempts int
@@ -69,7 +71,7 @@
 		running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool),
 		histories: make(map[string][]runEvent), done: make(map[string]bool),
 		crashes: make(map[string]map[crashedEndpoint]bool), startsAfterCrashes: make(map[string]int),
-		failed: make(map[string]int), acknowledgedFailures: make(map[string]int), maxAttempts: math.MaxInt,
+		failed: make(map[string]int), broken: make(map[string]int), acknowledgedFailures: make(map[string]int), maxAttempts: math.MaxInt,
 	}
 }
 
@@ -138,8 +140,15 @@
 	c.failed[task]++
 }
 
+// recordBroken records a run that was on when its endpoint crashed.
+func (c *Checker) recordBroken(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken[task]++
+}
+
 // CheckFailed records a violation for a job that is shown as failed although no task of it has used up
-// its attempts.
+// its attempts, or was on at as many crashes as permit to give it up.
 func (c *Checker) CheckFailed(j *work.Job) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -147,7 +156,7 @@
 	for step := range j.Steps {
 		for n := range j.Steps[step].Count {
 			task := work.TaskName(j.ID, step, n)
-			if c.failed[task] >= c.maxAttempts {
+			if c.failed[task] >= c.maxAttempts || c.broken[task] >= crashesToGiveUp {
 				return
 			}
 			histories.WriteString(c.history(task))
--- a/emul/checker_test.go
+++ b/emul/checker_test.go
@@ -45,6 +45,15 @@
 			c.recordFailed(task)
 			c.CheckFailed(j)
 		}, 0},
+		"failed after one crash": {func(c *Checker) {
+			c.recordBroken(task)
+			c.CheckFailed(j)
+		}, 1},
+		"failed after two crashes": {func(c *Checker) {
+			c.recordBroken(task)
+			c.recordBroken(task)
+			c.CheckFailed(j)
+		}, 0},
 		"a start after all attempts have failed": {func(c *Checker) {
 			for range 2 {
 				c.recordAck(work.Start{Run: work.Run{Task: task}, Durable: true}, work.OutcomeFailed)
--- a/emul/crashes.go
+++ b/emul/crashes.go
@@ -7,6 +7,9 @@
 const (
 	crashLimit            = 3
 	maxStartsAfterCrashes = 3
+	// crashesToGiveUp is the number of crashes of endpoints under a task after which its job may be
+	// shown as failed.
+	crashesToGiveUp = 2
 )
 
 // crashedEndpoint is a generation of an endpoint that a task has crashed.
--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -135,6 +135,7 @@
 func (e *Endpoint) crash() {
 	e.down = true
 	for key := range e.running {
+		e.checker.recordBroken(key.Task)
 		e.removeRun(key)
 	}
 }
