--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -36,8 +36,7 @@
 	generation string
 	endpoint   work.EndpointState
 	attached   bool
-	// attachedAt is the time of the answer to the attachment. An agent that has restarted knows no
-	// owner of a shard until one attaches.
+	// attachedAt is the time of the answer to the attachment; see provenAt.
 	attachedAt   time.Time
 	lastReportAt time.Time
 	// member is set for an agent of this coordinator's share, and extraUntil for one that
