--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -38,7 +38,7 @@
 		DrainTimeout:    p.drainTimeout(),
 		Meter:           p.meter,
 	}, p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
-	callers := platform.NewCallerHandler(coordinator, p.log)
+	callers := platform.NewCallerHandler(coordinator, p.log, p.meter)
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewCoordinatorServiceHandler(coordinator.Handler()))
 	return p.serve([]listener{
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -27,6 +27,7 @@
 		return t.submitBestEffort(now, spec)
 	}
 	if j := t.jobs[spec.ID]; j != nil {
+		t.logRepeated(j, spec)
 		if j.phase == phaseStoring {
 			return SubmitPending, ""
 		}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -64,8 +64,10 @@
 	id    string
 	queue string
 	spec  *work.Job
-	shard int
-	phase phase
+	// digest is that of the submission; 0 if it is unknown.
+	digest uint64
+	shard  int
+	phase  phase
 	// state is the decided state, storedState the one that is stored, and shown to callers.
 	state       work.State
 	storedState work.State
@@ -106,6 +108,20 @@
 // durable reports whether the job is stored, in contrast to a best-effort job.
 func (j *job) durable() bool { return j.shard != bestEffortShard }
 
+// difference returns in what a submission under the job's id differs from the job; empty if it
+// repeats the job.
+func (j *job) difference(spec *work.Job) string {
+	switch {
+	case j.queue != "" && j.queue != spec.Queue.Name:
+		return "queue"
+	case j.durable() == spec.BestEffort:
+		return "durability"
+	case j.digest != 0 && j.digest != spec.Digest():
+		return "content"
+	}
+	return ""
+}
+
 // hasStarted reports whether a task of the job was placed, also for an earlier submission.
 func (j *job) hasStarted() bool { return j.started || j.startedBefore }
 
@@ -114,7 +130,7 @@
 const abandonFactor = 3
 
 func newJob(spec *work.Job, shard int, accepted time.Time) *job {
-	j := &job{id: spec.ID, queue: spec.Queue.Name, spec: spec, shard: shard, state: work.StateQueued}
+	j := &job{id: spec.ID, queue: spec.Queue.Name, spec: spec, digest: spec.Digest(), shard: shard, state: work.StateQueued}
 	objective := spec.Objective()
 	j.acceptedAt = accepted
 	j.answerBy = spec.AnswerBy
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -19,16 +19,17 @@
 // last run is known to have ended: before that they could run twice at a time.
 func (t *Table) submitBestEffort(now time.Time, spec *work.Job) (SubmitStatus, string) {
 	j := t.jobs[spec.ID]
+	if j != nil {
+		t.logRepeated(j, spec)
+	}
 	switch {
 	case j == nil:
 	case j.cancelRequested:
 		return SubmitRefused, reasonCancelled
 	case j.state == work.StateCancelled && !j.durable():
-		t.logRepeated(j)
 		j.resubmission = &resubmission{spec: spec, at: now}
 		return SubmitPending, ""
 	case j.state.Ended():
-		t.logRepeated(j)
 		return SubmitComplete, ""
 	default:
 		// The caller is back and waits anew.
@@ -98,8 +99,8 @@
 	t.logDecision(Decision{Job: j.id, Event: "given up", Reason: reason})
 }
 
-// logRepeated logs a submission that repeats a job which has ended.
-func (t *Table) logRepeated(j *job) {
+// logRepeated logs a submission under the id of a job.
+func (t *Table) logRepeated(j *job, spec *work.Job) {
 	placed := 0
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
@@ -108,5 +109,9 @@
 			}
 		}
 	}
-	t.logDecision(Decision{Job: j.id, Event: "submitted again", Reason: fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, placed)})
+	reason := fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, placed)
+	if difference := j.difference(spec); difference != "" {
+		reason += ", and differs in " + difference
+	}
+	t.logDecision(Decision{Job: j.id, Event: "submitted again", Reason: reason})
 }
