jobs, coord, platform: a submission that differs from the job with its id is a conflict

What callers saw: the answer of another job. A submission under an id in use got the other job's result, or its end was never its own; a durable submission that met a best-effort job was answered 200 {} and was stored nowhere, so the next GET said 410.

Cause: the table of jobs is keyed by the id alone, and a submission was taken for a repetition without a look at what it asks for. The class is an answer matched by a key that does not identify its request.

A job keeps a digest of its specification and steps; its progress record stores it, so that it outlasts the job's own record and a takeover. A submission that differs in queue, durability or digest is answered with AnswerConflict, 409 at the callers' interface, from the owner, through a forwarding coordinator and for best-effort jobs alike. Records of the earlier build have no digest; their content is not compared. The operators' parameters of a queue may change between two submissions of a job, so only its name is compared.

TestResubmissionIsNotSaidNotToHaveRun had its refusal from a resubmission with other tasks, which is a conflict now; the same job is refused there since its only domain is out of service, with the same checks.

--- a/caller.go
+++ b/caller.go
@@ -35,6 +35,9 @@
 	AnswerNotFound
 	// AnswerInvalid means that the call can never be served.
 	AnswerInvalid
+	// AnswerConflict means that another job has the id: the submission is not stored and
+	// never runs.
+	AnswerConflict
 )
 
 // JobService handles the calls of callers.
--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -34,14 +34,18 @@
 		j.AnswerBy = deadline
 	}
 	status, reason := c.table.Submit(now, j)
-	if status == jobs.SubmitRefused {
+	switch status {
+	case jobs.SubmitRefused:
 		c.mu.Unlock()
 		return refusedAnswer(reason)
-	}
-	if status == jobs.SubmitComplete {
+	case jobs.SubmitConflict:
+		c.mu.Unlock()
+		return carobpulley.JobAnswer{Code: carobpulley.AnswerConflict, Reason: reason}
+	case jobs.SubmitComplete:
 		state, reason := c.table.DecidedState(j.ID)
 		c.mu.Unlock()
 		return bestEffortAnswer(jobs.BestEffortResult{State: state, Reason: reason})
+	case jobs.SubmitPending:
 	}
 	ch := c.addWaiter(j.ID)
 	c.flush()
--- a/coord/calls.go
+++ b/coord/calls.go
@@ -260,6 +260,9 @@
 	case jobs.SubmitRefused:
 		c.mu.Unlock()
 		return refusedAnswer(reason)
+	case jobs.SubmitConflict:
+		c.mu.Unlock()
+		return carobpulley.JobAnswer{Code: carobpulley.AnswerConflict, Reason: reason}
 	case jobs.SubmitComplete:
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: carobpulley.AnswerOK}
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -23,6 +23,7 @@
 	carobpulley.AnswerRefused:  relay.Code_CODE_REFUSED,
 	carobpulley.AnswerNotFound: relay.Code_CODE_ABSENT,
 	carobpulley.AnswerInvalid:  relay.Code_CODE_INVALID,
+	carobpulley.AnswerConflict: relay.Code_CODE_CONFLICT,
 }
 
 func replyFromAnswer(a carobpulley.JobAnswer) *relay.JobReply {
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -19,15 +19,24 @@
 	SubmitComplete
 	// SubmitRefused means that the job is not accepted.
 	SubmitRefused
+	// SubmitConflict means that the job is not accepted since another job has its id.
+	SubmitConflict
 )
 
-// Submit handles a submission. The returned reason is set for a refusal.
+// Submit handles a submission. The returned reason is set for a refusal and a conflict.
 func (t *Table) Submit(now time.Time, spec *work.Job) (SubmitStatus, string) {
+	j := t.jobs[spec.ID]
+	if j != nil {
+		difference := j.difference(spec)
+		t.logRepeated(j, difference)
+		if difference != "" {
+			return SubmitConflict, "another job has the id, with another " + difference
+		}
+	}
 	if spec.BestEffort {
 		return t.submitBestEffort(now, spec)
 	}
-	if j := t.jobs[spec.ID]; j != nil {
-		t.logRepeated(j, spec)
+	if j != nil {
 		if j.phase == phaseStoring {
 			return SubmitPending, ""
 		}
@@ -39,7 +48,7 @@
 	number := work.ShardOf(spec.ID, t.cfg.Shards)
 	spec.Epoch = t.shards[number].epoch
 	spec.AcceptedMS = now.UnixMilli()
-	j := newJob(spec, number, now)
+	j = newJob(spec, number, now)
 	t.jobs[spec.ID] = j
 	t.markDirty(j)
 	return SubmitPending, ""
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -180,7 +180,7 @@
 
 // progress returns the progress of a job to be stored.
 func (t *Table) progress(j *job) work.Progress {
-	p := work.Progress{State: j.state, Queue: j.queue, Reason: j.reason}
+	p := work.Progress{State: j.state, Queue: j.queue, Digest: j.digest, Reason: j.reason}
 	if j.state.Ended() {
 		p.EndedMS = j.endedAt.UnixMilli()
 		return p
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -19,9 +19,6 @@
 // last run is known to have ended: before that they could run twice at a time.
 func (t *Table) submitBestEffort(now time.Time, spec *work.Job) (SubmitStatus, string) {
 	j := t.jobs[spec.ID]
-	if j != nil {
-		t.logRepeated(j, spec)
-	}
 	switch {
 	case j == nil:
 	case j.cancelRequested:
@@ -100,7 +97,7 @@
 }
 
 // logRepeated logs a submission under the id of a job.
-func (t *Table) logRepeated(j *job, spec *work.Job) {
+func (t *Table) logRepeated(j *job, difference string) {
 	placed := 0
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
@@ -110,7 +107,7 @@
 		}
 	}
 	reason := fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, placed)
-	if difference := j.difference(spec); difference != "" {
+	if difference != "" {
 		reason += ", and differs in " + difference
 	}
 	t.logDecision(Decision{Job: j.id, Event: "submitted again", Reason: reason})
--- a/jobs/resubmit_test.go
+++ b/jobs/resubmit_test.go
@@ -138,15 +138,16 @@
 // when its resubmission is refused or finds no room in time.
 func TestResubmissionIsNotSaidNotToHaveRun(t *testing.T) {
 	for name, tt := range map[string]struct {
-		job  *work.Job
-		wait time.Duration
+		outOfService []string
+		wait         time.Duration
 	}{
-		"refused":         {job: testJob(1, 100, true)},
-		"no room in time": {job: testJob(1, 1, true), wait: 2 * time.Second},
+		"refused":         {outOfService: []string{"zh0"}},
+		"no room in time": {wait: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, d := stoppedFixture(t, 1)
-			f.submit(tt.job)
+			f.submit(testJob(1, 1, true))
+			f.table.SetDomainsOutOfService(tt.outOfService)
 			f.table.HoldBestEffort(f.now.Add(time.Minute))
 			f.report(d.Agent, end(f.started[d.Agent][0], 1, work.OutcomeStopped))
 			f.advance(tt.wait)
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -232,7 +232,7 @@
 }
 
 func (t *Table) restoreEnded(now time.Time, number int, id string, p work.Progress) {
-	j := &job{id: id, queue: p.Queue, shard: number, phase: phaseEnded, state: p.State, storedState: p.State, reason: p.Reason}
+	j := &job{id: id, queue: p.Queue, shard: number, phase: phaseEnded, digest: p.Digest, state: p.State, storedState: p.State, reason: p.Reason}
 	j.endedAt = time.UnixMilli(p.EndedMS)
 	if j.endedAt.After(now) {
 		j.endedAt = now
--- a/work/progress.go
+++ b/work/progress.go
@@ -18,6 +18,8 @@
 	State State `json:"state"`
 	// Queue is the queue's name. It remains after the job's own record is deleted.
 	Queue string `json:"queue,omitempty"`
+	// Digest is the Digest of the job. It remains like Queue; records of earlier builds lack it.
+	Digest uint64 `json:"digest,omitempty"`
 	// EndedMS is when the job ended, in milliseconds of Unix time.
 	EndedMS int64 `json:"ended_ms,omitempty"`
 	// Done lists the tasks that ended with OutcomeDone, as step and index.
