carobd: a caller that leaves is noticed with a request behind its own

Cause: while a handler runs, the HTTP server reads one byte from the connection to learn of its end, and stops reading once that byte is the first of another request, or a blank line. The request's context then outlives the connection, so a best-effort job runs on to the call's time limit, up to 4 s, while its caller comes back after 1,300 ms at any coordinator: two runs of a task at a time.

TestRequestsReadAheadAreServedInOrder sends 60 requests of 2 to 10,000 bytes in pieces that fall anywhere: each gets its own answer, in order.

--- a/cmd/carobd/leave_test.go
+++ b/cmd/carobd/leave_test.go
@@ -1,11 +1,16 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,3 +108,50 @@
 		})
 	}
 }
+
+// Guards against requests that are lost, reordered or changed because they were read while another was
+// served.
+func TestRequestsReadAheadAreServedInOrder(t *testing.T) {
+	const calls = 60
+	addr := serveCallers(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Duration(len(body)%7) * time.Millisecond)
+		_, _ = w.Write(body[:min(len(body), 100)])
+	})
+	conn := dialCallers(t, addr)
+	if err := conn.SetDeadline(time.Now().Add(10 * callTime)); err != nil {
+		t.Fatal(err)
+	}
+	body := func(n int) string { return strings.Repeat(strconv.Itoa(n)+",", 1+n*n) }
+	go func() {
+		var all strings.Builder
+		for n := range calls {
+			fmt.Fprintf(&all, "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body(n)), body(n))
+		}
+		rng := rand.New(rand.NewPCG(1, 1))
+		for sent := all.String(); sent != ""; {
+			n := min(len(sent), 1+rng.IntN(2000))
+			if _, err := io.WriteString(conn, sent[:n]); err != nil {
+				t.Error(err)
+				return
+			}
+			sent = sent[n:]
+			time.Sleep(time.Duration(rng.IntN(500)) * time.Microsecond)
+		}
+	}()
+	r := bufio.NewReader(conn)
+	for n := range calls {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("call %d: %v", n, err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if want := body(n); err != nil || string(got) != want[:min(len(want), 100)] {
+			t.Fatalf("call %d: %v, answer %q", n, err, got)
+		}
+	}
+}
--- a/cmd/carobd/process.go
+++ b/cmd/carobd/process.go
@@ -169,6 +169,8 @@
 		servers = append(servers, srv)
 		if l.callers {
 			callers = append(callers, srv)
+			srv.ConnContext = watchCaller
+			ln = callerListener{ln}
 		}
 		group.Go(func() error {
 			if err := srv.Serve(ln); err != http.ErrServerClosed {
