jobs: a report from before the attachment ends no run

What callers saw: not observed; it could show a job as completed, or start a second run of a task, by an end of another process's run. A coordinator numbers its runs and its attachments from 1 in each process. A report carries the number of the attachment and the agent's process, and not the coordinator's. One that was made for the earlier process and arrives after the new one has attached passed for its own, and an end in it for that of the run with the same number.

An agent makes its answer to an attachment after all of its reports to earlier processes, so a report with an earlier clock reading than that answer is stale. No message changes.

TestReportFromBeforeTheAttachmentEndsNoRun failed before in its four cases: the report's `done` completed the job, the other outcomes started the task again. The emulator delivers late copies to the process that they were sent to, so it can't play it.

--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -37,8 +37,11 @@
 	endpoint   work.EndpointState
 	attached   bool
 	// attachedAt is the time of the answer to the attachment; see provenAt.
-	attachedAt   time.Time
-	lastReportAt time.Time
+	attachedAt time.Time
+	// attachedClock is the clock reading of that answer. A report with an earlier one is to an
+	// earlier process of this coordinator, whose attachment had the same number.
+	attachedClock int64
+	lastReportAt  time.Time
 	// member is set for an agent of this coordinator's share, and extraUntil for one that
 	// was added for more capacity.
 	member     bool
@@ -202,6 +205,7 @@
 	a.attachment = r.Attachment
 	a.attached = true
 	a.attachedAt = now
+	a.attachedClock = r.SentAt
 	a.released = false
 	a.soughtSince = time.Time{}
 	a.unseen = false
@@ -320,7 +324,7 @@
 // HandleReport handles a report.
 func (t *Table) HandleReport(now time.Time, r Report) ReportAnswer {
 	a := t.agents[r.Agent]
-	if a == nil || !a.attached || a.incarnation != r.Incarnation || a.attachment != r.Attachment {
+	if a == nil || !a.attached || a.incarnation != r.Incarnation || a.attachment != r.Attachment || r.SentAt < a.attachedClock {
 		return ReportAnswer{Stale: true, Released: a != nil && !t.wanted(now, a)}
 	}
 	t.updateAgent(now, a, r)
