jobs: an end that a restarted agent has found completes no best-effort job

What callers saw: not observed; a best-effort job could be answered as completed although none of its runs had ended. An agent that has restarted doesn't know whose the ends at its endpoint are, and tells them to the owner of the shard, since a durable job may need them. If the owner had a best-effort run of that name and number placed there, the end counted for it, though it was that of a run of another coordinator. Run numbers begin at 1 at each.

Other coordinators always ran such a task again, so only the owner does more. Ends of durable jobs count as before. No message changes.

With the same content the runs would be those of an earlier submission.

The emulator's checker records the specification of each run, and checks an answer by the runs of its own submissions.

--- a/emul/checker.go
+++ b/emul/checker.go
@@ -27,7 +27,9 @@
 	// maxAttempts is the number of failed runs after which no run of a task may start.
 	maxAttempts int
 	// done holds the tasks of which a run has ended successfully.
-	done       map[string]bool
+	done map[string]bool
+	// ended holds the ends of each task's runs.
+	ended      map[string][]endedRun
 	violations []string
 	// runCount is the number of runs that have started.
 	runCount int
@@ -69,7 +71,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		running: make(map[string]int), starts: make(map[string]int), acknowledged: make(map[string]bool),
-		histories: make(map[string][]runEvent), done: make(map[string]bool),
+		histories: make(map[string][]runEvent), done: make(map[string]bool), ended: make(map[string][]endedRun),
 		crashes: make(map[string]map[crashedEndpoint]bool), startsAfterCrashes: make(map[string]int),
 		failed: make(map[string]int), broken: make(map[string]int), acknowledgedFailures: make(map[string]int), maxAttempts: math.MaxInt,
 	}
--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -136,6 +136,7 @@
 	e.down = true
 	for key := range e.running {
 		e.checker.recordBroken(key.Task)
+		e.checker.recordEnd(&e.running[key].start, outcomeBroken)
 		e.removeRun(key)
 	}
 }
@@ -188,6 +189,7 @@
 		return
 	}
 	e.removeRun(key)
+	e.checker.recordEnd(&run.start, outcome)
 	switch outcome {
 	case work.OutcomeDone:
 		e.checker.recordDone(key.Task)
--- /dev/null
+++ b/emul/sharedid_test.go
@@ -0,0 +1,53 @@
+package emul
+
+import (
+	"testing"
+	"time"
+
+	"carobpulley"
+	"carobpulley/work"
+)
+
+// specJob returns a test job with a specification of its own.
+func specJob(n int, bestEffort bool, tasks int, spec string) *work.Job {
+	j := testJob(n, bestEffort, tasks)
+	j.Spec = spec
+	j.Steps[0].EstimateMS = 1000
+	return j
+}
+
+// lastingBySpec returns a fleet with one endpoint, whose runs take a time by their specification.
+func lastingBySpec(d map[string]time.Duration) Spec {
+	spec := testSpec()
+	spec.Endpoints = 1
+	spec.Behavior = func(s work.Start) (time.Duration, work.Outcome) { return d[s.Spec], work.OutcomeDone }
+	return spec
+}
+
+// submitChecked submits a best-effort job once and checks its answer by its runs.
+func (f *Fleet) submitChecked(at int, j *work.Job, patience time.Duration) carobpulley.JobAnswer {
+	since := time.Now()
+	again := *j
+	a := f.submitUntil(at, &again, patience)
+	if a.Code == carobpulley.AnswerOK {
+		f.Checker.CheckAnswer(j, since, a.State)
+	}
+	return a
+}
+
+// Guards against a best-effort job that is answered as completed by the end of another job's run with the
+// same name and number: a restarted agent finds it at its endpoint.
+func TestEndFoundByARestartedAgentIsNotTakenForAnother(t *testing.T) {
+	const x, y = 200 * time.Millisecond, 700 * time.Millisecond
+	for kill := x - 4*time.Millisecond; kill < x+8*time.Millisecond; kill += time.Millisecond {
+		runFleet(t, lastingBySpec(map[string]time.Duration{"x": x, "y": y}), func(_ *testing.T, f *Fleet) {
+			time.AfterFunc(kill, func() {
+				f.Agents[0].Kill()
+				time.Sleep(300 * time.Millisecond)
+				f.StartAgent(0)
+			})
+			f.submitChecked(1, specJob(1, true, 2, "x"), kill+20*time.Millisecond)
+			f.submitChecked(0, specJob(1, true, 2, "y"), 6*time.Second)
+		})
+	}
+}
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -214,6 +214,7 @@
 	if a.incarnation != r.Incarnation {
 		a.incarnation = r.Incarnation
 		a.echo = 0
+		t.endBestEffortRuns(now, a)
 	}
 	t.updateAgent(now, a, r)
 	t.recordCrashes(now, r.Crashes)
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -166,6 +166,19 @@
 	t.retireIfStored(now, tk.job)
 }
 
+// endBestEffortRuns requeues the tasks of best-effort jobs at an agent that has restarted. It knows none of
+// these runs: an end that it finds at its endpoint may be that of another coordinator's run of the same
+// number, and is told to the owner of the shard as a durable job may need it.
+func (t *Table) endBestEffortRuns(now time.Time, a *agentState) {
+	for tk := range a.placed {
+		if tk.job.durable() {
+			continue
+		}
+		t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "not run", Reason: "its agent has restarted"})
+		t.requeueTask(now, tk)
+	}
+}
+
 // retireIfStored retires an ended job that has no unstored changes and no placed run.
 func (t *Table) retireIfStored(now time.Time, j *job) {
 	if j.storedState.Ended() && !j.dirty && !j.inBatch {
