--- a/work/state.go
+++ b/work/state.go
@@ -19,6 +19,9 @@
 	return s == StateCompleted || s == StateFailed || s == StateCancelled
 }
 
+// Known reports whether the state is one of a job's states.
+func (s State) Known() bool { return s == StateQueued || s == StateRunning || s.Ended() }
+
 // Outcome is the way in which a run ended.
 type Outcome string
 
