--- a/emul/elsewhere_days_test.go
+++ b/emul/elsewhere_days_test.go
@@ -62,8 +62,9 @@
 	wg.Wait()
 }
 
-// playSeeds plays a test for each seed, as EMUL_FIRST and EMUL_DAYS or else count say.
-func playSeeds(t *testing.T, count uint64, play func(f *Fleet, seed uint64)) {
+// playSeeds plays a test for each seed, as EMUL_FIRST and EMUL_DAYS or else count say, with runs that behave
+// as the seed says.
+func playSeeds(t *testing.T, count uint64, behavior func(seed uint64) func(work.Start) (time.Duration, work.Outcome), play func(f *Fleet, seed uint64)) {
 	t.Helper()
 	first, chosen := seedRange(t)
 	if chosen == defaultSeeds {
@@ -73,7 +74,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			spec := testSpec()
 			spec.Seed = seed * 100
-			spec.Behavior = randomBehavior(seed)
+			spec.Behavior = behavior(seed)
 			runFleet(t, spec, func(_ *testing.T, f *Fleet) { play(f, seed) })
 		})
 	}
@@ -82,27 +83,33 @@
 // Guards against two runs of a task at a time, and a job that is shown as completed before its tasks
 // have ended so, as callers come back elsewhere under pairs of faults.
 func TestElsewhereDays(t *testing.T) {
-	playSeeds(t, 4, func(f *Fleet, seed uint64) {
-		began := time.Now()
-		var faults sync.WaitGroup
-		for n := range uint64(2) {
-			rng := rand.New(rand.NewPCG(seed, 1000+n))
-			actions := slices.Concat(faultActions()[:5], elsewhereActions())
-			faults.Go(func() {
-				for time.Since(began) < elsewhereLoad {
-					time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
-					a := actions[rng.IntN(len(actions))]
-					f.targetLocks[a.target] <- struct{}{}
-					a.inject(f, rng)
-					<-f.targetLocks[a.target]
-				}
-			})
-		}
+	playSeeds(t, 4, randomBehavior, func(f *Fleet, seed uint64) {
+		faults := f.injectPairs(seed)
 		f.callers(seed, callerInterval, 6)
 		faults.Wait()
 	})
 }
 
+// injectPairs injects pairs of faults for elsewhereLoad.
+func (f *Fleet) injectPairs(seed uint64) *sync.WaitGroup {
+	began := time.Now()
+	faults := new(sync.WaitGroup)
+	for n := range uint64(2) {
+		rng := rand.New(rand.NewPCG(seed, 1000+n))
+		actions := slices.Concat(faultActions()[:5], elsewhereActions())
+		faults.Go(func() {
+			for time.Since(began) < elsewhereLoad {
+				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+				a := actions[rng.IntN(len(actions))]
+				f.targetLocks[a.target] <- struct{}{}
+				a.inject(f, rng)
+				<-f.targetLocks[a.target]
+			}
+		})
+	}
+	return faults
+}
+
 // elsewhereActions returns faults that keep a coordinator's stops from its runs.
 func elsewhereActions() []faultAction {
 	all := []Command{CommandStart, CommandStop, CommandRenew}
--- a/emul/elsewhere_stop_test.go
+++ b/emul/elsewhere_stop_test.go
@@ -25,7 +25,7 @@
 // Guards against a run that counts as lost while it is at work, because half of the endpoints' answers
 // are lost and the others overtake each other.
 func TestOvertakenAnswersDays(t *testing.T) {
-	playSeeds(t, 3, func(f *Fleet, seed uint64) {
+	playSeeds(t, 3, randomBehavior, func(f *Fleet, seed uint64) {
 		troubled(Trouble{Lost: 0.5, MaxDelay: 12 * time.Millisecond}, CommandStart, CommandStop, CommandRenew)(f)
 		f.callers(seed, 2*callerInterval, 24)
 	})
