coord: a submission is withdrawn by its last caller only

What callers saw: not observed. A caller of a durable job could be answered 200 {} for a job that is stored nowhere: two callers wait for the store with the same job, the first one's time ends and withdraws it for both, and the next job with the id, once stored, answers the second one.

Cause: waiters are kept by the id of the job, and the job was withdrawn under them. Found in review, by a test on the coordinator in which the second caller of x got OK and the store held y alone.

A caller whose wait ends withdraws the job only if no other waits for it, as callers of best-effort jobs do; otherwise its outcome is unknown. So whoever waits has the job in the table, where a job that differs is a conflict.

TestWithdrawalLeavesTheJobToItsOtherCallers failed before: the first caller was refused and the job was gone.

--- a/coord/calls.go
+++ b/coord/calls.go
@@ -323,8 +323,9 @@
 	}
 }
 
-// withdrawSubmission ends a caller's wait for the store. A result that came at the same time goes first: a
-// job whose shard was released is not in the table either, but may be stored.
+// withdrawSubmission ends a caller's wait for the store, and withdraws the submission if no other caller
+// waits for it. A result that came at the same time goes first: a job whose shard was released is not in
+// the table either, but may be stored.
 func (c *Coordinator) withdrawSubmission(id string, ch chan waitResult) carobpulley.JobAnswer {
 	c.lock()
 	defer c.mu.Unlock()
@@ -337,6 +338,9 @@
 	default:
 	}
 	c.removeWaiter(id, ch)
+	if len(c.waiters[id]) > 0 {
+		return unknownAnswer("the store did not answer in time") // the job stays for its other callers
+	}
 	if c.table.Withdraw(id) {
 		return refusedAnswer("the store did not answer in time")
 	}
