coord, jobs: a conflict needs a stored job and a proven owner

What callers saw: not observed. 409 says that a submission is stored nowhere and never runs. A former owner said so too, although its successor may have stored this submission on an attempt that got no answer; and so did an owner whose other job was only waiting to be stored and could still be withdrawn.

Found in review of the change that brought the conflict. An owner without a valid proof passes the call on, as it does for GET and DELETE, and a submission beside one that is being stored is refused with Retry-After.

TestConflictNeedsAStoredJobAndAProvenOwner: three of its four cases were answered as conflicts before.

--- a/coord/calls.go
+++ b/coord/calls.go
@@ -261,7 +261,11 @@
 		c.mu.Unlock()
 		return refusedAnswer(reason)
 	case jobs.SubmitConflict:
+		proven := c.ownershipProven(now)
 		c.mu.Unlock()
+		if !proven {
+			return carobpulley.JobAnswer{Code: notOwner} // a newer owner may have stored this submission
+		}
 		return carobpulley.JobAnswer{Code: carobpulley.AnswerConflict, Reason: reason}
 	case jobs.SubmitComplete:
 		c.mu.Unlock()
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -29,7 +29,11 @@
 	if j != nil {
 		difference := j.difference(spec)
 		t.logRepeated(j, difference)
-		if difference != "" {
+		switch {
+		case difference == "":
+		case j.phase == phaseStoring:
+			return SubmitRefused, "another job with the id is being stored"
+		default:
 			return SubmitConflict, "another job has the id, with another " + difference
 		}
 	}
