guard: an attachment's clock reading is taken under the lock

A report that was made for an earlier process of a coordinator is told from later ones by a clock reading before that of the answer to the attachment. The answer's reading was taken before the agent's lock, the reports' under it, so a report that got the lock in between had a later reading than the answer and passed. Both are taken under the lock now. Found in review, by reading; the window was not met in a run.

--- a/guard/report.go
+++ b/guard/report.go
@@ -134,9 +134,9 @@
 // Attach implements relay.AgentServiceHandler.
 func (a *Agent) Attach(_ context.Context, r *connect.Request[relay.AttachRequest]) (*connect.Response[relay.ReportRequest], error) {
 	m := r.Msg
-	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
 	if !a.controller.CanAttach(now) {
 		return connect.NewResponse(&relay.ReportRequest{Refusal: "the runner's lists are not read yet"}), nil
 	}
