runs: a stop ends the runs of the coordinator that asks for it

What callers saw: work that was lost. Coordinators number the runs of a best-effort job by themselves, from 1, so a caller that submits its job again elsewhere has runs of the same names and numbers there.

A stop is taken for runs of the coordinator that asks. Runs of durable jobs pass to the next owner, which stops those of the former one, and a run that an earlier process of the agent left is anybody's, as before.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -196,7 +196,7 @@
 	coordinators map[string]*attachedCoordinator
 	// earlyStops holds runs whose stop came before their start, and endedRuns those that ended here:
 	// a dispatch that is sent again starts neither.
-	earlyStops map[work.Run]time.Time
+	earlyStops map[stopKey]time.Time
 	endedRuns  map[work.Run]endedRun
 	// refusedStarts holds the starts that were refused to a coordinator, which places the tasks
 	// elsewhere: a copy of the dispatch that arrives later does not start them either.
@@ -215,6 +215,12 @@
 	commands []Command
 }
 
+// stopKey identifies a stop by its run and the coordinator that asks for it.
+type stopKey struct {
+	run         work.Run
+	coordinator string
+}
+
 // startKey identifies a start by its run and the coordinator's process that dispatched it.
 type startKey struct {
 	run         work.Run
@@ -238,7 +244,7 @@
 		runs:         make(map[work.Run]*run),
 		shards:       make(map[int]*shard),
 		coordinators: make(map[string]*attachedCoordinator),
-		earlyStops:   make(map[work.Run]time.Time),
+		earlyStops:   make(map[stopKey]time.Time),
 		endedRuns:    make(map[work.Run]endedRun),
 		listedEnds:   make(map[int64]bool),
 
--- a/runs/dispatch.go
+++ b/runs/dispatch.go
@@ -141,7 +141,7 @@
 		return nil, true
 	}
 	for _, key := range d.Stops {
-		c.stop(now, key) // before the proof, which is newer than the decision to stop
+		c.stop(now, d.Coordinator, key) // before the proof, which is newer than the decision to stop
 	}
 	c.recordProof(d.Coordinator, c.decodeTime(d.Echo))
 	for i := range d.Starts {
@@ -172,10 +172,11 @@
 	}
 }
 
-func (c *Controller) stop(now time.Time, key work.Run) {
+// stop stops a run at a coordinator's request, or keeps it from starting.
+func (c *Controller) stop(now time.Time, coordinator string, key work.Run) {
 	r := c.runs[key]
-	if r == nil {
-		c.earlyStops[key] = now
+	if r == nil || r.belongsToOther(coordinator) {
+		c.earlyStops[stopKey{key, coordinator}] = now
 		return
 	}
 	if r.phase == phaseQueued {
@@ -185,6 +186,12 @@
 	c.requestStop(key, r)
 }
 
+// belongsToOther reports whether the run is that of a best-effort job at another coordinator, which
+// numbers its runs by itself. The runs of a durable job pass to its next owner.
+func (r *run) belongsToOther(coordinator string) bool {
+	return !r.start.Durable && r.coordinator != "" && r.coordinator != coordinator
+}
+
 // start returns the reason for which a start is refused; empty if it is accepted.
 func (c *Controller) start(now time.Time, coordinator string, s *work.Start) string {
 	co := c.coordinators[coordinator]
@@ -200,7 +207,7 @@
 	if s.Durable && c.shardOwner(s.Run.Task) != coordinator {
 		return ReasonOwner
 	}
-	if _, stopped := c.earlyStops[s.Run]; stopped {
+	if _, stopped := c.earlyStops[stopKey{s.Run, coordinator}]; stopped {
 		return ReasonStopped
 	}
 	if reason := c.startRefusal(now); reason != "" {
--- a/runs/report.go
+++ b/runs/report.go
@@ -120,7 +120,7 @@
 		return
 	}
 	for _, key := range reply.Stops {
-		c.stop(now, key) // before the proof, which is newer than the decision to stop
+		c.stop(now, coordinator, key) // before the proof, which is newer than the decision to stop
 	}
 	at := c.decodeTime(sent.SentAt)
 	c.recordProof(coordinator, at)
