jobs, work, coord: a job whose records can't be read is decided by nobody

What callers saw, after a takeover: a job with a progress record that can't be read ran again from its first task, and tasks whose ends had been acknowledged started a second time; a job that had ended so, one whose submission can't be read and one whose submission is missing beside its progress were answered 410, their runs were stopped, and another submission began them anew.

Cause: loading a shard dropped a record that can't be read and went on as if it had never been written. The class is an unreadable input that counts as absent.

Such a job is kept in the table as unreadable. Nothing of it starts, runs of it that agents list go on, and its records stay in the store as they are. GET and DELETE are refused (503), a submission is answered that its outcome is unknown (504), or 409 if it differs from what is known. "unreadable" names each job and "entry left out" (entries_rejected{jobs}) its records. Ends of its runs are stored under the key e+id before they are acknowledged; an owner that can read the job again takes them up, completes or fails the job if they decide that, and drops the record. Progress that shows an end still tells all alone.

Weighed: no owner for the shard until all is readable (one record stops all jobs); the job fails (it may have completed); DELETE cancels it (the same). For ends: not acknowledged they hold the endpoint's list, which is returned whole with each poll, from there on; acknowledged unstored, their tasks run again.

Records without digest, queue or failed_runs are read as before.

Still open: a record that is missing altogether can't be told from one that was never written.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -45,6 +45,9 @@
 		state, reason := c.table.DecidedState(j.ID)
 		c.mu.Unlock()
 		return bestEffortAnswer(jobs.BestEffortResult{State: state, Reason: reason})
+	case jobs.SubmitUnreadable:
+		c.mu.Unlock()
+		return unknownAnswer(reason)
 	case jobs.SubmitPending:
 	}
 	ch := c.addWaiter(j.ID)
--- a/coord/calls.go
+++ b/coord/calls.go
@@ -266,6 +266,9 @@
 	case jobs.SubmitComplete:
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: carobpulley.AnswerOK}
+	case jobs.SubmitUnreadable:
+		c.mu.Unlock()
+		return unknownAnswer(reason)
 	case jobs.SubmitPending:
 	}
 	ch := c.addWaiter(spec.ID)
@@ -353,6 +356,9 @@
 	if !known {
 		return carobpulley.JobAnswer{Code: carobpulley.AnswerNotFound}
 	}
+	if state == "" {
+		return refusedAnswer(jobs.ReasonUnreadable)
+	}
 	return carobpulley.JobAnswer{Code: carobpulley.AnswerOK, State: state, Reason: c.table.Reason(id)}
 }
 
@@ -362,6 +368,10 @@
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
+	if state, known := c.table.State(queue, id); known && state == "" {
+		c.mu.Unlock()
+		return refusedAnswer(jobs.ReasonUnreadable)
+	}
 	known, stored := c.table.Cancel(time.Now(), queue, id)
 	if !known || stored {
 		c.flush()
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -241,7 +241,7 @@
 
 // reconcileRun matches a run that an agent lists with the table. It returns the run's
 // task if the run is the one placed there, also while it is being stopped, and stops the
-// run otherwise.
+// run otherwise, unless its job is unreadable.
 func (t *Table) reconcileRun(now time.Time, a *agentState, key work.Run) *task {
 	tk := t.taskOf(key)
 	if tk != nil && tk.phase == taskPlaced && tk.agent == a && tk.run == key.Number {
@@ -257,7 +257,9 @@
 		t.assign(now, tk, a)
 		return tk
 	}
-	t.pendingDispatch(a).Stops = append(t.pendingDispatch(a).Stops, key)
+	if t.unreadable(work.JobOfTask(key.Task)) == nil {
+		t.pendingDispatch(a).Stops = append(t.pendingDispatch(a).Stops, key)
+	}
 	return nil
 }
 
--- a/jobs/batch.go
+++ b/jobs/batch.go
@@ -67,11 +67,12 @@
 		}
 	}
 	s.dirty = s.dirty[n:]
-	for len(s.expired) > 0 && len(b.Records) < maxBatchRecords {
-		id := s.expired[0]
+	// Ends go after the progress that has taken them up.
+	for len(s.dirty) == 0 && len(s.expired) > 0 && len(b.Records) < maxBatchRecords {
+		key := s.expired[0]
 		s.expired = s.expired[1:]
-		b.expired = append(b.expired, id)
-		b.Records = append(b.Records, carobpulley.KeyedRecord{Key: work.KeyProgress + id})
+		b.expired = append(b.expired, key)
+		b.Records = append(b.Records, carobpulley.KeyedRecord{Key: key})
 	}
 	if len(b.Records) == 0 {
 		return nil, nil
@@ -81,14 +82,21 @@
 
 func (t *Table) addToBatch(b *Batch, j *job) error {
 	it := batchItem{job: j, accept: j.phase == phaseStoring, state: j.state, acks: j.acks}
-	if it.accept {
+	switch {
+	case j.phase == phaseUnreadable:
+		value, err := work.EncodeProgress(*j.ends)
+		if err != nil {
+			return err
+		}
+		b.append(work.KeyEnds+j.id, value)
+	case it.accept:
 		value, err := work.EncodeJob(j.spec)
 		if err != nil {
 			return err
 		}
 		b.append(work.KeyJob+j.id, value)
 	}
-	if !it.accept || j.state.Ended() {
+	if !it.accept && j.phase != phaseUnreadable || j.state.Ended() {
 		value, err := work.EncodeProgress(t.progress(j))
 		if err != nil {
 			return err
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -21,9 +21,13 @@
 	SubmitRefused
 	// SubmitConflict means that the job is not accepted since another job has its id.
 	SubmitConflict
+	// SubmitUnreadable means that the job is stored, but not whether it has run or will: its records
+	// can't be read.
+	SubmitUnreadable
 )
 
-// Submit handles a submission. The returned reason is set for a refusal and a conflict.
+// Submit handles a submission. The returned reason is set unless the status is SubmitPending or
+// SubmitComplete.
 func (t *Table) Submit(now time.Time, spec *work.Job) (SubmitStatus, string) {
 	j := t.jobs[spec.ID]
 	if j != nil {
@@ -40,6 +44,9 @@
 		if j.phase == phaseStoring {
 			return SubmitPending, ""
 		}
+		if j.phase == phaseUnreadable {
+			return SubmitUnreadable, ReasonUnreadable
+		}
 		return SubmitComplete, ""
 	}
 	if reason := t.refusalReason(now, spec); reason != "" {
@@ -135,7 +142,7 @@
 }
 
 // State returns the stored state of a job and whether the job is known. A queued job
-// is shown as running once a task was placed.
+// is shown as running once a task was placed; that of an unreadable one is empty.
 func (t *Table) State(queue, id string) (work.State, bool) {
 	j := t.jobs[id]
 	if j == nil || j.phase == phaseStoring || j.queue != "" && j.queue != queue {
@@ -148,7 +155,7 @@
 }
 
 // Cancel cancels a job. stored is set if the job's end is stored already or need not be, so that
-// the caller can be answered at once.
+// the caller can be answered at once. An unreadable job is not cancelled: it may have ended otherwise.
 func (t *Table) Cancel(now time.Time, queue, id string) (known, stored bool) {
 	j := t.jobs[id]
 	if j == nil || j.queue != "" && j.queue != queue {
@@ -161,7 +168,7 @@
 	if j.storedState.Ended() {
 		return true, true
 	}
-	if j.state.Ended() {
+	if j.state.Ended() || j.phase == phaseUnreadable {
 		return true, false
 	}
 	t.finishJob(now, j, work.StateCancelled)
@@ -204,7 +211,7 @@
 
 // markDirty adds a durable job to its shard's next batch.
 func (t *Table) markDirty(j *job) {
-	if j.dirty || !j.durable() {
+	if j.dirty || !j.durable() || j.phase == phaseUnreadable && j.ends == nil {
 		return
 	}
 	j.dirty = true
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -16,7 +16,7 @@
 func (t *Table) handleEnd(now time.Time, a *agentState, e *work.End) {
 	tk := t.taskOf(e.Run)
 	if tk == nil {
-		t.ackAfterConfirmation(now, a, e)
+		t.handleEndWithoutTask(now, a, e)
 		return
 	}
 	if tk.phase == taskDone || !t.isCurrentRun(a, tk, e) {
@@ -138,12 +138,18 @@
 	tk.failures.add(e.Run.Number)
 	t.ackAfterStore(a, j, e)
 	t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Run: e.Run.Number, Agent: a.name, Event: "failed", Reason: "told by the runner"})
+	t.failIfUsedUp(now, tk)
+}
+
+// failIfUsedUp fails a job if its task may fail no more.
+func (t *Table) failIfUsedUp(now time.Time, tk *task) {
+	j := tk.job
 	if j.state.Ended() {
 		return
 	}
 	if limit := t.maxAttempts(j); limit > 0 && tk.failures.count >= limit {
 		t.finishJob(now, j, work.StateFailed)
-		t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Event: "failed", Reason: "its attempts are used up"})
+		t.logDecision(Decision{Job: j.id, Task: tk.name(), Event: "failed", Reason: "its attempts are used up"})
 	}
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -17,6 +17,8 @@
 	phaseStoring phase = iota
 	phaseActive
 	phaseEnded
+	// phaseUnreadable is the phase of a job whose records in the store can't be read.
+	phaseUnreadable
 )
 
 type taskPhase int
@@ -92,7 +94,9 @@
 	resubmission *resubmission
 	// reason is why the job has failed, if not by the outcome of its runs.
 	reason string
-	acks   []ack
+	// ends holds the ends of runs of an unreadable job; nil if those stored can't be read either.
+	ends *work.Progress
+	acks []ack
 	// due is the time by which the job meets its objective, abandonAt the time from
 	// which its answer has no value.
 	due       time.Time
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -31,6 +31,7 @@
 	// each with the time at which the wait for it ends.
 	awaited map[string]time.Time
 	dirty   []*job
+	// expired holds the keys of the records to drop.
 	expired []string
 }
 
@@ -169,7 +170,7 @@
 
 // AcquireShard adds a shard with the records that the store holds of it. Its jobs'
 // tasks are not placed until all known agents have reported their runs or
-// TakeoverWait has passed. It returns the errors of records that cannot be decoded.
+// TakeoverWait has passed. It returns the errors of records that can't be read.
 func (t *Table) AcquireShard(now time.Time, number int, epoch uint64, records []carobpulley.KeyedRecord) []error {
 	s := &shard{epoch: epoch, awaited: make(map[string]time.Time)}
 	t.shards[number] = s
@@ -182,65 +183,6 @@
 	return errs
 }
 
-// loadJobs creates the jobs of a shard from its records.
-func (t *Table) loadJobs(now time.Time, number int, s *shard, records []carobpulley.KeyedRecord) []error {
-	var errs []error
-	progress := make(map[string]work.Progress)
-	var accepted []*work.Job
-	for i := range records {
-		r := &records[i]
-		if r.Value == nil || len(r.Key) < 2 {
-			continue
-		}
-		switch r.Key[:1] {
-		case work.KeyJob:
-			j, err := work.DecodeJob(r.Value)
-			if err != nil {
-				errs = append(errs, err)
-				continue
-			}
-			accepted = append(accepted, j)
-		case work.KeyProgress:
-			p, err := work.DecodeProgress(r.Value)
-			if err != nil {
-				errs = append(errs, err)
-				continue
-			}
-			progress[r.Key[1:]] = p
-		}
-	}
-	for _, spec := range accepted {
-		p, ok := progress[spec.ID]
-		if ok && p.State.Ended() {
-			continue
-		}
-		j := newJob(spec, number, time.UnixMilli(spec.AcceptedMS))
-		j.phase = phaseActive
-		j.storedState = work.StateQueued
-		j.runBase = int64(s.epoch-min(spec.Epoch, s.epoch)) * runsPerEpoch
-		j.takeoverPending = true
-		j.restore(p)
-		t.restoreCrashes(now, j, p)
-		t.jobs[spec.ID] = j
-	}
-	for id, p := range progress {
-		if p.State.Ended() {
-			t.restoreEnded(now, number, id, p)
-		}
-	}
-	return errs
-}
-
-func (t *Table) restoreEnded(now time.Time, number int, id string, p work.Progress) {
-	j := &job{id: id, queue: p.Queue, shard: number, phase: phaseEnded, digest: p.Digest, state: p.State, storedState: p.State, reason: p.Reason}
-	j.endedAt = time.UnixMilli(p.EndedMS)
-	if j.endedAt.After(now) {
-		j.endedAt = now
-	}
-	t.jobs[id] = j
-	t.ended = append(t.ended, j)
-}
-
 // ReleaseShard removes a shard that another coordinator owns now. It returns the
 // jobs that have not ended or have unstored changes: their callers may be waiting
 // for the store.
@@ -332,7 +274,7 @@
 		j := t.ended[n]
 		n++
 		if s := t.shards[j.shard]; s != nil && !j.dirty && !j.inBatch {
-			s.expired = append(s.expired, j.id)
+			s.expired = append(s.expired, work.KeyProgress+j.id)
 			delete(t.jobs, j.id)
 		}
 	}
--- a/work/progress.go
+++ b/work/progress.go
@@ -8,6 +8,9 @@
 	KeyJob = "j"
 	// KeyProgress is the prefix of the record that holds a Progress.
 	KeyProgress = "s"
+	// KeyEnds is the prefix of the record that holds, as a Progress, ends of runs that were reported
+	// while the job's progress could not be read. Earlier builds leave it alone.
+	KeyEnds = "e"
 )
 
 // Progress is the stored progress of an accepted job. The newest record of a job
