work, jobs: progress that can't be true counts as unreadable

What callers saw, after a takeover: a job whose progress said {}, null or {"state":"storing"} ran from its first task, and its ended tasks started again; {"done":[[]]} or [null] counted the first task as done, so that a job could be shown as completed without it; {"state":"completed"} without a time was shown and dropped at the next tick, then 410. Crashes named under another job's tasks counted against that job, and a submission with another job's id in it took that job's place.

Cause: DecodeProgress checked nothing, the decoder fills short rows with zeros, and a record's id was taken from its value, not its key.

A stored progress has a state that is stored, a time if it has ended, and rows of whole length; its rows name tasks of the job, with counts and run numbers in range, and crashes under its own tasks. A submission has the id of its key. Anything else makes the job unreadable, as one that can't be decoded does. Weighed: taking the rows that are in range; but what the others stood for is unknown, and their tasks might run again.

TestUnreadableRecordsAcrossTakeovers showed such jobs as completed before, with their first tasks run twice.

--- a/emul/unreadable_test.go
+++ b/emul/unreadable_test.go
@@ -45,10 +45,12 @@
 			return j
 		}
 		damage := map[int]map[string]string{ // by job: the records that are replaced, "" if removed
+			1: {work.KeyProgress: `{"state":"storing"}`},
 			2: {work.KeyProgress: `{`},
 			3: {work.KeyJob: ""},
 			4: {work.KeyJob: `{}`},
-			6: {work.KeyProgress: `{`}, // of a job that has ended
+			5: {work.KeyProgress: `{"state":"queued","done":[[0]]}`},
+			6: {work.KeyProgress: `null`}, // of a job that has ended
 			7: nil,
 			8: nil, // ended
 		}
--- a/jobs/unreadable_test.go
+++ b/jobs/unreadable_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -20,9 +21,21 @@
 	`{"state":"queued","done":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
 }
 
+// untrueProgress are values of a progress record that can't be true. OTHER stands for another job's id.
+var untrueProgress = []string{
+	`null`, `{}`, `{"state":"storing"}`, `{"state":"running"}`, `{"state":""}`, `{"state":"completed"}`, `{"state":"failed","ended_ms":-1}`,
+	`{"state":"queued","done":[[0,9]]}`, `{"state":"queued","done":[[-1,0]]}`, `{"state":"queued","done":[[]]}`,
+	`{"state":"queued","done":[null]}`, `{"state":"queued","done":[[0]]}`, `{"state":"queued","done":[[0,null]]}`,
+	`{"state":"queued","done":[[0,0,0]]}`, `{"state":"queued","failed":[[0,0]]}`, `{"state":"queued","failed":[[0,0,0]]}`,
+	`{"state":"queued","failed":[[0,0,9223372036854775807]]}`, `{"state":"queued","failed":[[7,0,1]]}`,
+	`{"state":"queued","failed_runs":[[0,0,-1]]}`, `{"state":"queued","failed_runs":[[9223372036854775807,0,1]]}`,
+	`{"state":"queued","crashed":[{"task":"OTHER.0.0.0","endpoint":"e","certain":true,"alone":true},{"task":"OTHER.0.0.0","endpoint":"f","certain":true,"alone":true}]}`,
+}
+
 // oddJob are values of a job's own record that can't be read. ID stands for the job's id.
 var oddJob = []string{
 	``, `{`, `null`, `{}`, `[]`, `{"id":"ID"}`, `{"id":"ID","steps":[]}`, `{"id":"ID","steps":[{"count":0,"need":{}}]}`,
+	`{"id":"OTHER","queue":{"name":"q","service":"s"},"spec":"x","steps":[{"count":1,"need":{}}]}`,
 	`{"id":"ID","queue":{"name":"q"},"steps":[{"count":9223372036854775807,"need":{}}]}`,
 	`{"id":"ID","queue":7,"steps":[{"count":1,"need":{}}]}`, `{"id":"ID","epoch":-1,"steps":[{"count":1,"need":{}}]}`,
 }
@@ -30,7 +43,12 @@
 // damage changes the records of a job at random, and with them what the model expects.
 func (m *recordModel) damage(id string, stored map[string]carobpulley.KeyedRecord) string {
 	odd := func(values []string) []byte {
-		return []byte(strings.ReplaceAll(values[m.random.IntN(len(values))], "ID", id))
+		other := testJob(0, 1, false).ID
+		if id == other {
+			other = testJob(1, 1, false).ID
+		}
+		value := strings.ReplaceAll(values[m.random.IntN(len(values))], "ID", id)
+		return []byte(strings.ReplaceAll(value, "OTHER", other))
 	}
 	put := func(prefix string, value []byte) {
 		stored[prefix+id] = carobpulley.KeyedRecord{Key: prefix + id, Value: value}
@@ -42,13 +60,13 @@
 		put(work.KeyEnds, odd(oddProgress[1:]))
 		oddJ = true
 	case "odd progress":
-		put(work.KeyProgress, odd(oddProgress))
+		put(work.KeyProgress, odd(slices.Concat(oddProgress, untrueProgress)))
 		oddP = true
 	case "odd job":
 		put(work.KeyJob, odd(oddJob))
 		oddJ = true
 	case "both odd":
-		put(work.KeyProgress, odd(oddProgress))
+		put(work.KeyProgress, odd(slices.Concat(oddProgress, untrueProgress)))
 		put(work.KeyJob, odd(oddJob))
 		oddP, oddJ = true, true
 	case "no progress":
--- a/work/oddjob_test.go
+++ b/work/oddjob_test.go
@@ -70,6 +70,8 @@
 		if j, err := DecodeJob(value); err == nil && (j.CPU() < 0 || j.CriticalPath() < 0 || j.Objective() > MaxObjective || j.Tasks() < 1) {
 			t.Errorf("job %+v", j)
 		}
-		_, _ = DecodeProgress(value) // only a panic is a failure
+		if p, err := DecodeProgress(value); err == nil && (p.State == StateRunning || !p.State.Known()) {
+			t.Errorf("progress %+v", p)
+		}
 	})
 }
--- a/work/progress.go
+++ b/work/progress.go
@@ -69,11 +69,17 @@
 	return b, nil
 }
 
-// DecodeProgress decodes the value of a job's progress record in the store.
+// DecodeProgress decodes and checks the value of a job's progress record in the store.
 func DecodeProgress(b []byte) (Progress, error) {
 	var p Progress
 	if err := json.Unmarshal(b, &p); err != nil {
 		return Progress{}, invalidf("decode progress", "%v", err)
 	}
+	if err := checkRows(b); err != nil {
+		return Progress{}, err
+	}
+	if err := p.check(); err != nil {
+		return Progress{}, err
+	}
 	return p, nil
 }
--- a/work/stored.go
+++ b/work/stored.go
@@ -1,5 +1,10 @@
 package work
 
+import (
+	"encoding/json"
+	"math"
+)
+
 // Stored holds what the store has of a job.
 type Stored struct {
 	ID string
@@ -15,6 +20,12 @@
 func (s *Stored) Read(prefix string, value []byte) {
 	if prefix == KeyJob {
 		s.Job, s.jobErr = DecodeJob(value)
+		if s.jobErr == nil && s.Job.ID != s.ID {
+			s.jobErr = invalidf("job", "the record is that of %s", s.Job.ID)
+		}
+		if s.jobErr != nil {
+			s.Job = nil
+		}
 		return
 	}
 	p, err := DecodeProgress(value)
@@ -54,8 +65,75 @@
 	case s.Job == nil:
 		return false, append(errs, invalidf("stored job", "%s: only its progress is stored", s.ID))
 	}
+	if err := s.Progress.checkTasks(s.Job); err != nil {
+		return false, append(errs, err)
+	}
 	return true, errs
 }
 
 // HasEnds reports whether there is a record of ends.
 func (s *Stored) HasEnds() bool { return s.Ends != nil || s.endsErr != nil }
+
+// checkTasks returns an error if the progress names tasks that the job doesn't have.
+func (p *Progress) checkTasks(j *Job) error {
+	has := func(step, index int) bool {
+		return step >= 0 && step < len(j.Steps) && index >= 0 && index < j.Steps[step].Count
+	}
+	for _, d := range p.Done {
+		if !has(d[0], d[1]) {
+			return invalidf("stored progress", "%s: no task %v", j.ID, d)
+		}
+	}
+	for _, f := range p.Failed {
+		if !has(f[0], f[1]) || f[2] < 1 || f[2] > math.MaxInt32 {
+			return invalidf("stored progress", "%s: no failures %v", j.ID, f)
+		}
+	}
+	for _, f := range p.FailedRuns {
+		if !has(int(f[0]), int(f[1])) || f[2] < 1 {
+			return invalidf("stored progress", "%s: no failed run %v", j.ID, f)
+		}
+	}
+	for _, c := range p.Crashed {
+		if JobOfTask(c.Task) != j.ID {
+			return invalidf("stored progress", "%s: a crash under the task %.100q", j.ID, c.Task)
+		}
+	}
+	return nil
+}
+
+// check returns an error unless the progress has a state that is stored.
+func (p *Progress) check() error {
+	if p.State != StateQueued && !p.State.Ended() {
+		return invalidf("progress", "the state %.100q is none", p.State)
+	}
+	if p.State.Ended() && p.EndedMS <= 0 {
+		return invalidf("progress", "the end %d is out of range", p.EndedMS)
+	}
+	return nil
+}
+
+// checkRows returns an error if a row of numbers has another length than that of its field: the decoder
+// takes the numbers that are missing for 0, which is the first task.
+func checkRows(b []byte) error {
+	var rows struct {
+		Done       [][]*int64 `json:"done"`
+		Failed     [][]*int64 `json:"failed"`
+		FailedRuns [][]*int64 `json:"failed_runs"`
+	}
+	if err := json.Unmarshal(b, &rows); err != nil {
+		return invalidf("decode progress", "%v", err)
+	}
+	for length, list := range map[int][][]*int64{2: rows.Done, 3: append(rows.Failed, rows.FailedRuns...)} {
+		for _, row := range list {
+			whole := len(row) == length
+			for _, n := range row {
+				whole = whole && n != nil
+			}
+			if !whole {
+				return invalidf("progress", "a row of %d numbers, want %d", len(row), length)
+			}
+		}
+	}
+	return nil
+}
