--- a/work/progress.go
+++ b/work/progress.go
@@ -8,6 +8,9 @@
 	KeyJob = "j"
 	// KeyProgress is the prefix of the record that holds a Progress.
 	KeyProgress = "s"
+	// KeyEnds is the prefix of the record that holds, as a Progress, ends of runs that were reported
+	// while the job's progress could not be read. Earlier builds leave it alone.
+	KeyEnds = "e"
 )
 
 // Progress is the stored progress of an accepted job. The newest record of a job
@@ -66,11 +69,17 @@
 	return b, nil
 }
 
-// DecodeProgress decodes the value of a job's progress record in the store.
+// DecodeProgress decodes and checks the value of a job's progress record in the store.
 func DecodeProgress(b []byte) (Progress, error) {
 	var p Progress
 	if err := json.Unmarshal(b, &p); err != nil {
 		return Progress{}, invalidf("decode progress", "%v", err)
 	}
+	if err := checkRows(b); err != nil {
+		return Progress{}, err
+	}
+	if err := p.check(); err != nil {
+		return Progress{}, err
+	}
 	return p, nil
 }
