jobs: a durable job that is loaded displaces a best-effort one with its id

What callers saw: not observed; it takes two jobs with one id, one of them best-effort and at another coordinator than the shard's owner, where a difference can't be noticed, and then a takeover by that coordinator. The durable job's entry replaced the best-effort job's, whose runs stayed placed. Listed runs were adopted by the durable job and their ends counted for it: GET showed it as completed though nothing of it had run. When the best-effort job's result was forgotten, 12 s after its end, the durable job's entry went with it: GET said 410.

The best-effort job is given up at the load, its caller gets no result (and 409 when it comes back), and its runs are stopped. Until they are known to have ended the durable job isn't started. A run is looked up by its agent and number among those of displaced jobs first, so that listed runs, ends and refused starts reach the job whose run it is.

--- a/emul/sharedid_test.go
+++ b/emul/sharedid_test.go
@@ -51,3 +51,25 @@
 		})
 	}
 }
+
+// Guards against a durable job that is shown as completed by the runs of a best-effort job that has its id at
+// the coordinator which takes its shard over.
+func TestTakenOverJobDoesNotMeetABestEffortOne(t *testing.T) {
+	spec := lastingBySpec(map[string]time.Duration{"x": time.Second, "y": 4 * time.Second})
+	spec.Coordinators = 2
+	runFleet(t, spec, func(t *testing.T, f *Fleet) {
+		durable, since := specJob(1, false, 2, "x"), time.Now()
+		f.cutFromAgents(0, true, true, true) // it is accepted and not started
+		if a := submit(f, 0, durable); a.Code != carobpulley.AnswerOK {
+			t.Fatalf("answer %+v", a)
+		}
+		go f.submitChecked(1, specJob(1, true, 2, "y"), 8*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		if got := f.Checker.RunCount(); got != 2 {
+			t.Errorf("%d runs, want those of the best-effort job", got)
+		}
+		f.coordinator(0).Kill()
+		state := awaitEnd(t, f, 1, durable.ID, 25*time.Second)
+		f.Checker.CheckAnswer(durable, since, state)
+	})
+}
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -248,7 +248,7 @@
 // task if the run is the one placed there, also while it is being stopped, and stops the
 // run otherwise.
 func (t *Table) reconcileRun(now time.Time, a *agentState, key work.Run) *task {
-	tk := t.taskOf(key)
+	tk := t.taskAt(a, key)
 	if tk != nil && tk.phase == taskPlaced && tk.agent == a && tk.run == key.Number {
 		if tk.stopping || tk.job.state.Ended() {
 			// The stop may be lost with the attachment in which it was sent.
@@ -266,18 +266,6 @@
 	return nil
 }
 
-func (t *Table) taskOf(key work.Run) *task {
-	id, step, index, err := work.ParseTaskName(key.Task)
-	if err != nil {
-		return nil
-	}
-	j := t.jobs[id]
-	if j == nil {
-		return nil
-	}
-	return j.task(step, index)
-}
-
 func (tk *task) start() work.Start {
 	return work.Start{Run: tk.key(), Spec: tk.job.spec.Spec, Resources: tk.resources(), Durable: tk.job.durable()}
 }
--- a/jobs/batch.go
+++ b/jobs/batch.go
@@ -159,6 +159,10 @@
 		t.ended = append(t.ended, j)
 		return
 	}
+	if t.displaced[j.id] == j {
+		t.retireDisplaced(now, j)
+		return
+	}
 	if j.state == work.StateCancelled && !j.cancelRequested {
 		delete(t.jobs, j.id)
 		t.acceptResubmission(now, j.resubmission)
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -75,7 +75,7 @@
 	placed := make([]work.Start, 0, len(d.Starts))
 	for i := range d.Starts {
 		key := d.Starts[i].Run
-		tk := t.taskOf(key)
+		tk := t.taskAt(a, key)
 		if tk == nil || tk.phase != taskPlaced || tk.agent != a || tk.run != key.Number {
 			continue
 		}
@@ -121,7 +121,7 @@
 func (t *Table) HandleRefusedStarts(now time.Time, d *Dispatch, runs []work.Run, reason string) {
 	a := t.agents[d.Agent]
 	for _, key := range runs {
-		tk := t.taskOf(key)
+		tk := t.taskAt(a, key)
 		if tk == nil || tk.phase != taskPlaced || tk.agent != a || tk.run != key.Number {
 			continue
 		}
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -14,7 +14,7 @@
 }
 
 func (t *Table) handleEnd(now time.Time, a *agentState, e *work.End) {
-	tk := t.taskOf(e.Run)
+	tk := t.taskAt(a, e.Run)
 	if tk == nil {
 		t.ackAfterConfirmation(now, a, e)
 		return
--- a/jobs/restartedagent_test.go
+++ b/jobs/restartedagent_test.go
@@ -23,7 +23,7 @@
 		if got := f.startCount(); got != 2 {
 			t.Fatalf("%s: %d starts, want a second one", outcome, got)
 		}
-		if tk := f.table.taskOf(s.Run); tk.failures.count > 0 {
+		if tk := f.table.jobs[testJob(1, 1, true).ID].task(0, 0); tk.failures.count > 0 {
 			t.Errorf("%s: the end counts as a failure", outcome)
 		}
 		r = f.newReport("h0", r.Attachment, end(f.started["h0"][1], 2, work.OutcomeDone))
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -55,7 +55,9 @@
 	suspectsAt map[*agentState]*job
 	shards     map[int]*shard
 	jobs       map[string]*job
-	agents     map[string]*agentState
+	// displaced holds, by id, best-effort jobs that a durable job has displaced while they have runs.
+	displaced map[string]*job
+	agents    map[string]*agentState
 	// active holds the agents that are attached or have tasks placed, in the order of their
 	// names.
 	active []*agentState
@@ -126,6 +128,7 @@
 		jobs:         make(map[string]*job),
 		agents:       make(map[string]*agentState),
 		abandoned:    make(map[string]*abandonedJob),
+		displaced:    make(map[string]*job),
 	}
 }
 
@@ -221,6 +224,7 @@
 		j.takeoverPending = true
 		j.restore(p)
 		t.restoreCrashes(now, j, p)
+		t.displace(now, spec.ID)
 		t.jobs[spec.ID] = j
 	}
 	for id, p := range progress {
@@ -237,6 +241,7 @@
 	if j.endedAt.After(now) {
 		j.endedAt = now
 	}
+	t.displace(now, id)
 	t.jobs[id] = j
 	t.ended = append(t.ended, j)
 }
@@ -284,7 +289,7 @@
 		return
 	}
 	for _, j := range t.jobs {
-		if j.shard == number && j.takeoverPending {
+		if j.shard == number && j.takeoverPending && t.displaced[j.id] == nil {
 			j.takeoverPending = false
 			for step := range j.tasks {
 				for i := range j.tasks[step] {
@@ -339,7 +344,9 @@
 	t.ended = t.ended[n:]
 	n = 0
 	for n < len(t.recent) && now.Sub(t.recent[n].endedAt) > recentRetention {
-		delete(t.jobs, t.recent[n].id)
+		if id := t.recent[n].id; t.jobs[id] == t.recent[n] {
+			delete(t.jobs, id)
+		}
 		n++
 	}
 	t.recent = t.recent[n:]
