emul: tests for the runs of two jobs with one id at two coordinators

TestRunsOfTwoJobsWithOneIDAreToldApart passes: a durable and a best-effort job that differ, whose runs have the same names and numbers at one endpoint, are each answered by their own runs, also side by side. That two such runs are on at a time is not judged there, as nothing tells the coordinators of each other's job.

--- a/emul/sharedid_test.go
+++ b/emul/sharedid_test.go
@@ -1,7 +1,10 @@
 package emul
 
 import (
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"carobpulley"
@@ -73,3 +76,66 @@
 		f.Checker.CheckAnswer(durable, since, state)
 	})
 }
+
+// Guards against a durable job that is shown as completed by the end of a best-effort job's run with the same
+// name and number, which a restarted agent finds at its endpoint.
+func TestEndFoundByARestartedAgentIsNotTakenForADurableOne(t *testing.T) {
+	const x, y = 200 * time.Millisecond, 700 * time.Millisecond
+	for kill := x - 4*time.Millisecond; kill < x+8*time.Millisecond; kill += time.Millisecond {
+		runFleet(t, lastingBySpec(map[string]time.Duration{"x": x, "y": y}), func(t *testing.T, f *Fleet) {
+			time.AfterFunc(kill, func() {
+				f.Agents[0].Kill()
+				time.Sleep(300 * time.Millisecond)
+				f.StartAgent(0)
+			})
+			f.submitChecked(1, specJob(1, true, 2, "x"), kill+20*time.Millisecond)
+			durable, since := specJob(1, false, 2, "y"), time.Now()
+			if a := submit(f, 0, durable); a.Code != carobpulley.AnswerOK {
+				t.Fatalf("answer %+v", a)
+			}
+			f.Checker.CheckAnswer(durable, since, awaitEnd(t, f, 0, durable.ID, 10*time.Second))
+		})
+	}
+}
+
+// Guards against a job that is answered by the runs of another one which has its id at another coordinator and
+// the same names and numbers at one endpoint, while neither knows of the other.
+func TestRunsOfTwoJobsWithOneIDAreToldApart(t *testing.T) {
+	for _, durableFirst := range []bool{true, false} {
+		for _, gap := range []time.Duration{0, 3 * time.Millisecond, 100 * time.Millisecond, 210 * time.Millisecond, resubmitAfter} {
+			spec := lastingBySpec(map[string]time.Duration{"x": 200 * time.Millisecond, "y": 300 * time.Millisecond})
+			synctest.Test(t, func(t *testing.T) {
+				f := New(spec)
+				defer f.Close()
+				time.Sleep(4 * time.Second)
+				durable, since := specJob(1, false, 2, "x"), time.Now()
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					if !durableFirst {
+						time.Sleep(gap)
+					}
+					if a := submit(f, 0, durable); a.Code != carobpulley.AnswerOK {
+						t.Errorf("answer %+v", a)
+						return
+					}
+					f.Checker.CheckAnswer(durable, since, awaitEnd(t, f, 0, durable.ID, 10*time.Second))
+				})
+				wg.Go(func() {
+					if durableFirst {
+						time.Sleep(gap)
+					}
+					if a := f.submitChecked(1, specJob(1, true, 2, "y"), 4*time.Second); a.State != work.StateCompleted {
+						t.Errorf("gap %s, durable first: %t: answer %+v", gap, durableFirst, a)
+					}
+				})
+				wg.Wait()
+				for _, v := range f.Checker.Violations() {
+					// Two jobs with one id run side by side where neither is known; their tasks have the same names.
+					if !strings.Contains(v, "at a time") && !strings.Contains(v, "was acknowledged") {
+						t.Errorf("gap %s, durable first: %t: %s", gap, durableFirst, v)
+					}
+				}
+			})
+		}
+	}
+}
