--- a/jobs/restore.go
+++ b/jobs/restore.go
@@ -19,6 +19,7 @@
 	stored, errs := groupRecords(records)
 	for _, id := range slices.Sorted(maps.Keys(stored)) {
 		r := stored[id]
+		t.displace(now, id)
 		readable, odd := r.Check()
 		errs = append(errs, odd...)
 		if readable && r.HasEnds() {
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -56,7 +56,9 @@
 	suspectsAt map[*agentState]*job
 	shards     map[int]*shard
 	jobs       map[string]*job
-	agents     map[string]*agentState
+	// displaced holds, by id, best-effort jobs that a durable job has displaced while they have runs.
+	displaced map[string]*job
+	agents    map[string]*agentState
 	// active holds the agents that are attached or have tasks placed, in the order of their
 	// names.
 	active []*agentState
@@ -127,6 +129,7 @@
 		jobs:         make(map[string]*job),
 		agents:       make(map[string]*agentState),
 		abandoned:    make(map[string]*abandonedJob),
+		displaced:    make(map[string]*job),
 	}
 }
 
@@ -226,7 +229,7 @@
 		return
 	}
 	for _, j := range t.jobs {
-		if j.shard == number && j.takeoverPending {
+		if j.shard == number && j.takeoverPending && t.displaced[j.id] == nil {
 			j.takeoverPending = false
 			for step := range j.tasks {
 				for i := range j.tasks[step] {
@@ -281,7 +284,9 @@
 	t.ended = t.ended[n:]
 	n = 0
 	for n < len(t.recent) && now.Sub(t.recent[n].endedAt) > recentRetention {
-		delete(t.jobs, t.recent[n].id)
+		if id := t.recent[n].id; t.jobs[id] == t.recent[n] {
+			delete(t.jobs, id)
+		}
 		n++
 	}
 	t.recent = t.recent[n:]
