jobs: a durable job continues the run numbers of a best-effort one that was given up

What callers saw: not observed; it takes a durable job with the id of a best-effort one that its owner gave up less than 12 s before. The durable job was accepted and never ended. Run numbers began at 1 again in the same process, and an agent that remembers the end of a run takes a start of that number by that process for a copy of its dispatch: it starts nothing and tells no end. Best-effort jobs continue the numbers; durable ones did not.

TestDurableJobContinuesTheRunNumbersOfAnAbandonedOne failed before.

--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -49,6 +49,7 @@
 	spec.Epoch = t.shards[number].epoch
 	spec.AcceptedMS = now.UnixMilli()
 	j = newJob(spec, number, now)
+	t.recallAbandoned(j)
 	t.jobs[spec.ID] = j
 	t.markDirty(j)
 	return SubmitPending, ""
--- a/jobs/resubmit_test.go
+++ b/jobs/resubmit_test.go
@@ -285,3 +285,19 @@
 		t.Errorf("run %d after run %d", last.Run.Number, first.Run.Number)
 	}
 }
+
+// Guards against a durable job that never ends, since its run has the number of one that its coordinator has
+// given up there for a best-effort job with its id: the agent takes the start for a copy of that one's.
+func TestDurableJobContinuesTheRunNumbersOfAnAbandonedOne(t *testing.T) {
+	f := newOwner(t, 1)
+	f.submit(testJob(1, 1, true))
+	f.table.Abandon(f.now, testJob(1, 1, true).ID, "test")
+	f.takeDispatches()
+	f.report("h0", end(f.started["h0"][0], 1, work.OutcomeStopped))
+	f.submit(testJob(1, 1, false))
+	f.commit()
+	starts := f.started["h0"]
+	if len(starts) != 2 || !starts[1].Durable || starts[1].Run.Number != 2 {
+		t.Errorf("starts %v, want run 2 of the durable job", starts)
+	}
+}
