soak: the callers' connections are cut, and each answer is checked on the wire

Callers' calls pass a proxy in front of each coordinator, with a series of faults of its own: responses cut at any byte by a close or a reset, data held back, delays, resets. The endpoints' record checks each `completed` and `failed`, and attempts are limited as in the emulation. The series of the other faults are those of before.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -40,6 +40,7 @@
 	targetLinks
 	targetDomains
 	targetSignals
+	targetCallers
 	targetCount
 )
 
@@ -101,6 +102,34 @@
 	}
 }
 
+// callerFaults are the faults of the connections between callers and coordinators. They have a sequence
+// of their own.
+func callerFaults() []fault {
+	return []fault{
+		{"answers cut", targetCallers, func(s *soak, rng *rand.Rand) { s.disturbCallers(rng, modeCut) }},
+		{"answers cut by a reset", targetCallers, func(s *soak, rng *rand.Rand) { s.disturbCallers(rng, modeCutReset) }},
+		{"callers frozen", targetCallers, func(s *soak, rng *rand.Rand) { s.disturbCallers(rng, modeFreeze) }},
+		{"callers delayed", targetCallers, func(s *soak, rng *rand.Rand) { s.disturbCallers(rng, modeDelay) }},
+		{"callers reset", targetCallers, func(s *soak, rng *rand.Rand) { pick(rng, s.fleet.coordinators).callersProxy.resetConns() }},
+	}
+}
+
+// disturbCallers sets a mode for the callers of one coordinator or of all.
+func (s *soak) disturbCallers(rng *rand.Rand, m mode) {
+	some := s.fleet.coordinators
+	if n := rng.IntN(len(some) + 1); n < len(some) {
+		some = some[n : n+1]
+	}
+	for _, p := range some {
+		p.callersProxy.seedCuts(rng.Uint64())
+		p.callersProxy.setMode(m)
+	}
+	time.Sleep(faultDuration(rng))
+	for _, p := range some {
+		p.callersProxy.setMode(modePass)
+	}
+}
+
 func randomStoreFault(rng *rand.Rand) emul.Fault {
 	return pick(rng, []emul.Fault{emul.FaultBusy, emul.FaultUnresponsive, emul.FaultLostAnswers})
 }
@@ -167,9 +196,8 @@
 	}
 }
 
-// injectFaults injects random faults one after the other until the given time.
-func (s *soak) injectFaults(rng *rand.Rand, until time.Time) {
-	all := faults()
+// injectFaults injects random faults of a list one after the other until the given time.
+func (s *soak) injectFaults(rng *rand.Rand, all []fault, until time.Time) {
 	for time.Now().Before(until) && s.fleet.ctx.Err() == nil {
 		time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
 		f := pick(rng, all)
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -31,6 +31,8 @@
 	queue        = "q"
 	hostName     = "soak.example"
 	pathPrefix   = "/q/"
+	// maxAttempts is the number of failed runs of a task after which its job has failed.
+	maxAttempts = 4
 	// heartbeatInterval is the time between two heartbeats, as PROTOCOL.md specifies it.
 	heartbeatInterval = 1500 * time.Millisecond
 	// gracePeriod is the time from SIGTERM to SIGKILL.
@@ -48,7 +50,7 @@
 	// memoryMB is the memory limit in a process's settings.
 	memoryMB = 150
 	// Ports are the same on every address of the system.
-	callersPort, readyPort, heartbeatPort, innerPort, advertisedPort, endpointPort, storePort = 7401, 7402, 7403, 7404, 7405, 7406, 7407
+	callersPort, readyPort, heartbeatPort, innerPort, advertisedPort, endpointPort, storePort, callersProxyPort = 7401, 7402, 7403, 7404, 7405, 7406, 7407, 7408
 	// firstSubnet and subnets bound the second byte of the addresses, so that several soak
 	// processes can run at a time.
 	firstSubnet, subnets = 20, 200
@@ -62,6 +64,8 @@
 	log          *os.File
 	addr         netip.Addr
 	proxy        *proxy
+	// callersProxy forwards the callers' connections; nil for an agent.
+	callersProxy *proxy
 	storeView    *emul.View
 	env          []string
 
@@ -108,6 +112,7 @@
 		store: emul.NewStore(), checker: emul.NewChecker(), jobs: newRegistry(),
 	}
 	f.ctx, f.cancel = context.WithCancel(ctx)
+	f.checker.LimitAttempts(maxAttempts)
 	if err := f.writeConfig(); err != nil {
 		return nil, err
 	}
@@ -135,7 +140,7 @@
 // writeConfig appends the operators' configuration to the store.
 func (f *fleet) writeConfig() error {
 	r, err := stand.ConfigRecord(&work.RoutingConfig{Version: 1, Routes: []work.Route{{Host: hostName, Prefix: pathPrefix, Queue: work.Queue{
-		Name: queue, Service: service, MaxAttempts: 4, Stretch: 1.6, TargetMS: 60,
+		Name: queue, Service: service, MaxAttempts: maxAttempts, Stretch: 1.6, TargetMS: 60,
 	}}}})
 	if err != nil {
 		return err
@@ -198,6 +203,11 @@
 	if p.proxy, err = newProxy(at(advertisedPort), at(innerPort)); err != nil {
 		return err
 	}
+	if s.Callers.IsValid() {
+		if p.callersProxy, err = newProxy(at(callersProxyPort), s.Callers); err != nil {
+			return err
+		}
+	}
 	*to = append(*to, p)
 	return f.start(p)
 }
@@ -307,6 +317,9 @@
 		p.signal(syscall.SIGCONT)
 		_ = p.endBySignal(syscall.SIGKILL) // the error only says that the process was killed
 		p.proxy.close()
+		if p.callersProxy != nil {
+			p.callersProxy.close()
+		}
 		_ = p.log.Close() // no result depends on the log
 	}
 	f.cancel()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,6 +28,7 @@
 connections that are delayed, reset, or lose data in one or both directions, a
 store that rejects calls, does not answer, loses answers or removes its history,
 endpoints that crash or do not answer commands, domains taken out of service.
+A third one cuts, resets, freezes and delays the callers' connections.
 
 Prints one JSON line per seed. The logs of a seed that violates a guarantee are kept.`
 
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -24,6 +25,12 @@
 	// modeDropExisting drops the data of the connections that are open when it is set; new
 	// connections work.
 	modeDropExisting
+	// modeCut closes connections after a random part of a chunk that the process sends; modeCutReset
+	// resets them.
+	modeCut
+	modeCutReset
+	// modeFreeze holds all data back until the mode changes.
+	modeFreeze
 )
 
 const (
@@ -31,6 +38,12 @@
 	chunkBytes = 32 << 10
 	// chunkDelay is the delay of a chunk in modeDelay.
 	chunkDelay = 40 * time.Millisecond
+	// freezePollInterval is the pause between two looks at the mode in modeFreeze.
+	freezePollInterval = 5 * time.Millisecond
+	// cutShare is the share of chunks that are cut in modeCut and modeCutReset.
+	cutShare = 0.5
+	// tailBytes is the end of a chunk into which every second cut falls, so that bodies are cut too.
+	tailBytes = 32
 	// acceptRetryDelay is the pause after a failure to accept, such as a lack of descriptors.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -45,15 +58,20 @@
 	connCount int
 	dropUpTo  int
 	conns     map[net.Conn]bool
+	// rng draws what is cut.
+	rng *rand.Rand
 }
 
+// errCut ends a connection by a reset.
+var errCut = errors.New("connection cut")
+
 // newProxy forwards connections from addr to another address.
 func newProxy(addr, target netip.AddrPort) (*proxy, error) {
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: listener, conns: make(map[net.Conn]bool)}
+	p := &proxy{target: target, listener: listener, conns: make(map[net.Conn]bool), rng: rand.New(rand.NewPCG(0, 0))}
 	go p.accept()
 	return p, nil
 }
@@ -99,10 +117,14 @@
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := src.Read(buf)
-		if n > 0 && !p.dropChunk(number, inbound) {
-			if _, werr := dst.Write(buf[:n]); werr != nil {
+		if n > 0 {
+			part, end := p.passChunk(number, inbound, n)
+			if _, werr := dst.Write(buf[:part]); werr != nil {
 				err = werr
 			}
+			if end != nil {
+				err = end
+			}
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
@@ -115,22 +137,48 @@
 	}
 }
 
-// dropChunk reports whether a chunk is to be dropped. It sleeps for chunkDelay in modeDelay.
-func (p *proxy) dropChunk(number int, inbound bool) bool {
+// passChunk returns how many of a chunk's n bytes are forwarded, and the error with which the
+// connection ends after them. It waits in modeDelay and modeFreeze.
+func (p *proxy) passChunk(number int, inbound bool, n int) (part int, end error) {
 	p.mu.Lock()
-	current, dropUpTo := p.mode, p.dropUpTo
-	p.mu.Unlock()
-	switch current {
+	defer p.mu.Unlock()
+	for p.mode == modeFreeze {
+		p.sleep(freezePollInterval)
+	}
+	switch p.mode {
 	case modeDelay:
-		time.Sleep(chunkDelay)
+		p.sleep(chunkDelay)
 	case modeDropAll:
-		return true
+		return 0, nil
 	case modeDropInbound:
-		return inbound
-	case modeDropExisting, modePass:
-		return number <= dropUpTo
+		if inbound {
+			return 0, nil
+		}
+	case modeCut, modeCutReset:
+		if inbound || p.rng.Float64() >= cutShare {
+			break
+		}
+		part = p.rng.IntN(n + 1)
+		if p.rng.IntN(2) == 0 {
+			part = n - p.rng.IntN(min(n, tailBytes)+1)
+		}
+		if p.mode == modeCut {
+			return part, io.EOF
+		}
+		return part, errCut
+	case modeDropExisting, modePass, modeFreeze:
+		if number <= p.dropUpTo {
+			return 0, nil
+		}
 	}
-	return false
+	return n, nil
+}
+
+// sleep waits without the lock, which the caller holds.
+func (p *proxy) sleep(d time.Duration) {
+	p.mu.Unlock()
+	time.Sleep(d)
+	p.mu.Lock()
 }
 
 // setMode changes the mode. Connections that were open when a dropping mode was set also drop all
@@ -139,11 +187,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
-	if m != modePass && m != modeDelay {
+	switch m {
+	case modeDropAll, modeDropInbound, modeDropExisting:
 		p.dropUpTo = p.connCount
+	default:
 	}
 }
 
+// seedCuts sets the random stream from which cuts are drawn.
+func (p *proxy) seedCuts(seed uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rng = rand.New(rand.NewPCG(seed, 0))
+}
+
 // resetConns resets all open connections.
 func (p *proxy) resetConns() {
 	p.mu.Lock()
@@ -155,6 +212,7 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close() // stops accept
+	p.setMode(modePass)
 	p.resetConns()
 }
 
--- a/cmd/soak/seed.go
+++ b/cmd/soak/seed.go
@@ -27,6 +27,8 @@
 	longRunExtra = 2 * time.Second
 	// faultSequences is the number of concurrent sequences of faults.
 	faultSequences = 2
+	// callerFaultStream is the random stream of the sequence of the callers' faults.
+	callerFaultStream = 400
 )
 
 // injectedFault is a fault in the report. AtMS is the time of its start since the
@@ -44,8 +46,12 @@
 	Refused   int    `json:"refused"`
 	Failed    int    `json:"failed"`
 	Resent    int    `json:"resent"`
-	Starts    int    `json:"starts"`
-	LongestMS int64  `json:"longest_ms"`
+	// Answers counts the responses with status 200 that arrived whole, Cut the responses of which a
+	// part arrived.
+	Answers   int   `json:"answers"`
+	Cut       int   `json:"cut"`
+	Starts    int   `json:"starts"`
+	LongestMS int64 `json:"longest_ms"`
 	// LongestJob is the job that waited longest for its answer.
 	LongestJob string          `json:"longest_job"`
 	Violations []string        `json:"broken,omitempty"`
@@ -68,6 +74,10 @@
 	injected            []injectedFault
 	results             []jobResult
 	rng                 *rand.Rand
+	// cancelled holds the ids of the jobs for which a caller has sent a DELETE.
+	cancelled map[string]bool
+	// answers and cut are as in report.
+	answers, cut int
 }
 
 func (s *soak) addResult(result jobResult) {
@@ -84,6 +94,13 @@
 	if bound, out := s.domainsOutOfService[domainOf(endpoint)]; out && time.Now().After(bound) {
 		s.fleet.checker.AddViolation(fmt.Sprintf("%s started in %s, which is out of service", start.Run.Task, domainOf(endpoint)))
 	}
+	id, _, _, err := work.ParseTaskName(start.Run.Task)
+	if err != nil || start.Spec != jobSpec(id) {
+		s.fleet.checker.AddViolation(fmt.Sprintf("%s started with the content %q", start.Run.Task, start.Spec))
+	}
+	if alwaysFails(id) {
+		return time.Duration(10+s.rng.IntN(50)) * time.Millisecond, work.OutcomeFailed
+	}
 	d := time.Duration(30+s.rng.IntN(500)) * time.Millisecond
 	if s.rng.Float64() < longRunShare {
 		d += longRunExtra
@@ -100,7 +117,7 @@
 	if err != nil {
 		return report{}, err
 	}
-	s := &soak{domainsOutOfService: make(map[string]time.Time), rng: rand.New(rand.NewPCG(seed, 1))}
+	s := &soak{domainsOutOfService: make(map[string]time.Time), cancelled: make(map[string]bool), rng: rand.New(rand.NewPCG(seed, 1))}
 	s.fleet, err = newFleet(ctx, program, dir, seed, s.taskBehavior)
 	if err != nil {
 		if s.fleet != nil {
@@ -131,10 +148,11 @@
 	var wg sync.WaitGroup
 	for n := range faultSequences {
 		rng := rand.New(rand.NewPCG(seed, uint64(100+n)))
-		wg.Go(func() { s.injectFaults(rng, until) })
+		wg.Go(func() { s.injectFaults(rng, faults(), until) })
 	}
+	wg.Go(func() { s.injectFaults(rand.New(rand.NewPCG(seed, callerFaultStream)), callerFaults(), until) })
 	for n := range callerCount {
-		c := &caller{soak: s, number: n, rng: rand.New(rand.NewPCG(seed, uint64(200+n)))}
+		c := &caller{soak: s, number: n, rng: rand.New(rand.NewPCG(seed, uint64(200+n))), habits: rand.New(rand.NewPCG(seed, uint64(300+n)))}
 		wg.Go(func() { c.run(until) })
 	}
 	wg.Wait()
@@ -155,7 +173,7 @@
 		if result.state != "" || !result.accepted || result.job.BestEffort {
 			continue
 		}
-		result.state = c.awaitEnd(result.job.ID, limit)
+		result.state = c.awaitEnd(result.job, limit)
 		if !result.state.Ended() {
 			s.fleet.checker.AddViolation(fmt.Sprintf("kept job %s is %q %s after the last fault", result.job.ID, result.state, recoveryBound))
 		}
@@ -183,7 +201,7 @@
 }
 
 func (s *soak) report(seed uint64) report {
-	r := report{Seed: seed, Jobs: len(s.results), Starts: s.fleet.checker.RunCount(), Faults: s.injected, Violations: s.fleet.checker.Violations()}
+	r := report{Seed: seed, Jobs: len(s.results), Answers: s.answers, Cut: s.cut, Starts: s.fleet.checker.RunCount(), Faults: s.injected, Violations: s.fleet.checker.Violations()}
 	for i := range s.results {
 		result := &s.results[i]
 		if ms := result.latency.Milliseconds(); ms > r.LongestMS {
--- a/emul/checker.go
+++ b/emul/checker.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// LimitAttempts sets the number of failed runs after which no run of a task may start.
+func (c *Checker) LimitAttempts(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxAttempts = n
+}
+
 // addEndpoint returns the number of a new endpoint.
 func (c *Checker) addEndpoint() int {
 	c.mu.Lock()
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{spec: spec, Net: memnet.New(networkDelay), Store: NewStore(), Checker: NewChecker(), heldOrders: make(map[string]bool), repeatRNG: rand.New(rand.NewPCG(spec.Seed, 4)), ctx: ctx, cancel: cancel, lastToken: 1000}
 	if len(spec.Config.Routes) > 0 {
-		f.Checker.maxAttempts = spec.Config.Routes[0].Queue.MaxAttempts
+		f.Checker.LimitAttempts(spec.Config.Routes[0].Queue.MaxAttempts)
 	}
 	f.Store.mu.Lock()
 	f.Store.partition(operatorsPartition).append([]carobpulley.KeyedRecord{{Key: configKey, Value: []byte("1")}})
