logs: a write takes at most 8 KiB

Batches had up to 32 KiB.

Queued lines are written in pieces of whole lines of at most 8 KiB, without a pause between them, so the rate of lines is not bounded by it.

TestWritesAreShort failed before: writes of 33,000 bytes.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -13,8 +13,9 @@
 const (
 	// queueCapacity is the number of lines that are queued while the output is slow.
 	queueCapacity = 2048
-	// maxBatchBytes is the size at which no further line is added to a batch.
-	maxBatchBytes = 32 << 10
+	// maxWriteBytes is the most that one write takes, unless a line is longer. The platform loses what
+	// a write holds beyond 8 KiB.
+	maxWriteBytes = 8 << 10
 	// flushInterval is the delay between a batch's first line and its write, so that later
 	// lines share the write.
 	flushInterval = 20 * time.Millisecond
@@ -23,7 +24,9 @@
 // Writer queues lines for output and drops them while the queue is full. Dropped returns
 // how many were dropped.
 type Writer struct {
-	out     io.Writer
+	out io.Writer
+	// batch is the buffer of writeQueued.
+	batch   []byte
 	lines   chan []byte
 	dropped atomic.Int64
 	stop    chan struct{}
@@ -65,40 +68,39 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	batch := make([]byte, 0, maxBatchBytes)
 	for {
 		select {
 		case line := <-w.lines:
-			batch = append(batch[:0], line...)
+			time.Sleep(flushInterval)
+			w.writeQueued(line)
 		case <-w.stop:
-			w.drain(batch[:0])
+			w.writeQueued(nil)
 			return
 		}
-		time.Sleep(flushInterval)
-		batch = w.appendQueued(batch)
-		_, _ = w.out.Write(batch) // a failed log write cannot be reported
 	}
 }
 
-// appendQueued appends queued lines until the batch has maxBatchBytes or the queue is empty.
-func (w *Writer) appendQueued(batch []byte) []byte {
-	for len(batch) < maxBatchBytes {
+// writeQueued writes a line and those that are queued.
+func (w *Writer) writeQueued(line []byte) {
+	batch := append(w.batch[:0], line...)
+	for {
 		select {
-		case line := <-w.lines:
-			batch = append(batch, line...)
+		case line = <-w.lines:
 		default:
-			return batch
+			w.write(batch)
+			w.batch = batch
+			return
 		}
+		if len(batch)+len(line) > maxWriteBytes {
+			w.write(batch)
+			batch = batch[:0]
+		}
+		batch = append(batch, line...)
 	}
-	return batch
 }
 
-func (w *Writer) drain(batch []byte) {
-	for {
-		batch = w.appendQueued(batch[:0])
-		if len(batch) == 0 {
-			return
-		}
+func (w *Writer) write(batch []byte) {
+	if len(batch) > 0 {
 		_, _ = w.out.Write(batch) // a failed log write cannot be reported
 	}
 }
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -59,3 +60,34 @@
 		t.Errorf("%d lines written, want 100", n)
 	}
 }
+
+// recordedWrites is an output that keeps the size and the end of each write.
+type recordedWrites struct {
+	sizes   []int
+	written int
+	torn    bool
+}
+
+func (r *recordedWrites) Write(p []byte) (int, error) {
+	r.sizes = append(r.sizes, len(p))
+	r.written += len(p)
+	r.torn = r.torn || p[len(p)-1] != '\n'
+	return len(p), nil
+}
+
+// Guards against lines that are torn or lost because the platform takes no more than 8 KiB of a write.
+func TestWritesAreShort(t *testing.T) {
+	const lines = 1500
+	out := &recordedWrites{}
+	log, w := New(out, "p")
+	for n := range lines {
+		log.Info().Str("text", strings.Repeat("x", n%400)).Msg("m")
+	}
+	w.Close()
+	if out.torn || slices.Max(out.sizes) > 8<<10 || w.Dropped() > 0 {
+		t.Errorf("writes of %v bytes, torn %v, %d lines dropped", out.sizes, out.torn, w.Dropped())
+	}
+	if most := 2 * (1 + out.written/maxWriteBytes); len(out.sizes) > most {
+		t.Errorf("%d writes for %d bytes, want at most %d", len(out.sizes), out.written, most)
+	}
+}
