--- a/logs/logs.go
+++ b/logs/logs.go
@@ -25,7 +25,7 @@
 // how many were dropped.
 type Writer struct {
 	out io.Writer
-	// batch is the buffer of writeQueued.
+	// batch holds the lines of the next write.
 	batch   []byte
 	lines   chan []byte
 	dropped atomic.Int64
@@ -82,25 +82,24 @@
 
 // writeQueued writes a line and those that are queued.
 func (w *Writer) writeQueued(line []byte) {
-	batch := append(w.batch[:0], line...)
+	w.batch = append(w.batch[:0], line...)
 	for {
 		select {
 		case line = <-w.lines:
 		default:
-			w.write(batch)
-			w.batch = batch
+			w.writeBatch()
 			return
 		}
-		if len(batch)+len(line) > maxWriteBytes {
-			w.write(batch)
-			batch = batch[:0]
+		if len(w.batch)+len(line) > maxWriteBytes {
+			w.writeBatch()
 		}
-		batch = append(batch, line...)
+		w.batch = append(w.batch, line...)
 	}
 }
 
-func (w *Writer) write(batch []byte) {
-	if len(batch) > 0 {
-		_, _ = w.out.Write(batch) // a failed log write cannot be reported
+func (w *Writer) writeBatch() {
+	if len(w.batch) > 0 {
+		_, _ = w.out.Write(w.batch) // a failed log write cannot be reported
 	}
+	w.batch = w.batch[:0]
 }
