jobs: the line given up tells how many runs may be on

A job that a caller sends to two coordinators shows at both. Whether the one that gave it up had runs by then could be told by the endpoints' record only. No logic changes.

--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"time"
 
 	"carobpulley/work"
@@ -87,7 +88,11 @@
 		return false
 	}
 	unstarted = !j.hasStarted()
-	t.logDecision(Decision{Job: id, Event: "given up", Reason: reason})
+	decision := Decision{Job: id, Event: "given up", Reason: reason}
+	if n := j.placedCount(); n > 0 {
+		decision.Reason += fmt.Sprintf(", with runs of %d tasks that are not known to have ended", n)
+	}
+	t.logDecision(decision)
 	t.rememberAbandoned(now, j)
 	t.finishJob(now, j, work.StateCancelled)
 	return unstarted
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -129,6 +129,19 @@
 // hasStarted reports whether a task of the job was placed, also for an earlier submission.
 func (j *job) hasStarted() bool { return j.started || j.startedBefore }
 
+// placedCount returns the number of tasks with a run that is not known to have ended.
+func (j *job) placedCount() int {
+	n := 0
+	for step := range j.tasks {
+		for i := range j.tasks[step] {
+			if j.tasks[step][i].phase == taskPlaced {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // abandonFactor is the multiple of the objective after which a job's answer has no
 // value, according to RULES.md.
 const abandonFactor = 3
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -98,15 +98,7 @@
 
 // logRepeated logs a submission under the id of a job.
 func (t *Table) logRepeated(j *job, difference string) {
-	placed := 0
-	for step := range j.tasks {
-		for i := range j.tasks[step] {
-			if j.tasks[step][i].phase == taskPlaced {
-				placed++
-			}
-		}
-	}
-	reason := fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, placed)
+	reason := fmt.Sprintf("it is %s, with runs of %d tasks that are not known to have ended", j.state, j.placedCount())
 	if difference != "" {
 		reason += ", and differs in " + difference
 	}
