jobs: a later caller doesn't cut an earlier one of the job short

What callers saw: a job whose tasks are not started again, up to the caller's time limit, although it waits.

Cause: tasks of a best-effort job start up to the time at which its caller's time is up, and each submission under the id replaced that time, also by an earlier one. The same held for submissions that wait for the job to be stopped.

Evidence: in the emulator two submissions of one job, of 3 s and 5 ms: the tasks that their agent had no room for were not placed again for 3 s. TestLaterCallerDoesNotCutAnEarlierOneShort fails in both cases without the change: 1 start instead of 2.

The later time holds, as the job is given up when its last caller leaves.

--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -212,3 +212,30 @@
 		t.Errorf("sendable %d without the attachment, want %d", got, SendNever)
 	}
 }
+
+// Guards against a job whose tasks no longer start although a caller waits for it, because another
+// caller of it, whose time is up sooner, came later.
+func TestLaterCallerDoesNotCutAnEarlierOneShort(t *testing.T) {
+	for name, stopped := range map[string]bool{"at work": false, "being stopped": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1).attach()
+			submit := func(wait time.Duration) {
+				j := longJob(1)
+				j.AnswerBy = f.now.Add(wait)
+				f.submit(j)
+			}
+			submit(3 * time.Second)
+			first := f.started["h0"][0]
+			if stopped {
+				f.table.Abandon(f.now, longJob(1).ID, "left")
+				submit(3 * time.Second)
+			}
+			submit(50 * time.Millisecond)
+			f.advance(100 * time.Millisecond)
+			f.report("h0", end(first, 1, work.OutcomeStopped))
+			if got := f.startCount(); got != 2 {
+				t.Errorf("%d starts, want 2: the first one was stopped while a caller waits", got)
+			}
+		})
+	}
+}
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -24,6 +24,9 @@
 	case j.cancelRequested:
 		return SubmitRefused, reasonCancelled
 	case j.state == work.StateCancelled && !j.durable():
+		if j.resubmission != nil {
+			spec.AnswerBy = laterEnd(spec.AnswerBy, j.resubmission.spec.AnswerBy)
+		}
 		j.resubmission = &resubmission{spec: spec, at: now}
 		return SubmitPending, ""
 	case j.state.Ended():
@@ -31,7 +34,7 @@
 	default:
 		// The caller is back and waits anew.
 		j.acceptedAt = now
-		j.answerBy = spec.AnswerBy
+		j.answerBy = laterEnd(j.answerBy, spec.AnswerBy)
 		return SubmitPending, ""
 	}
 	if reason := t.refusalReason(now, spec); reason != "" {
@@ -42,6 +45,17 @@
 	return SubmitPending, ""
 }
 
+// laterEnd returns the later of the times until which two callers of a job wait; zero if one is unknown.
+func laterEnd(a, b time.Time) time.Time {
+	if a.IsZero() || b.IsZero() {
+		return time.Time{}
+	}
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // acceptBestEffort adds a best-effort job that was submitted at a time and queues its tasks.
 func (t *Table) acceptBestEffort(now, submittedAt time.Time, spec *work.Job) {
 	j := newJob(spec, bestEffortShard, submittedAt)
