coord: one call to a home carries all jobs that wait

What callers saw: with a call to the home for each job, a coordinator on a small host (0.19 of a core) that is busy opens a connection for each call under way.

Change: one call at a time goes to a home and carries all that have come during the one before.

--- a/coord/hold.go
+++ b/coord/hold.go
@@ -15,11 +15,6 @@
 )
 
 const (
-	// holdTimeout bounds one call to a home: a host that has used up its share of the processor runs
-	// again within 100 ms.
-	holdTimeout = 120 * time.Millisecond
-	// maxHoldTries bounds the calls for one job; each goes to the home that is then the next one.
-	maxHoldTries = 3
 	// holderTimeout bounds the question whether a holder has the job.
 	holderTimeout = 150 * time.Millisecond
 	// holderRetryInterval is the pause between two questions to a holder that does not answer.
@@ -30,30 +25,6 @@
 	holderGoneAfter = 1300 * time.Millisecond
 )
 
-// holdings is what a coordinator knows of the processes that have best-effort jobs.
-type holdings struct {
-	// table has the ids whose home this process is.
-	table *holds.Table
-	homes *holds.Homes
-	// members are the coordinators among which homes are chosen.
-	members []holds.Member
-	// pending holds the ids that this process asks for; the channels are closed when the
-	// job is in the table, or at another process.
-	pending map[string]chan struct{}
-}
-
-func newHoldings() holdings {
-	return holdings{table: holds.New(), homes: holds.NewHomes(), pending: make(map[string]chan struct{})}
-}
-
-// updateHomes takes over the coordinators among which homes are chosen. The caller holds the lock.
-func (c *Coordinator) updateHomes() {
-	c.holdings.members = c.holdings.members[:0]
-	for name, a := range c.coordinators {
-		c.holdings.members = append(c.holdings.members, holds.Member{Name: name, Weight: a.Share})
-	}
-}
-
 // self returns this process as a holder.
 func (c *Coordinator) self() holds.Holder {
 	return holds.Holder{Coordinator: c.cfg.Self.Name, Incarnation: c.cfg.Self.Incarnation, Addr: c.cfg.Self.Addr}
@@ -125,68 +96,6 @@
 	}
 }
 
-// askHome asks the home of an id to let this process hold it in place of a replaced holder. held is not
-// set if no home answers: the job then runs unguarded.
-func (c *Coordinator) askHome(ctx context.Context, id string, replaced holds.Holder) (holder holds.Holder, since time.Time, held bool) {
-	for range maxHoldTries {
-		c.lock()
-		now := time.Now()
-		home := c.holdings.homes.Of(now, id, c.holdings.members)
-		if home == "" || home == c.cfg.Self.Name {
-			holder, since = c.holdings.table.Take(now, id, c.self(), replaced)
-			c.mu.Unlock()
-			c.cfg.Meter.Add(meter.Name("holds", "own"), 1)
-			return holder, since, true
-		}
-		peer := c.peers.At(c.coordinators[home].Addr)
-		c.mu.Unlock()
-		holder, since, err := c.callHome(ctx, peer, id, replaced)
-		if ctx.Err() != nil {
-			break
-		}
-		if c.recordHome(home, peer, err) {
-			return holder, since, true
-		}
-	}
-	c.cfg.Meter.Add(meter.Name("holds", "unguarded"), 1)
-	c.log.Warn().Str("job", id).Msg("no home answers, the job is not guarded against another start")
-	return holds.Holder{}, time.Time{}, false
-}
-
-// callHome makes one call to a home.
-func (c *Coordinator) callHome(ctx context.Context, peer *link.Peer, id string, replaced holds.Holder) (holder holds.Holder, since time.Time, err error) {
-	call, cancel := withTimeout(ctx, holdTimeout)
-	defer cancel()
-	reply, err := peer.Coordinator.Hold(call, connect.NewRequest(&relay.HoldRequest{
-		Id: id, Holder: link.HolderToWire(c.self()), Replaced: link.HolderToWire(replaced),
-	}))
-	if err != nil {
-		return holds.Holder{}, time.Time{}, err
-	}
-	holder, err = link.HolderFromWire(reply.Msg.GetHolder())
-	return holder, time.Now().Add(-link.HoldAge(reply.Msg)), err
-}
-
-// recordHome records whether a home has answered. A connection that broke tells nothing about the home,
-// which the next call asks over another one.
-func (c *Coordinator) recordHome(home string, peer *link.Peer, err error) bool {
-	c.lock()
-	defer c.mu.Unlock()
-	switch {
-	case err == nil:
-		c.holdings.homes.Answered(home)
-		c.cfg.Meter.Add(meter.Name("holds", "granted"), 1)
-		return true
-	case link.ConnectionBroken(err):
-		c.cfg.Meter.Add(meter.Name("holds", "broken"), 1)
-	default:
-		c.holdings.homes.Failed(time.Now(), home)
-		c.cfg.Meter.Add(meter.Name("holds", "unanswered"), 1)
-		c.log.Warn().Err(peer.CallError("hold", err)).Str("coordinator", home).Msg("hold not answered")
-	}
-	return false
-}
-
 // join adds a submission to a job that another process holds and returns its result. joined is not set
 // if that process does not have the job, or is gone.
 func (c *Coordinator) join(ctx context.Context, holder holds.Holder, since time.Time, j *work.Job) (a carobpulley.JobAnswer, joined bool) {
@@ -235,27 +144,6 @@
 	return reply.Msg.GetCode(), nil
 }
 
-// Hold implements relay.CoordinatorServiceHandler.
-func (s server) Hold(_ context.Context, r *connect.Request[relay.HoldRequest]) (*connect.Response[relay.HoldReply], error) {
-	by, err := link.HolderFromWire(r.Msg.GetHolder())
-	if err == nil {
-		err = work.CheckID(r.Msg.GetId())
-	}
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
-	}
-	replaced, err := link.HolderFromWire(r.Msg.GetReplaced())
-	if err != nil {
-		replaced = holds.Holder{}
-	}
-	c := s.c
-	c.lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	holder, since := c.holdings.table.Take(now, r.Msg.GetId(), by, replaced)
-	return connect.NewResponse(&relay.HoldReply{Holder: link.HolderToWire(holder), AgeMs: now.Sub(since).Milliseconds()}), nil
-}
-
 // Join implements relay.CoordinatorServiceHandler.
 func (s server) Join(ctx context.Context, r *connect.Request[relay.JoinRequest]) (*connect.Response[relay.JobReply], error) {
 	c, id := s.c, r.Msg.GetId()
--- /dev/null
+++ b/coord/homes.go
@@ -0,0 +1,204 @@
+package coord
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"carobpulley/holds"
+	"carobpulley/link"
+	"carobpulley/meter"
+	"carobpulley/wire/relay"
+	"carobpulley/work"
+)
+
+const (
+	// holdTimeout bounds one call to a home: a host that has used up its share of the processor runs
+	// again within 100 ms.
+	holdTimeout = 120 * time.Millisecond
+	// maxHoldTries bounds the calls for one job; each goes to the home that is then the next one.
+	maxHoldTries = 3
+	// maxHoldBatch bounds the ids of one call.
+	maxHoldBatch = 256
+)
+
+// holdings is what a coordinator knows of the processes that have best-effort jobs.
+type holdings struct {
+	// table has the ids whose home this process is.
+	table *holds.Table
+	homes *holds.Homes
+	// members are the coordinators among which homes are chosen.
+	members []holds.Member
+	// pending holds the ids that this process asks for; the channels are closed when the
+	// job is in the table, or at another process.
+	pending map[string]chan struct{}
+	// asks holds, by home, the asks that wait for the call under way; a home without a call has none.
+	asks map[string][]*holdAsk
+}
+
+func newHoldings() holdings {
+	return holdings{
+		table: holds.New(), homes: holds.NewHomes(),
+		pending: make(map[string]chan struct{}), asks: make(map[string][]*holdAsk),
+	}
+}
+
+// holdAsk asks the home of an id to let this process hold it in place of a replaced holder.
+type holdAsk struct {
+	id       string
+	replaced holds.Holder
+	// done is closed when the home has answered or the call has failed.
+	done chan struct{}
+	// answered is set if the home has answered, with the holder and the time since which it holds the id.
+	answered bool
+	holder   holds.Holder
+	since    time.Time
+}
+
+// updateHomes takes over the coordinators among which homes are chosen. The caller holds the lock.
+func (c *Coordinator) updateHomes() {
+	c.holdings.members = c.holdings.members[:0]
+	for name, a := range c.coordinators {
+		c.holdings.members = append(c.holdings.members, holds.Member{Name: name, Weight: a.Share})
+	}
+}
+
+// askHome asks the home of an id to let this process hold it in place of a replaced holder. held is not
+// set if no home answers: the job then runs unguarded.
+func (c *Coordinator) askHome(ctx context.Context, id string, replaced holds.Holder) (holder holds.Holder, since time.Time, held bool) {
+	for range maxHoldTries {
+		ask := &holdAsk{id: id, replaced: replaced, done: make(chan struct{})}
+		c.lock()
+		c.submitAsk(ask)
+		c.mu.Unlock()
+		select {
+		case <-ask.done:
+		case <-ctx.Done():
+			return holds.Holder{}, time.Time{}, false
+		}
+		if ask.answered {
+			return ask.holder, ask.since, true
+		}
+	}
+	c.cfg.Meter.Add(meter.Name("holds", "unguarded"), 1)
+	c.log.Warn().Str("job", id).Msg("no home answers, the job is not guarded against another start")
+	return holds.Holder{}, time.Time{}, false
+}
+
+// submitAsk answers an ask if this process is the home of its id, or adds it to the next call to the
+// home. The caller holds the lock.
+func (c *Coordinator) submitAsk(ask *holdAsk) {
+	now := time.Now()
+	home := c.holdings.homes.Of(now, ask.id, c.holdings.members)
+	if home == "" || home == c.cfg.Self.Name {
+		ask.holder, ask.since = c.holdings.table.Take(now, ask.id, c.self(), ask.replaced)
+		ask.answered = true
+		close(ask.done)
+		c.cfg.Meter.Add(meter.Name("holds", "own"), 1)
+		return
+	}
+	waiting, calling := c.holdings.asks[home]
+	c.holdings.asks[home] = append(waiting, ask)
+	if !calling {
+		go c.callHome(home)
+	}
+}
+
+// callHome calls a home until no asks for it are left. One call at a time carries all that have come
+// during the one before, so that a busy coordinator makes fewer calls, not more.
+func (c *Coordinator) callHome(home string) {
+	for {
+		c.lock()
+		asks := c.holdings.asks[home]
+		if len(asks) == 0 {
+			delete(c.holdings.asks, home)
+			c.mu.Unlock()
+			return
+		}
+		n := min(len(asks), maxHoldBatch)
+		asks, c.holdings.asks[home] = asks[:n], asks[n:]
+		peer := c.peers.At(c.coordinators[home].Addr)
+		c.mu.Unlock()
+		c.recordHome(home, peer, c.sendAsks(peer, asks), len(asks))
+		for _, ask := range asks {
+			close(ask.done)
+		}
+	}
+}
+
+// sendAsks makes one call to a home, and sets the answers of the asks.
+func (c *Coordinator) sendAsks(peer *link.Peer, asks []*holdAsk) error {
+	call, cancel := withTimeout(c.baseCtx, holdTimeout)
+	defer cancel()
+	m := &relay.HoldRequest{Holder: link.HolderToWire(c.self()), Asks: make([]*relay.HoldAsk, len(asks))}
+	for n, ask := range asks {
+		m.Asks[n] = &relay.HoldAsk{Id: ask.id, Replaced: link.HolderToWire(ask.replaced)}
+	}
+	reply, err := peer.Coordinator.Hold(call, connect.NewRequest(m))
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	for n, hold := range reply.Msg.GetHolds()[:min(len(asks), len(reply.Msg.GetHolds()))] {
+		asks[n].holder, asks[n].since = c.self(), now.Add(-link.HoldAge(hold))
+		if hold.GetHolder() != nil {
+			if asks[n].holder, err = link.HolderFromWire(hold.GetHolder()); err != nil {
+				return err
+			}
+		}
+		asks[n].answered = true
+	}
+	return nil
+}
+
+// recordHome records whether a home has answered. A connection that broke tells nothing about the home,
+// which the next call asks over another one.
+func (c *Coordinator) recordHome(home string, peer *link.Peer, err error, asks int) {
+	c.lock()
+	defer c.mu.Unlock()
+	result := "granted"
+	switch {
+	case err == nil:
+		c.holdings.homes.Answered(home)
+	case link.ConnectionBroken(err):
+		result = "broken"
+	default:
+		result = "unanswered"
+		c.holdings.homes.Failed(time.Now(), home)
+		c.log.Warn().Err(peer.CallError("hold", err)).Str("coordinator", home).Int("asks", asks).Msg("hold not answered")
+	}
+	c.cfg.Meter.Add("hold_calls", 1)
+	c.cfg.Meter.Add(meter.Name("holds", result), int64(asks))
+}
+
+// Hold implements relay.CoordinatorServiceHandler.
+func (s server) Hold(_ context.Context, r *connect.Request[relay.HoldRequest]) (*connect.Response[relay.HoldReply], error) {
+	by, err := link.HolderFromWire(r.Msg.GetHolder())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	for _, ask := range r.Msg.GetAsks() {
+		if err := work.CheckID(ask.GetId()); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
+	c := s.c
+	c.lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	reply := &relay.HoldReply{Holds: make([]*relay.Hold, 0, len(r.Msg.GetAsks()))}
+	for _, ask := range r.Msg.GetAsks() {
+		replaced, err := link.HolderFromWire(ask.GetReplaced())
+		if err != nil {
+			replaced = holds.Holder{}
+		}
+		holder, since := c.holdings.table.Take(now, ask.GetId(), by, replaced)
+		hold := &relay.Hold{AgeMs: now.Sub(since).Milliseconds()}
+		if !holder.Same(by) {
+			hold.Holder = link.HolderToWire(holder)
+		}
+		reply.Holds = append(reply.Holds, hold)
+	}
+	return connect.NewResponse(reply), nil
+}
--- a/link/holder.go
+++ b/link/holder.go
@@ -30,6 +30,6 @@
 }
 
 // HoldAge returns the age of a hold that a peer tells.
-func HoldAge(m *relay.HoldReply) time.Duration {
+func HoldAge(m *relay.Hold) time.Duration {
 	return time.Duration(min(max(m.GetAgeMs(), 0), maxHoldAge.Milliseconds())) * time.Millisecond
 }
