holds: a hold is replaced by its number

Cause: a coordinator that finds a holder without the job has the home replace it by name. Between its question and the call to the home the holder may get the job again, from another caller, and start it: both then have it. A submission that met a job as it left the table could also go on without a hold.

Found by reading. Holds have a number that tells the grants of an id apart, also those of one holder; TestTake has the order. A submission that finds the job gone asks the home anew.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -15,10 +15,7 @@
 // before the caller submits the job again elsewhere.
 func (c *Coordinator) runBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
 	began := time.Now()
-	a, elsewhere := c.acquire(ctx, j)
-	if !elsewhere {
-		a = c.awaitBestEffort(ctx, j)
-	}
+	a := c.awaitBestEffort(ctx, j)
 	took := time.Since(began)
 	c.recordAnswer(j, a, took)
 	c.log.Info().Str("job", j.ID).Int64("took_ms", took.Milliseconds()).Int64("objective_ms", j.Objective().Milliseconds()).Str("queue", j.Queue.Name).Int("tasks", j.Tasks()).
@@ -27,20 +24,24 @@
 }
 
 func (c *Coordinator) awaitBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
-	c.lock()
-	c.dropPending(j.ID)
-	ch, a := c.submitBestEffort(ctx, j)
-	c.mu.Unlock()
-	if ch == nil {
-		return a
+	for {
+		own, answered, a := c.acquire(ctx, j)
+		if answered {
+			return a
+		}
+		if a = c.runHere(ctx, j, own); a.Code != notOwner {
+			return a
+		}
 	}
-	return c.awaitResult(ctx, j.ID, ch)
 }
 
-// joinBestEffort adds a submission that another coordinator has got to a job that is here.
-func (c *Coordinator) joinBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
+// runHere adds a submission to the table and waits for the job's result. Unless this process may start the
+// job, it has to be in the table already.
+func (c *Coordinator) runHere(ctx context.Context, j *work.Job, mayStart bool) carobpulley.JobAnswer {
 	c.lock()
-	if !c.table.HasJob(j.ID) {
+	if mayStart {
+		c.dropPending(j.ID)
+	} else if !c.table.HasJob(j.ID) {
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -30,36 +30,32 @@
 	return holds.Holder{Coordinator: c.cfg.Self.Name, Incarnation: c.cfg.Self.Incarnation, Addr: c.cfg.Self.Addr}
 }
 
-// acquire makes this process the only one that may start a best-effort job. If another one has the job,
-// it waits for that one's result instead and returns it. Unless it does, the caller has to end the
-// pending state of the id.
-func (c *Coordinator) acquire(ctx context.Context, j *work.Job) (a carobpulley.JobAnswer, elsewhere bool) {
-	if !c.beginPending(ctx, j.ID) {
-		return carobpulley.JobAnswer{}, false
-	}
-	var replaced holds.Holder
-	for ctx.Err() == nil {
-		holder, since, held := c.askHome(ctx, j.ID, replaced)
-		if !held || holder.Same(c.self()) {
-			return carobpulley.JobAnswer{}, false
+// acquire makes this process the only one that may start a best-effort job: own is set, and the id is
+// pending until the job is in the table. If another process has the job, it waits for that one's result
+// and returns it: answered is set. Otherwise the job is in the table here.
+func (c *Coordinator) acquire(ctx context.Context, j *work.Job) (own, answered bool, a carobpulley.JobAnswer) {
+	replaced := uint64(0)
+	for c.beginPending(ctx, j.ID) {
+		h, held := c.askHome(ctx, j.ID, replaced)
+		if !held || h.Holder.Same(c.self()) {
+			return true, false, carobpulley.JobAnswer{}
 		}
 		c.cfg.Meter.Add(meter.Name("holds", "elsewhere"), 1)
-		c.log.Info().Str("job", j.ID).Str("coordinator", holder.Coordinator).Uint64("incarnation", holder.Incarnation).
-			Int64("age_ms", time.Since(since).Milliseconds()).Msg("held elsewhere")
+		c.log.Info().Str("job", j.ID).Str("coordinator", h.Holder.Coordinator).Uint64("incarnation", h.Holder.Incarnation).
+			Int64("age_ms", time.Since(h.At).Milliseconds()).Msg("held elsewhere")
 		c.endPending(j.ID)
-		joined := false
-		if a, joined = c.join(ctx, holder, since, j); joined {
-			return a, true
-		}
-		replaced = holder
-		if !c.beginPending(ctx, j.ID) {
-			return carobpulley.JobAnswer{}, false
+		if a, answered = c.join(ctx, h, j); answered {
+			return false, true, a
 		}
+		replaced = h.Number
+	}
+	if err := ctx.Err(); err != nil {
+		return false, true, refusedAnswer("the caller has left: " + err.Error())
 	}
-	return carobpulley.JobAnswer{}, false
+	return false, false, carobpulley.JobAnswer{}
 }
 
-// beginPending marks an id as asked for. It waits while it is asked for already, and reports false if
+// beginPending marks an id as pending. It waits while another submission has it so, and reports false if
 // the job is in the table then or the caller has left.
 func (c *Coordinator) beginPending(ctx context.Context, id string) bool {
 	for {
@@ -98,20 +94,20 @@
 
 // join adds a submission to a job that another process holds and returns its result. joined is not set
 // if that process does not have the job, or is gone.
-func (c *Coordinator) join(ctx context.Context, holder holds.Holder, since time.Time, j *work.Job) (a carobpulley.JobAnswer, joined bool) {
+func (c *Coordinator) join(ctx context.Context, h holds.Hold, j *work.Job) (a carobpulley.JobAnswer, joined bool) {
 	body, err := work.EncodeJob(j)
 	if err != nil {
 		return carobpulley.JobAnswer{Code: carobpulley.AnswerInvalid, Reason: err.Error()}, true
 	}
-	peer := c.peers.At(holder.Addr)
-	goneAt := since.Add(holderGoneAfter)
+	peer := c.peers.At(h.Holder.Addr)
+	goneAt := h.At.Add(holderGoneAfter)
 	for ctx.Err() == nil {
-		code, err := c.askHolder(ctx, peer, holder, j.ID)
+		code, err := c.askHolder(ctx, peer, h.Holder, j.ID)
 		switch {
 		case err == nil && code == relay.Code_CODE_NOT_OWNER:
 			return carobpulley.JobAnswer{}, false
 		case err == nil && code == relay.Code_CODE_OK:
-			reply, err := peer.Coordinator.Join(ctx, connect.NewRequest(&relay.JoinRequest{Id: j.ID, Job: body, Incarnation: holder.Incarnation}))
+			reply, err := peer.Coordinator.Join(ctx, connect.NewRequest(&relay.JoinRequest{Id: j.ID, Job: body, Incarnation: h.Holder.Incarnation}))
 			if err == nil && reply.Msg.GetCode() != relay.Code_CODE_NOT_OWNER {
 				c.cfg.Meter.Add("joins", 1)
 				return answerFromReply(reply.Msg), true
@@ -162,7 +158,7 @@
 	if err != nil {
 		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
 	}
-	return connect.NewResponse(replyFromAnswer(c.joinBestEffort(ctx, j))), nil
+	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false))), nil
 }
 
 // awaitJob waits while an id is asked for and reports whether the job is in the table then.
--- a/coord/homes.go
+++ b/coord/homes.go
@@ -44,16 +44,15 @@
 	}
 }
 
-// holdAsk asks the home of an id to let this process hold it in place of a replaced holder.
+// holdAsk asks the home of an id to let this process hold it in place of a replaced hold.
 type holdAsk struct {
 	id       string
-	replaced holds.Holder
+	replaced uint64
 	// done is closed when the home has answered or the call has failed.
 	done chan struct{}
-	// answered is set if the home has answered, with the holder and the time since which it holds the id.
+	// answered is set if the home has answered, with the hold in force.
 	answered bool
-	holder   holds.Holder
-	since    time.Time
+	hold     holds.Hold
 }
 
 // updateHomes takes over the coordinators among which homes are chosen. The caller holds the lock.
@@ -64,9 +63,9 @@
 	}
 }
 
-// askHome asks the home of an id to let this process hold it in place of a replaced holder. held is not
-// set if no home answers: the job then runs unguarded.
-func (c *Coordinator) askHome(ctx context.Context, id string, replaced holds.Holder) (holder holds.Holder, since time.Time, held bool) {
+// askHome asks the home of an id to let this process hold it in place of a replaced hold; 0 if there is
+// none. It returns the hold in force. held is not set if no home answers: the job then runs unguarded.
+func (c *Coordinator) askHome(ctx context.Context, id string, replaced uint64) (h holds.Hold, held bool) {
 	for range maxHoldTries {
 		ask := &holdAsk{id: id, replaced: replaced, done: make(chan struct{})}
 		c.lock()
@@ -75,15 +74,15 @@
 		select {
 		case <-ask.done:
 		case <-ctx.Done():
-			return holds.Holder{}, time.Time{}, false
+			return holds.Hold{}, false
 		}
 		if ask.answered {
-			return ask.holder, ask.since, true
+			return ask.hold, true
 		}
 	}
 	c.cfg.Meter.Add(meter.Name("holds", "unguarded"), 1)
 	c.log.Warn().Str("job", id).Msg("no home answers, the job is not guarded against another start")
-	return holds.Holder{}, time.Time{}, false
+	return holds.Hold{}, false
 }
 
 // submitAsk answers an ask if this process is the home of its id, or adds it to the next call to the
@@ -92,8 +91,7 @@
 	now := time.Now()
 	home := c.holdings.homes.Of(now, ask.id, c.holdings.members)
 	if home == "" || home == c.cfg.Self.Name {
-		ask.holder, ask.since = c.holdings.table.Take(now, ask.id, c.self(), ask.replaced)
-		ask.answered = true
+		ask.hold, ask.answered = c.holdings.table.Take(now, ask.id, c.self(), ask.replaced), true
 		close(ask.done)
 		c.cfg.Meter.Add(meter.Name("holds", "own"), 1)
 		return
@@ -133,19 +131,16 @@
 	defer cancel()
 	m := &relay.HoldRequest{Holder: link.HolderToWire(c.self()), Asks: make([]*relay.HoldAsk, len(asks))}
 	for n, ask := range asks {
-		m.Asks[n] = &relay.HoldAsk{Id: ask.id, Replaced: link.HolderToWire(ask.replaced)}
+		m.Asks[n] = &relay.HoldAsk{Id: ask.id, Replaced: ask.replaced}
 	}
 	reply, err := peer.Coordinator.Hold(call, connect.NewRequest(m))
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	for n, hold := range reply.Msg.GetHolds()[:min(len(asks), len(reply.Msg.GetHolds()))] {
-		asks[n].holder, asks[n].since = c.self(), now.Add(-link.HoldAge(hold))
-		if hold.GetHolder() != nil {
-			if asks[n].holder, err = link.HolderFromWire(hold.GetHolder()); err != nil {
-				return err
-			}
+	for n, m := range reply.Msg.GetHolds()[:min(len(asks), len(reply.Msg.GetHolds()))] {
+		if asks[n].hold, err = link.HoldFromWire(now, c.self(), m); err != nil {
+			return err
 		}
 		asks[n].answered = true
 	}
@@ -189,16 +184,8 @@
 	now := time.Now()
 	reply := &relay.HoldReply{Holds: make([]*relay.Hold, 0, len(r.Msg.GetAsks()))}
 	for _, ask := range r.Msg.GetAsks() {
-		replaced, err := link.HolderFromWire(ask.GetReplaced())
-		if err != nil {
-			replaced = holds.Holder{}
-		}
-		holder, since := c.holdings.table.Take(now, ask.GetId(), by, replaced)
-		hold := &relay.Hold{AgeMs: now.Sub(since).Milliseconds()}
-		if !holder.Same(by) {
-			hold.Holder = link.HolderToWire(holder)
-		}
-		reply.Holds = append(reply.Holds, hold)
+		hold := c.holdings.table.Take(now, ask.GetId(), by, ask.GetReplaced())
+		reply.Holds = append(reply.Holds, link.HoldToWire(now, by, hold))
 	}
 	return connect.NewResponse(reply), nil
 }
--- a/coord/homes_test.go
+++ b/coord/homes_test.go
@@ -87,8 +87,8 @@
 		var wg sync.WaitGroup
 		for n := range jobs {
 			wg.Go(func() {
-				if holder, _, held := c.askHome(t.Context(), fmt.Sprintf("%016x", n), c.self()); !held || !holder.Same(c.self()) {
-					t.Errorf("job %d: held by %+v", n, holder)
+				if hold, held := c.askHome(t.Context(), fmt.Sprintf("%016x", n), 0); !held || !hold.Holder.Same(c.self()) {
+					t.Errorf("job %d: held by %+v", n, hold.Holder)
 				}
 			})
 			time.Sleep(time.Millisecond)
@@ -120,8 +120,8 @@
 			withHome(t, h, func(t *testing.T, c *Coordinator) {
 				began := time.Now()
 				// Without another coordinator this process becomes the home.
-				if holder, _, held := c.askHome(t.Context(), "0000000000000001", c.self()); held && !holder.Same(c.self()) {
-					t.Errorf("held by %+v", holder)
+				if hold, held := c.askHome(t.Context(), "0000000000000001", 0); held && !hold.Holder.Same(c.self()) {
+					t.Errorf("held by %+v", hold.Holder)
 				}
 				if took := time.Since(began); took > 2*holdTimeout {
 					t.Errorf("took %s, want %s at most", took, 2*holdTimeout)
--- a/holds/table.go
+++ b/holds/table.go
@@ -20,36 +20,45 @@
 	return h.Coordinator == other.Coordinator && h.Incarnation == other.Incarnation
 }
 
-type hold struct {
-	holder Holder
-	at     time.Time
+// Hold is the grant of an id to a holder.
+type Hold struct {
+	Holder Holder
+	// Number tells the grants of an id apart, also those of one holder.
+	Number uint64
+	At     time.Time
 }
 
 // Table holds what the home of some ids knows. The zero value is not usable; see New.
 type Table struct {
-	holds map[string]hold
+	holds map[string]Hold
+	// last is the number of the latest grant.
+	last uint64
 	// order holds the grants from the oldest on. An id that was granted again has several.
 	order []grant
 }
 
 type grant struct {
-	id string
-	at time.Time
+	id     string
+	number uint64
+	at     time.Time
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{holds: make(map[string]hold)} }
+func New() *Table { return &Table{holds: make(map[string]Hold)} }
 
-// Take gives the id to a holder, unless another one has it that is not the replaced one: a holder that
-// was found not to have the job. It returns who holds the id now, and since when.
-func (t *Table) Take(now time.Time, id string, by, replaced Holder) (holder Holder, since time.Time) {
+// Take gives the id to a holder, unless another one has it by another grant than the replaced one: a grant
+// whose holder was found not to have the job. It returns the grant in force.
+func (t *Table) Take(now time.Time, id string, by Holder, replaced uint64) Hold {
 	t.expire(now)
-	if h, held := t.holds[id]; held && !h.holder.Same(by) && !h.holder.Same(replaced) {
-		return h.holder, h.at
+	if h, held := t.holds[id]; held && !h.Holder.Same(by) && h.Number != replaced {
+		return h
 	}
-	t.holds[id] = hold{holder: by, at: now}
-	t.order = append(t.order, grant{id, now})
-	return by, now
+	// Numbers of an earlier process of the home are smaller.
+	t.last = max(t.last+1, uint64(now.UnixNano()))
+	h := Hold{Holder: by, Number: t.last, At: now}
+	t.holds[id] = h
+	t.order = append(t.order, grant{id, t.last, now})
+	return h
 }
 
 // Len returns the number of ids that are held.
@@ -58,7 +67,7 @@
 func (t *Table) expire(now time.Time) {
 	n := 0
 	for ; n < len(t.order) && now.Sub(t.order[n].at) > retention; n++ {
-		if g := t.order[n]; !t.holds[g.id].at.After(g.at) {
+		if g := t.order[n]; t.holds[g.id].Number == g.number {
 			delete(t.holds, g.id)
 		}
 	}
--- a/holds/table_test.go
+++ b/holds/table_test.go
@@ -19,25 +19,29 @@
 func TestTake(t *testing.T) {
 	a, b, c, restarted := holder("a", 1), holder("b", 1), holder("c", 1), holder("a", 2)
 	table := New()
+	granted := make([]uint64, 1, 10)
 	for n, step := range []struct {
-		at           time.Duration
-		by, replaced Holder
-		want         Holder
-		since        time.Duration
+		at time.Duration
+		by Holder
+		// replaced is the number of the step whose grant is replaced; 0 if there is none.
+		replaced int
+		want     Holder
+		since    time.Duration
 	}{
-		{0, a, Holder{}, a, 0},
-		{time.Millisecond, b, Holder{}, a, 0},
-		{2 * time.Millisecond, a, Holder{}, a, 2 * time.Millisecond},
-		{3 * time.Millisecond, restarted, Holder{}, a, 2 * time.Millisecond},
-		{4 * time.Millisecond, b, c, a, 2 * time.Millisecond},
-		{5 * time.Millisecond, b, a, b, 5 * time.Millisecond},
-		{6 * time.Millisecond, c, a, b, 5 * time.Millisecond},
-		{retention, a, Holder{}, b, 5 * time.Millisecond},
-		{retention + 6*time.Millisecond, a, Holder{}, a, retention + 6*time.Millisecond},
+		{0, a, 0, a, 0},
+		{time.Millisecond, b, 0, a, 0},
+		{2 * time.Millisecond, a, 0, a, 2 * time.Millisecond},
+		{3 * time.Millisecond, restarted, 0, a, 2 * time.Millisecond},
+		{4 * time.Millisecond, b, 1, a, 2 * time.Millisecond}, // a has got it again since
+		{5 * time.Millisecond, b, 3, b, 5 * time.Millisecond},
+		{6 * time.Millisecond, c, 3, b, 5 * time.Millisecond},
+		{retention, a, 0, b, 5 * time.Millisecond},
+		{retention + 6*time.Millisecond, a, 0, a, retention + 6*time.Millisecond},
 	} {
-		got, since := table.Take(start.Add(step.at), "id", step.by, step.replaced)
-		if diff := cmp.Diff(step.want, got, cmp.Comparer(Holder.Same)); diff != "" || !since.Equal(start.Add(step.since)) {
-			t.Errorf("step %d: held since %s (-want +got):\n%s", n, since.Sub(start), diff)
+		got := table.Take(start.Add(step.at), "id", step.by, granted[step.replaced])
+		granted = append(granted, got.Number)
+		if diff := cmp.Diff(step.want, got.Holder, cmp.Comparer(Holder.Same)); diff != "" || !got.At.Equal(start.Add(step.since)) {
+			t.Errorf("step %d: held since %s (-want +got):\n%s", n+1, got.At.Sub(start), diff)
 		}
 	}
 }
@@ -46,7 +50,7 @@
 func TestHoldsExpire(t *testing.T) {
 	table := New()
 	for n := range 100_000 {
-		table.Take(start.Add(time.Duration(n)*time.Millisecond), fmt.Sprint(n%50_000), holder("a", 1), Holder{})
+		table.Take(start.Add(time.Duration(n)*time.Millisecond), fmt.Sprint(n%50_000), holder("a", 1), 0)
 	}
 	if got, want := table.Len(), int(retention/time.Millisecond)+1; got != want {
 		t.Errorf("%d ids are held, want %d", got, want)
--- a/link/holder.go
+++ b/link/holder.go
@@ -12,11 +12,8 @@
 // maxHoldAge bounds the age of a hold that a peer tells; holds are kept for a shorter time.
 const maxHoldAge = time.Minute
 
-// HolderToWire converts the holder of a job's id; nil if there is none.
+// HolderToWire converts the holder of a job's id.
 func HolderToWire(h holds.Holder) *relay.Holder {
-	if h.Coordinator == "" {
-		return nil
-	}
 	return &relay.Holder{Coordinator: h.Coordinator, Incarnation: h.Incarnation, Addr: h.Addr.String()}
 }
 
@@ -29,7 +26,23 @@
 	return holds.Holder{Coordinator: m.GetCoordinator(), Incarnation: m.GetIncarnation(), Addr: addr}, nil
 }
 
-// HoldAge returns the age of a hold that a peer tells.
-func HoldAge(m *relay.Hold) time.Duration {
-	return time.Duration(min(max(m.GetAgeMs(), 0), maxHoldAge.Milliseconds())) * time.Millisecond
+// HoldToWire converts a hold for its answer to a holder.
+func HoldToWire(now time.Time, to holds.Holder, h holds.Hold) *relay.Hold {
+	m := &relay.Hold{AgeMs: now.Sub(h.At).Milliseconds(), Number: h.Number}
+	if !h.Holder.Same(to) {
+		m.Holder = HolderToWire(h.Holder)
+	}
+	return m
+}
+
+// HoldFromWire converts the answer to a holder. It returns an error for a holder that can't be called.
+func HoldFromWire(now time.Time, to holds.Holder, m *relay.Hold) (holds.Hold, error) {
+	age := time.Duration(min(max(m.GetAgeMs(), 0), maxHoldAge.Milliseconds())) * time.Millisecond
+	h := holds.Hold{Holder: to, Number: m.GetNumber(), At: now.Add(-age)}
+	if m.GetHolder() == nil {
+		return h, nil
+	}
+	var err error
+	h.Holder, err = HolderFromWire(m.GetHolder())
+	return h, err
 }
