runs: no run begins under a lease that outlasts its proof

Callers could get two runs of a task at a time: a coordinator that hears nothing from an agent starts the agent's tasks elsewhere after 1,323 ms, and the callers of one that has died come back after 1,300 ms, while the endpoint kept the old run at work for up to 1.7 s after the last proof.

Cause: a lease holds for all that runs on an endpoint and never shortens. Lease limits a new one by the proofs of the runs that are there. A run that begins later, on a dispatch whose echo is up to 700 ms old, is under the lease that was given before it: by polls of an idle endpoint, which had no limit but MaxLease, or for other coordinators' runs. Nothing ended it in time if the agent was paused, or the endpoint carried out no stop.

Change: an endpoint without runs, or durable ends that aren't stored, gets no lease by polls, since there is nothing to keep. A start is not sent if the lease in force outlasts its run's proof by more than 1,300 ms; the end that tells its coordinator carries a newer echo.

Why it works: each lease that was given ends at most 1,300 ms after the proof of each run that begins under it, and later ones end within ProofTTL.

TestUnreadRowOfAnEarlierProcess took a lease in a poll of an idle endpoint for its being in use. It now asks that a start is sent with one.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -14,6 +14,8 @@
 	// the run alive. With ClockSlack it ends before the 1.3 s after which, by the platform's bounds,
 	// a caller without an answer resubmits a job to another coordinator.
 	ProofTTL = 1150 * time.Millisecond
+	// resubmitAfter is the platform's time from a caller's broken call to its next one for the same job.
+	resubmitAfter = 1300 * time.Millisecond
 	// orphanTimeout is the age of that proof at which the run is stopped; the rest of ProofTTL is
 	// for the stop itself. The lease ends with ProofTTL if the stop is lost.
 	orphanTimeout = time.Second
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -8,15 +8,20 @@
 )
 
 // Lease returns the lease for a command that is sent now. It never outlives the oldest ownership
-// proof by more than ProofTTL.
+// proof by more than ProofTTL. Without one there is nothing to keep, and a lease, which is never
+// shortened, would outlive the proof of the next run.
 func (c *Controller) Lease(now time.Time) carobpulley.Lease {
 	l := carobpulley.Lease{Instance: c.heartbeat.Instance, Token: c.token}
 	if c.clockMS == 0 || !c.listsKnown {
 		return l
 	}
 	c.markExpiredEnds(now)
+	limit, limited := c.earliestProofExpiry()
+	if !limited {
+		return l
+	}
 	until := now.Add(c.cfg.MaxLease)
-	if limit, ok := c.earliestProofExpiry(); ok && limit.Before(until) {
+	if limit.Before(until) {
 		until = limit
 	}
 	if !until.After(now) {
@@ -32,8 +37,8 @@
 }
 
 // StartLease returns the lease for a start that is sent now. It ends the run instead, and returns the
-// reason, if the proof of the run's coordinator or the knowledge of the failure domains has become too
-// old, or the endpoint's capacity too small, since the start was decided on, as when this process was
+// reason, if the proof of the run's coordinator is too old for the endpoint's lease, or that or the
+// knowledge of the failure domains has become too old, or the endpoint's capacity too small, since the start was decided on, as when this process was
 // paused or the start is repeated.
 func (c *Controller) StartLease(now time.Time, key work.Run) (lease carobpulley.Lease, refusal string) {
 	r := c.runs[key]
@@ -54,9 +59,13 @@
 // sendRefusal returns the reason for which a start that was decided on may not be sent any more; empty
 // if it may.
 func (c *Controller) sendRefusal(now time.Time, r *run) string {
-	if now.Sub(c.proof(r)) > orphanTimeout {
+	proof := c.proof(r)
+	if now.Sub(proof) > orphanTimeout {
 		return ReasonProof
 	}
+	if now.Before(c.leaseExpiresAt) && c.leaseExpiresAt.Sub(proof) > resubmitAfter {
+		return ReasonProof // a lease that was given for other runs would keep this one at work
+	}
 	if reason := c.domainRefusal(now); reason != "" {
 		return reason
 	}
--- a/runs/lease_test.go
+++ b/runs/lease_test.go
@@ -121,3 +121,56 @@
 		}
 	}
 }
+
+// startWithOldEcho lets a coordinator start a run with an echo that is as old as it may be, and returns
+// that proof.
+func startWithOldEcho(f *fixture) (proof time.Time) {
+	f.report("c", nil)
+	proof = f.now.Add(-time.Millisecond)
+	for f.now.Add(50 * time.Millisecond).Before(proof.Add(MaxEchoAge)) {
+		f.advance(49 * time.Millisecond)
+		f.poll(carobpulley.RunLists{})
+	}
+	f.controller.HandleDispatch(f.now, Dispatch{Coordinator: "c", Incarnation: 7, Attachment: 1, Echo: f.controller.encodeTime(proof), Starts: []work.Start{newStart(1, 100)}})
+	return proof
+}
+
+// Guards against a run that is on when its coordinator, which hears nothing from the agent any more, has
+// started its task elsewhere: the lease that polls gave to the endpoint before the run outlasts its proof.
+func TestIdleEndpointHasNoLease(t *testing.T) {
+	f := newFixture(t)
+	proof := startWithOldEcho(f)
+	lease, refusal := f.controller.StartLease(f.now, newRun(1))
+	if refusal != "" || lease.DeadlineMS == 0 {
+		t.Fatalf("the start is refused (%q) or has no lease", refusal)
+	}
+	if lasts := f.controller.leaseExpiresAt.Sub(proof); lasts > resubmitAfter {
+		t.Errorf("the lease in force expires %v after the proof of the run", lasts)
+	}
+}
+
+// Guards against the same where other runs keep the endpoint's lease.
+func TestNoRunBeginsUnderALeaseThatOutlastsItsProof(t *testing.T) {
+	f := newFixture(t)
+	f.attach("d", 1, nil)
+	f.report("d", nil)
+	f.dispatch("d", newStart(2, 100))
+	f.confirmStarts()
+	f.report("c", nil)
+	proof, echo := f.now.Add(-time.Millisecond), f.echo
+	for f.now.Add(51 * time.Millisecond).Before(proof.Add(MaxEchoAge)) {
+		f.advance(48 * time.Millisecond)
+		f.report("d", nil)
+		f.poll(carobpulley.RunLists{Running: []carobpulley.ListedRun{{Run: newRun(2)}}})
+	}
+	f.echo = echo
+	f.dispatch("c", newStart(1, 100))
+	if _, refusal := f.controller.StartLease(f.now, newRun(1)); refusal != ReasonProof {
+		t.Errorf("refusal %q, want %q: the lease in force expires %v after the proof of the run", refusal, ReasonProof, f.controller.leaseExpiresAt.Sub(proof))
+	}
+	f.report("c", nil)
+	f.dispatch("c", newStart(3, 100))
+	if _, refusal := f.controller.StartLease(f.now, newRun(3)); refusal != "" {
+		t.Errorf("a start with a new proof is refused: %q", refusal)
+	}
+}
--- a/runs/unread_test.go
+++ b/runs/unread_test.go
@@ -105,7 +105,12 @@
 	}
 	f.advance(2 * time.Second)
 	f.poll(carobpulley.RunLists{UnreadRunning: []string{"row"}})
-	if !f.controller.CanAttach(f.now) || !f.controller.Usable() || f.controller.BeginPoll(f.now).Lease.DeadlineMS == 0 {
-		t.Error("the endpoint is not in use after the lease has expired")
+	if !f.controller.CanAttach(f.now) || !f.controller.Usable() {
+		t.Fatal("the endpoint is not in use after the lease has expired")
+	}
+	f.attach("c", 1, nil)
+	f.dispatch("c", newStart(1, 100))
+	if lease, refusal := f.controller.StartLease(f.now, newRun(1)); refusal != "" || lease.DeadlineMS == 0 {
+		t.Errorf("a start is refused (%q) or has no lease after the earlier one has expired", refusal)
 	}
 }
