soak: callers that send a job again at once to another coordinator

Cause: a caller whose kept connection breaks as it sends a best-effort job sends it again at once to another coordinator, as HTTP libraries do.

Callers that wait open their next connection before the pause, so that it is a kept one, too. A new fault of the callers' connections resets those of one coordinator after the other, 150 ms apart in the mean, while one coordinator gets data and ends 40 ms late. A reset by a proxy reaches the side that opened the connection first.

--- a/cmd/soak/answers_test.go
+++ b/cmd/soak/answers_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
 	"io"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -170,3 +173,91 @@
 		t.Error("the connection is kept after its last response")
 	}
 }
+
+// listenAsCoordinators answers one call at the address of each coordinator of a caller's fleet, and then
+// closes the connection if end is set.
+func listenAsCoordinators(t *testing.T, c *caller, answers [coordinators]string, end bool) {
+	t.Helper()
+	for n, answer := range answers {
+		ln, err := net.Listen("tcp", netip.AddrPortFrom(c.soak.fleet.addr(1, n), callersProxyPort).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		go func() {
+			far, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = far.Read(make([]byte, 4096))
+			_, _ = io.WriteString(far, answer)
+			if !end {
+				_, _ = io.Copy(io.Discard, far) // until the caller leaves
+			}
+			_ = far.Close()
+		}()
+	}
+}
+
+// newTestCaller returns a caller of a fleet whose addresses newFleet does not use.
+func newTestCaller(ctx context.Context) *caller {
+	s := &soak{fleet: &fleet{checker: emul.NewChecker(), ctx: ctx, subnet: firstSubnet - 1}}
+	return &caller{soak: s, rng: rand.New(rand.NewPCG(1, 1))}
+}
+
+// Guards against calls whose connection is taken for one that was kept and broke, and the reverse.
+func TestBrokenIsAKeptConnectionThatEndsBeforeTheAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		kept      bool
+		sent      string
+		end, want bool
+	}{
+		"ends":                        {true, "", true, true},
+		"a new one ends":              {false, "", true, false},
+		"ends within the answer":      {true, "HTTP/1.1 200", true, false},
+		"ends within a malformed one": {true, "d\"}\r\n\r\n", true, false},
+		"no answer in time":           {true, "", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			caller := newTestCaller(t.Context())
+			listenAsCoordinators(t, caller, [coordinators]string{c.sent}, c.end)
+			if c.kept && !caller.connect(readTimeout) {
+				t.Fatal("not connected")
+			}
+			wait := readTimeout
+			if !c.end {
+				wait = noDataWait
+			}
+			if got := caller.exchange(wait, submission(testJob(true, true)))[0]; got.err == nil || got.broken != c.want {
+				t.Errorf("broken %t (%v), want %t", got.broken, got.err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against callers that wait in all cases, go to the same coordinator again, or don't wait for a
+// durable job.
+func TestSentAgainAtOnceToAnotherCoordinator(t *testing.T) {
+	const refusal = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 2\r\n\r\n{}"
+	for name, c := range map[string]struct {
+		bestEffort bool
+		want       int
+	}{"best-effort": {true, 1}, "durable": {false, 0}} {
+		t.Run(name, func(t *testing.T) {
+			caller := newTestCaller(t.Context())
+			listenAsCoordinators(t, caller, [coordinators]string{"", refusal, refusal}, true)
+			if !caller.connect(readTimeout) {
+				t.Fatal("not connected")
+			}
+			began := time.Now()
+			caller.soak.callDeadline = began.Add(resendDelay / 2)
+			got := caller.submit(testJob(true, c.bestEffort), began, nil)
+			if got.atOnce != c.want || got.attempts != 1+c.want {
+				t.Errorf("%d of %d attempts at once, want %d", got.atOnce, got.attempts, c.want)
+			}
+			if c.bestEffort && (caller.coordinator == 0 || got.latency >= resendDelay) {
+				t.Errorf("sent again to coordinator %d, answered after %s", caller.coordinator, got.latency)
+			}
+		})
+	}
+}
--- a/cmd/soak/calls.go
+++ b/cmd/soak/calls.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	pairShare    = 0.3
 	leaveShare   = 0.1
 	maxLeaveWait = 600 * time.Millisecond
+	// atOnceShare is the share of best-effort submissions on a kept connection that breaks before the
+	// answer that are sent again at once, to another coordinator, as HTTP libraries do.
+	atOnceShare = 0.5
 )
 
 // caller submits jobs one after the other. It uses one connection to one coordinator until a call gets
@@ -53,6 +57,23 @@
 	c.coordinator = c.rng.IntN(coordinators)
 }
 
+// switchToAnother selects one of the other coordinators.
+func (c *caller) switchToAnother() {
+	c.disconnect()
+	c.coordinator = (c.coordinator + 1 + c.rng.IntN(coordinators-1)) % coordinators
+}
+
+// connect opens a connection if none is open, and reports whether one is.
+func (c *caller) connect(timeout time.Duration) bool {
+	if c.socket == nil {
+		addr := netip.AddrPortFrom(c.soak.fleet.addr(1, c.coordinator), callersProxyPort)
+		if s, err := openSocket(c.soak.fleet.ctx, addr, timeout); err == nil {
+			c.socket = s
+		}
+	}
+	return c.socket != nil
+}
+
 func (c *caller) disconnect() {
 	if c.socket != nil {
 		c.socket.close()
@@ -176,7 +197,9 @@
 	// accepted is set if an attempt was answered with status 200.
 	accepted bool
 	attempts int
-	latency  time.Duration
+	// atOnce is how many of the attempts were made at once after the one before.
+	atOnce  int
+	latency time.Duration
 }
 
 // attempt is the result of one call. An error means that no response arrived whole.
@@ -184,6 +207,8 @@
 	response
 	state work.State
 	err   error
+	// broken is set if a kept connection ended before the first byte of the response.
+	broken bool
 }
 
 func submission(j *work.Job) request {
@@ -219,9 +244,15 @@
 				return result
 			}
 			// An earlier attempt may have been accepted, so the job is submitted again.
+		case a.broken && j.BestEffort && c.rng.Float64() < atOnceShare:
+			unanswered = true
+			result.atOnce++
+			c.switchToAnother()
+			continue
 		default:
 			unanswered = true
 			c.switchCoordinator()
+			c.connect(callTimeout) // as HTTP libraries do, which keep connections in reserve
 		}
 		time.Sleep(resendDelay)
 	}
@@ -239,15 +270,14 @@
 	for i := range attempts {
 		attempts[i].err = errNoResponse
 	}
-	if c.socket == nil {
-		addr := netip.AddrPortFrom(c.soak.fleet.addr(1, c.coordinator), callersProxyPort)
-		s, err := openSocket(c.soak.fleet.ctx, addr, wait)
-		if err != nil {
-			return attempts
-		}
-		c.socket = s
+	kept := c.socket != nil
+	if !c.connect(wait) {
+		return attempts
 	}
 	if err := c.socket.send(wait, requests); err != nil {
+		for i := range attempts {
+			attempts[i].broken = kept && endedEarly(err)
+		}
 		c.disconnect()
 		return attempts
 	}
@@ -255,6 +285,7 @@
 		a := &attempts[i]
 		a.response, a.err = c.socket.receive(wait, requests[i].method)
 		if a.err != nil {
+			a.broken = kept && endedEarly(a.err)
 			c.recordLoss(requests[i], a.err)
 			c.disconnect()
 			return attempts
@@ -272,6 +303,11 @@
 	return attempts
 }
 
+// endedEarly reports whether a call failed because its connection ended before the response began.
+func endedEarly(err error) bool {
+	return !errors.Is(err, errMalformed) && !errors.Is(err, errPartial) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // recordLoss counts a response that was cut, and records a malformed one as a violation.
 func (c *caller) recordLoss(req request, err error) {
 	switch {
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -19,6 +19,10 @@
 // reloadSignals is the number of signals that one reload fault sends.
 const reloadSignals = 4
 
+// callersResetInterval is the mean time between two resets of a series, each of the callers'
+// connections to one coordinator.
+const callersResetInterval = 150 * time.Millisecond
+
 // operatorRetryDelay is the pause between an operator's attempts.
 const operatorRetryDelay = 100 * time.Millisecond
 
@@ -111,6 +115,16 @@
 		{"callers frozen", targetCallers, func(s *soak, rng *rand.Rand) { s.disturbCallers(rng, modeFreeze) }},
 		{"callers delayed", targetCallers, func(s *soak, rng *rand.Rand) { s.disturbCallers(rng, modeDelay) }},
 		{"callers reset", targetCallers, func(s *soak, rng *rand.Rand) { pick(rng, s.fleet.coordinators).callersProxy.resetConns() }},
+		{"callers reset in series", targetCallers, func(s *soak, rng *rand.Rand) {
+			// The process behind the slow proxy gets submissions, and the end of their connections, late.
+			slow := pick(rng, s.fleet.coordinators).callersProxy
+			slow.setMode(modeDelay)
+			for until := time.Now().Add(faultDuration(rng)); time.Now().Before(until); {
+				pick(rng, s.fleet.coordinators).callersProxy.resetConns()
+				time.Sleep(time.Duration(rng.Int64N(int64(2 * callersResetInterval))))
+			}
+			slow.setMode(modePass)
+		}},
 	}
 }
 
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -16,7 +16,7 @@
 
 const (
 	modePass mode = iota
-	// modeDelay delays each chunk of data by chunkDelay.
+	// modeDelay delays each chunk of data, and the end of a connection, by chunkDelay.
 	modeDelay
 	// modeDropAll drops all data of open and new connections.
 	modeDropAll
@@ -57,7 +57,8 @@
 	mode      mode
 	connCount int
 	dropUpTo  int
-	conns     map[net.Conn]bool
+	// conns are the connections with whoever opened them.
+	conns map[net.Conn]bool
 	// rng draws what is cut.
 	rng *rand.Rand
 }
@@ -100,7 +101,6 @@
 	p.connCount++
 	number := p.connCount
 	p.conns[near] = true
-	p.conns[far] = true
 	p.mu.Unlock()
 	var copies sync.WaitGroup
 	copies.Go(func() { p.copyData(far, near, number, true) })
@@ -108,7 +108,6 @@
 	copies.Wait()
 	p.mu.Lock()
 	delete(p.conns, near)
-	delete(p.conns, far)
 	p.mu.Unlock()
 }
 
@@ -127,6 +126,7 @@
 			}
 		}
 		if err != nil {
+			p.passEnd()
 			if !errors.Is(err, io.EOF) {
 				reset(dst)
 			}
@@ -174,6 +174,15 @@
 	return n, nil
 }
 
+// passEnd waits in modeDelay before the end of a connection is passed on.
+func (p *proxy) passEnd() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mode == modeDelay {
+		p.sleep(chunkDelay)
+	}
+}
+
 // sleep waits without the lock, which the caller holds.
 func (p *proxy) sleep(d time.Duration) {
 	p.mu.Unlock()
@@ -201,7 +210,7 @@
 	p.rng = rand.New(rand.NewPCG(seed, 0))
 }
 
-// resetConns resets all open connections.
+// resetConns resets all open connections. Whoever opened them learns of it first.
 func (p *proxy) resetConns() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/cmd/soak/seed.go
+++ b/cmd/soak/seed.go
@@ -46,6 +46,8 @@
 	Refused   int    `json:"refused"`
 	Failed    int    `json:"failed"`
 	Resent    int    `json:"resent"`
+	// AtOnce counts those of Resent that were sent again without a pause.
+	AtOnce int `json:"at_once"`
 	// Answers counts the responses with status 200 that arrived whole, Cut the responses of which a
 	// part arrived.
 	Answers   int   `json:"answers"`
@@ -208,6 +210,7 @@
 			r.LongestMS, r.LongestJob = ms, result.job.ID
 		}
 		r.Resent += result.attempts - 1
+		r.AtOnce += result.atOnce
 		switch {
 		case result.refused:
 			r.Refused++
