memnet, emul: connections that go silent for good, and hosts with a quota

The platform's open connections may go silent for good without a reset while new ones work, and a core may stand still for the rest of a tenth of a second.

memnet loses what one host sends to another over the connections open at a time, also their ends (Silence). A quota delays what a host's servers read and write, and an agent's calls of its endpoint; the timers of its processes run on, which makes it an approximation (SetQuota).

--- a/emul/elsewhere_days_test.go
+++ b/emul/elsewhere_days_test.go
@@ -92,11 +92,15 @@
 
 // injectPairs injects pairs of faults for elsewhereLoad.
 func (f *Fleet) injectPairs(seed uint64) *sync.WaitGroup {
+	return f.injectPairsOf(seed, slices.Concat(faultActions()[:5], elsewhereActions()))
+}
+
+// injectPairsOf injects pairs of the faults given for elsewhereLoad.
+func (f *Fleet) injectPairsOf(seed uint64, actions []faultAction) *sync.WaitGroup {
 	began := time.Now()
 	faults := new(sync.WaitGroup)
 	for n := range uint64(2) {
 		rng := rand.New(rand.NewPCG(seed, 1000+n))
-		actions := slices.Concat(faultActions()[:5], elsewhereActions())
 		faults.Go(func() {
 			for time.Since(began) < elsewhereLoad {
 				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -91,9 +91,11 @@
 	repeatRNG       *rand.Rand
 	lastToken       int64
 	lastIncarnation uint64
-	ctx             context.Context
-	cancel          context.CancelFunc
-	wg              sync.WaitGroup
+	// peers are those of all processes that were started.
+	peers  []*link.Peers
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // configKey is the key of the configuration in the emulated operators' topic.
@@ -169,12 +171,14 @@
 	f.mu.Lock()
 	f.lastIncarnation++
 	incarnation := f.lastIncarnation
+	peers := link.NewPeersWithDial(f.Net.Dialer(addr))
+	f.peers = append(f.peers, peers)
 	f.mu.Unlock()
 	ctx, stop := context.WithCancel(f.ctx)
 	baseCtx, kill := context.WithCancel(f.ctx)
 	p := &Process{
 		Addr: addr, Store: f.Store.View(), stop: stop, kill: kill,
-		peers: link.NewPeersWithDial(f.Net.Dialer(addr)), done: make(chan struct{}),
+		peers: peers, done: make(chan struct{}),
 	}
 	self := work.Address{Addr: netip.AddrPortFrom(addr, innerPort), Incarnation: incarnation, Share: 1}
 	return p, ctx, baseCtx, self
@@ -233,7 +237,8 @@
 
 // StartAgent starts or restarts an agent.
 func (f *Fleet) StartAgent(n int) {
-	p, ctx, baseCtx, self := f.newProcess(AgentAddr(n))
+	addr := AgentAddr(n)
+	p, ctx, baseCtx, self := f.newProcess(addr)
 	self.Name = fmt.Sprintf("agent-%d", n)
 	f.mu.Lock()
 	f.lastToken += 1000
@@ -241,7 +246,7 @@
 	f.mu.Unlock()
 	p.Name = self.Name
 	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, DomainOutWithin: domainOutWithin, Meter: meter.New()},
-		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, f, p.peers, token)
+		f.spec.Log.With().Str("process", self.Name).Logger(), hostEndpoint{f.Endpoints[n], f.Net, addr}, p.Store, f, p.peers, token)
 	mux := http.NewServeMux()
 	mux.Handle(f.holdingOrders(self.Name)(relay.NewAgentServiceHandler(p.Agent)))
 	f.Agents[n] = p
@@ -296,4 +301,9 @@
 	}
 	f.wg.Wait()
 	time.Sleep(closeDelay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		p.Close() // a silent connection that a call left since its process has ended
+	}
 }
--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -22,6 +22,8 @@
 	bytes  int
 	// ended is set by the writer's close, broken by the reader's.
 	ended, broken bool
+	// muted and unread are set instead if the other side can't learn of the close.
+	muted, unread bool
 	// readBy and writeBy are the deadlines of the reader and the writer, if set.
 	readBy, writeBy time.Time
 	// changed is closed and replaced at every change of the fields above and of a deadline.
@@ -42,17 +44,27 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *stream) end() {
+// end closes the stream for the writer, and for the reader too if seen is set.
+func (s *stream) end(seen bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ended = true
+	if seen {
+		s.ended = true
+	} else {
+		s.muted = true
+	}
 	s.notify()
 }
 
-func (s *stream) abandon() {
+// abandon closes the stream for the reader, and for the writer too if seen is set.
+func (s *stream) abandon(seen bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.broken = true
+	if seen {
+		s.broken = true
+	} else {
+		s.unread = true
+	}
 	s.chunks, s.bytes = nil, 0
 	s.notify()
 }
@@ -81,7 +93,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	switch {
-	case s.broken:
+	case s.broken, s.unread:
 		return 0, time.Time{}, nil, net.ErrClosed
 	case !s.readBy.IsZero() && !now.Before(s.readBy):
 		return 0, time.Time{}, nil, os.ErrDeadlineExceeded
@@ -111,12 +123,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.ended:
+	case s.ended, s.muted:
 		return time.Time{}, nil, net.ErrClosed
 	case s.broken:
 		return time.Time{}, nil, &net.OpError{Op: "write", Net: "tcp", Err: syscall.ECONNRESET}
 	case !s.writeBy.IsZero() && !time.Now().Before(s.writeBy):
 		return time.Time{}, nil, os.ErrDeadlineExceeded
+	case s.unread:
+		return time.Time{}, nil, nil
 	case s.bytes > 0 && s.bytes+len(p) > windowBytes:
 		return s.writeBy, s.changed, errWait
 	}
@@ -129,24 +143,45 @@
 	return time.Time{}, nil, nil
 }
 
+// writable returns the error of a write whose data is lost: only this side's close shows.
+func (s *stream) writable() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.muted {
+		return net.ErrClosed
+	}
+	return nil
+}
+
 // conn is one side of a connection. Data written while its direction is blocked is lost.
 type conn struct {
 	net           *Net
+	number        uint64
+	accepted      bool
 	local, remote netip.AddrPort
 	in, out       *stream
 }
 
 func (n *Net) connect(from, to netip.AddrPort) (near, far *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lastConn++
 	there, back := newStream(), newStream()
-	return &conn{net: n, local: from, remote: to, in: back, out: there},
-		&conn{net: n, local: to, remote: from, in: there, out: back}
+	return &conn{net: n, number: n.lastConn, local: from, remote: to, in: back, out: there},
+		&conn{net: n, number: n.lastConn, accepted: true, local: to, remote: from, in: there, out: back}
 }
 
+// silent reports whether what this side sends is lost because the connection has gone silent.
+func (c *conn) silent() bool { return c.net.isSilent(c.number, c.local.Addr(), c.remote.Addr()) }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, until, changed, err := c.in.take(p)
 		if !errors.Is(err, errWait) {
+			if c.accepted {
+				c.net.AwaitTurn(c.local.Addr())
+			}
 			return n, err
 		}
 		wait(changed, until)
@@ -155,6 +190,12 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.accepted {
+		c.net.AwaitTurn(c.local.Addr())
+	}
+	if c.silent() {
+		return len(p), c.out.writable()
+	}
 	if c.net.isBlocked(c.local.Addr(), c.remote.Addr()) {
 		return len(p), nil
 	}
@@ -172,8 +213,9 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.out.end()
-	c.in.abandon()
+	seen := !c.silent()
+	c.out.end(seen)
+	c.in.abandon(seen)
 	return nil
 }
 
--- a/memnet/net.go
+++ b/memnet/net.go
@@ -14,6 +14,10 @@
 	dialTimeout = 300 * time.Millisecond
 	// firstPort is the first of the ports that are given to listeners without one.
 	firstPort = 20000
+	// quotaPeriod is the period over which a host's quota is counted.
+	quotaPeriod = 100 * time.Millisecond
+	// quotaStagger is the step between the beginnings of successive hosts' periods.
+	quotaStagger = 37 * time.Millisecond
 )
 
 // Net is a network between processes. Each host has one address.
@@ -24,7 +28,12 @@
 	listeners map[netip.AddrPort]*listener
 	blocked   map[[2]netip.Addr]bool
 	delays    map[[2]netip.Addr]time.Duration
-	nextPort  uint16
+	// silent holds the number of the last connection over which data from one host to another is lost.
+	silent   map[[2]netip.Addr]uint64
+	lastConn uint64
+	// quotas holds the share of each quotaPeriod in which a host runs, for hosts that have one.
+	quotas   map[netip.Addr]float64
+	nextPort uint16
 }
 
 // New returns a network with a one-way delay.
@@ -34,6 +43,8 @@
 		listeners: make(map[netip.AddrPort]*listener),
 		blocked:   make(map[[2]netip.Addr]bool),
 		delays:    make(map[[2]netip.Addr]time.Duration),
+		silent:    make(map[[2]netip.Addr]uint64),
+		quotas:    make(map[netip.Addr]float64),
 		nextPort:  firstPort,
 	}
 }
@@ -51,6 +62,44 @@
 	return n.blocked[[2]netip.Addr{from, to}]
 }
 
+// Silence loses all data that one host sends to another over the connections that are open now, for good:
+// the receiver does not learn of a close either. New connections work.
+func (n *Net) Silence(from, to netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[[2]netip.Addr{from, to}] = n.lastConn
+}
+
+func (n *Net) isSilent(number uint64, from, to netip.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return number <= n.silent[[2]netip.Addr{from, to}]
+}
+
+// SetQuota lets a host's servers read and write in a share of each tenth of a second only, at its beginning;
+// 1 ends this. The host's own calls and timers are not affected: a process whose timers are late too
+// allows for that.
+func (n *Net) SetQuota(host netip.Addr, share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quotas[host] = share
+}
+
+// AwaitTurn waits until a host runs.
+func (n *Net) AwaitTurn(host netip.Addr) {
+	n.mu.Lock()
+	share, limited := n.quotas[host]
+	n.mu.Unlock()
+	if !limited {
+		return
+	}
+	offset := time.Duration(host.As4()[3]) * quotaStagger
+	phase := time.Duration(time.Now().Add(offset).UnixNano()) % quotaPeriod
+	if float64(phase) >= share*float64(quotaPeriod) {
+		time.Sleep(quotaPeriod - phase)
+	}
+}
+
 // SetDelay adds a delay to all data sent from one host to another. Data on the way is not affected.
 func (n *Net) SetDelay(from, to netip.Addr, added time.Duration) {
 	n.mu.Lock()
