coord: a wait for another coordinator's result outlives its connection

What callers saw: no answer up to their time limit to a job that another coordinator had and had completed, or that no one had any more.

Cause: the one call of Join waits for as long as the caller does. If its connection goes silent, the result is lost. If the call itself is lost, the holder gives the job up with its first caller, and the second one waits for nothing. Class: a call without a time-out of its own.

Change: every 400 ms the waiting coordinator asks whether the holder has the job, twice if the first question times out, and makes the call again over the connection that has just worked. The call before the last one is ended only then, so that the holder always has a waiting caller. If the holder doesn't have the job, the wait ends.

Why it works: the question finds silent connections and closes them; a repeated Join waits for the same job or gets the same result.

--- a/coord/hold.go
+++ b/coord/hold.go
@@ -4,19 +4,13 @@
 	"context"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"carobpulley"
 	"carobpulley/holds"
-	"carobpulley/link"
 	"carobpulley/meter"
-	"carobpulley/wire/relay"
 	"carobpulley/work"
 )
 
 const (
-	// holderTimeout bounds the question whether a holder has the job.
-	holderTimeout = 150 * time.Millisecond
 	// holderRetryInterval is the pause between two questions to a holder that does not answer.
 	holderRetryInterval = 50 * time.Millisecond
 	// holdRenewInterval is the time between two asks for the hold of a job that is here, by which the home
@@ -138,93 +132,3 @@
 		close(asked)
 	}
 }
-
-// joinResult is what became of a submission that was to join a job of another process.
-type joinResult int
-
-const (
-	// joinUnanswered means that the process did not answer, or is another one than the holder.
-	joinUnanswered joinResult = iota
-	// joinAnswered means that there is an answer for the caller.
-	joinAnswered
-	// joinAbsent means that the holder does not have the job.
-	joinAbsent
-)
-
-// join adds a submission to a job that another process holds and waits for its result.
-func (c *Coordinator) join(ctx context.Context, h holds.Hold, s *submission) (carobpulley.JobAnswer, joinResult) {
-	body, err := work.EncodeJob(s.job)
-	if err != nil {
-		return carobpulley.JobAnswer{Code: carobpulley.AnswerInvalid, Reason: err.Error()}, joinAnswered
-	}
-	peer := c.peers.At(h.Holder.Addr)
-	switch code, err := c.askHolder(ctx, peer, h.Holder, s.job.ID); {
-	case err == nil && code == relay.Code_CODE_NOT_OWNER:
-		return carobpulley.JobAnswer{}, joinAbsent
-	case err != nil || code != relay.Code_CODE_OK:
-		return carobpulley.JobAnswer{}, joinUnanswered
-	}
-	s.joined = true
-	c.cfg.Meter.Add("joins", 1)
-	reply, err := peer.Coordinator.Join(ctx, connect.NewRequest(&relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: h.Holder.Incarnation}))
-	switch {
-	case err != nil:
-		err = peer.CallError("join", err)
-		c.log.Warn().Err(err).Str("job", s.job.ID).Str("coordinator", h.Holder.Coordinator).Msg("join failed")
-		return carobpulley.JobAnswer{}, joinUnanswered
-	case reply.Msg.GetCode() == relay.Code_CODE_NOT_OWNER:
-		return carobpulley.JobAnswer{}, joinAbsent
-	}
-	return answerFromReply(reply.Msg), joinAnswered
-}
-
-// askHolder asks a holder whether it has the job.
-func (c *Coordinator) askHolder(ctx context.Context, peer *link.Peer, holder holds.Holder, id string) (relay.Code, error) {
-	call, cancel := withTimeout(ctx, holderTimeout)
-	defer cancel()
-	reply, err := peer.Coordinator.Join(call, connect.NewRequest(&relay.JoinRequest{Id: id, Incarnation: holder.Incarnation}))
-	if err != nil {
-		err = peer.CallError("join", err)
-		c.log.Warn().Err(err).Str("job", id).Str("coordinator", holder.Coordinator).Msg("holder does not answer")
-		return relay.Code_CODE_UNSPECIFIED, err
-	}
-	return reply.Msg.GetCode(), nil
-}
-
-// Join implements relay.CoordinatorServiceHandler.
-func (s server) Join(ctx context.Context, r *connect.Request[relay.JoinRequest]) (*connect.Response[relay.JobReply], error) {
-	c, id := s.c, r.Msg.GetId()
-	if r.Msg.GetIncarnation() != c.cfg.Self.Incarnation {
-		// Runs of the process that had this address may be on.
-		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_ABSENT}), nil
-	}
-	if len(r.Msg.GetJob()) == 0 {
-		code := relay.Code_CODE_NOT_OWNER
-		if c.awaitJob(ctx, id) {
-			code = relay.Code_CODE_OK
-		}
-		return connect.NewResponse(&relay.JobReply{Code: code}), nil
-	}
-	j, err := work.DecodeJob(r.Msg.GetJob())
-	if err != nil {
-		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
-	}
-	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false))), nil
-}
-
-// awaitJob waits while an id is asked for and reports whether the job is in the table then.
-func (c *Coordinator) awaitJob(ctx context.Context, id string) bool {
-	for {
-		c.lock()
-		has, asked := c.table.HasJob(id), c.holdings.pending[id]
-		c.mu.Unlock()
-		if has || asked == nil {
-			return has
-		}
-		select {
-		case <-asked:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
--- /dev/null
+++ b/coord/join.go
@@ -0,0 +1,168 @@
+package coord
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"carobpulley"
+	"carobpulley/holds"
+	"carobpulley/link"
+	"carobpulley/wire/relay"
+	"carobpulley/work"
+)
+
+const (
+	// holderTimeout bounds the question whether a holder has the job.
+	holderTimeout = 150 * time.Millisecond
+	// joinRepeatInterval is the time after which a call that waits for a holder's result is made again.
+	joinRepeatInterval = 400 * time.Millisecond
+)
+
+// joinResult is what became of a submission that was to join a job of another process.
+type joinResult int
+
+const (
+	// joinUnanswered means that the process did not answer, or is another one than the holder.
+	joinUnanswered joinResult = iota
+	// joinAnswered means that there is an answer for the caller.
+	joinAnswered
+	// joinAbsent means that the holder does not have the job.
+	joinAbsent
+)
+
+// join adds a submission to a job that another process holds and waits for its result.
+func (c *Coordinator) join(ctx context.Context, h holds.Hold, s *submission) (carobpulley.JobAnswer, joinResult) {
+	body, err := work.EncodeJob(s.job)
+	if err != nil {
+		return carobpulley.JobAnswer{Code: carobpulley.AnswerInvalid, Reason: err.Error()}, joinAnswered
+	}
+	peer := c.peers.At(h.Holder.Addr)
+	switch code, err := c.askHolder(ctx, peer, h.Holder, s.job.ID); {
+	case err == nil && code == relay.Code_CODE_NOT_OWNER:
+		return carobpulley.JobAnswer{}, joinAbsent
+	case err != nil || code != relay.Code_CODE_OK:
+		return carobpulley.JobAnswer{}, joinUnanswered
+	}
+	s.joined = true
+	c.cfg.Meter.Add("joins", 1)
+	reply, err := c.awaitJoin(ctx, peer, h.Holder, &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: h.Holder.Incarnation})
+	switch {
+	case err != nil:
+		err = peer.CallError("join", err)
+		c.log.Warn().Err(err).Str("job", s.job.ID).Str("coordinator", h.Holder.Coordinator).Msg("join failed")
+		return carobpulley.JobAnswer{}, joinUnanswered
+	case reply.GetCode() == relay.Code_CODE_NOT_OWNER:
+		return carobpulley.JobAnswer{}, joinAbsent
+	}
+	return answerFromReply(reply), joinAnswered
+}
+
+// awaitJoin calls Join at a holder. The connection of a call that waits for long may go silent, so another
+// call joins it from time to time, over a connection that has just worked. A call ends once two later ones
+// wait: a holder gives a job up as its last caller leaves.
+func (c *Coordinator) awaitJoin(ctx context.Context, peer *link.Peer, holder holds.Holder, m *relay.JoinRequest) (*relay.JobReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		reply *relay.JobReply
+		err   error
+	}
+	results := make(chan result)
+	call := func() context.CancelFunc {
+		ctx, cancel := context.WithCancel(ctx)
+		go func() {
+			r := result{}
+			if reply, err := peer.Coordinator.Join(ctx, connect.NewRequest(m)); err != nil {
+				r.err = err
+			} else {
+				r.reply = reply.Msg
+			}
+			if ctx.Err() != nil {
+				return // this call, or all of them
+			}
+			select {
+			case results <- r:
+			case <-ctx.Done():
+			}
+		}()
+		return cancel
+	}
+	var older, newer context.CancelFunc = func() {}, call()
+	defer func() { older(); newer() }()
+	tick := time.NewTicker(joinRepeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case r := <-results:
+			return r.reply, r.err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-tick.C:
+		}
+		code, err := c.askHolder(ctx, peer, holder, m.GetId())
+		if err != nil {
+			code, err = c.askHolder(ctx, peer, holder, m.GetId()) // over a new connection
+		}
+		switch {
+		case err != nil:
+		case code == relay.Code_CODE_OK:
+			older()
+			older, newer = newer, call()
+		default: // the first call did not arrive
+			return &relay.JobReply{Code: relay.Code_CODE_NOT_OWNER}, nil
+		}
+	}
+}
+
+// askHolder asks a holder whether it has the job.
+func (c *Coordinator) askHolder(ctx context.Context, peer *link.Peer, holder holds.Holder, id string) (relay.Code, error) {
+	call, cancel := withTimeout(ctx, holderTimeout)
+	defer cancel()
+	reply, err := peer.Coordinator.Join(call, connect.NewRequest(&relay.JoinRequest{Id: id, Incarnation: holder.Incarnation}))
+	if err != nil {
+		err = peer.CallError("join", err)
+		c.log.Warn().Err(err).Str("job", id).Str("coordinator", holder.Coordinator).Msg("holder does not answer")
+		return relay.Code_CODE_UNSPECIFIED, err
+	}
+	return reply.Msg.GetCode(), nil
+}
+
+// Join implements relay.CoordinatorServiceHandler.
+func (s server) Join(ctx context.Context, r *connect.Request[relay.JoinRequest]) (*connect.Response[relay.JobReply], error) {
+	c, id := s.c, r.Msg.GetId()
+	if r.Msg.GetIncarnation() != c.cfg.Self.Incarnation {
+		// Runs of the process that had this address may be on.
+		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_ABSENT}), nil
+	}
+	if len(r.Msg.GetJob()) == 0 {
+		code := relay.Code_CODE_NOT_OWNER
+		if c.awaitJob(ctx, id) {
+			code = relay.Code_CODE_OK
+		}
+		return connect.NewResponse(&relay.JobReply{Code: code}), nil
+	}
+	j, err := work.DecodeJob(r.Msg.GetJob())
+	if err != nil {
+		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
+	}
+	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false))), nil
+}
+
+// awaitJob waits while an id is asked for and reports whether the job is in the table then.
+func (c *Coordinator) awaitJob(ctx context.Context, id string) bool {
+	for {
+		c.lock()
+		has, asked := c.table.HasJob(id), c.holdings.pending[id]
+		c.mu.Unlock()
+		if has || asked == nil {
+			return has
+		}
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
