coord, guard: ages are judged by a clock that is passed in

One suspected way is a host that was suspended: each age is a difference of two readings of time.Now(), which stands still meanwhile.

Cause: coordinators and agents could not be given another clock.

Change: carobpulley.Clock, a dependency of coord.New and guard.New, is read for all ages that decide something. SteadyClock is time.Now(), so nothing behaves differently yet. Left on the runtime's clock: contexts and timers, pauses, the bounds of a drain, RetryAt of answers (its reader takes the difference to time.Now()), and the times of metrics. Where the two met, one is converted: AnswerBy and the deadline of a caller that waits for a holder now come from the time that is left.

--- /dev/null
+++ b/clock.go
@@ -0,0 +1,15 @@
+package carobpulley
+
+import "time"
+
+// Clock is the time by which the ages of messages and of knowledge are judged. Its times may be compared
+// with each other only: timers and contexts run on the clock of the runtime.
+type Clock interface {
+	Now() time.Time
+}
+
+// SteadyClock is the clock of the runtime. It stands still while the host is suspended.
+type SteadyClock struct{}
+
+// Now implements Clock.
+func (SteadyClock) Now() time.Time { return time.Now() }
--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"carobpulley"
 	"carobpulley/guard"
 	"carobpulley/link"
 	"carobpulley/logs"
@@ -38,7 +39,7 @@
 		Meter:        p.meter,
 
 		DomainOutWithin: p.settings.DomainOutWithin,
-	}, p.log, platform.NewEndpointClient(p.settings.Runner, rejects), platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers(), firstToken())
+	}, carobpulley.SteadyClock{}, p.log, platform.NewEndpointClient(p.settings.Runner, rejects), platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers(), firstToken())
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewAgentServiceHandler(agent))
 	return p.serve([]listener{
--- a/coord/attach.go
+++ b/coord/attach.go
@@ -56,7 +56,7 @@
 		Attachment:  attachment,
 		Shards:      link.EpochsToWire(epochs),
 	}))
-	now := time.Now()
+	now := c.clock.Now()
 	c.lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -98,10 +98,10 @@
 		agent, known := c.agents[d.Agent]
 		sendable := jobs.SendNever
 		if known {
-			sendable = c.table.Refresh(time.Now(), d)
+			sendable = c.table.Refresh(c.clock.Now(), d)
 		}
 		m := link.DispatchToWire(c.cfg.Self.Name, c.cfg.Self.Incarnation, d)
-		m.Domains = link.DomainsToWire(time.Now(), c.domains)
+		m.Domains = link.DomainsToWire(c.clock.Now(), c.domains)
 		c.mu.Unlock()
 		switch sendable {
 		case jobs.SendNever:
@@ -152,12 +152,12 @@
 	if reply.GetStale() {
 		c.table.Detach(d.Agent, d.Attachment)
 		delete(c.nextAttachAt, d.Agent)
-		c.attachDetached(time.Now())
+		c.attachDetached(c.clock.Now())
 		return
 	}
 	c.table.HandleDispatchReply(d, link.EndpointStateFromWire(reply.GetRunner()))
 	for reason, runs := range link.RefusedStartsFromWire(reply.GetRefused()) {
-		c.table.HandleRefusedStarts(time.Now(), d, runs, reason)
+		c.table.HandleRefusedStarts(c.clock.Now(), d, runs, reason)
 	}
 	c.flush()
 }
@@ -166,7 +166,7 @@
 // ownership while the coordinator's own proof is valid.
 func (c *Coordinator) Report(_ context.Context, r *connect.Request[relay.ReportRequest]) (*connect.Response[relay.ReportReply], error) {
 	report := link.ReportFromWire(r.Msg)
-	now := time.Now()
+	now := c.clock.Now()
 	c.lock()
 	defer c.mu.Unlock()
 	c.mergeDomains(link.DomainsFromWire(r.Msg.GetDomains(), time.Time{}), report.Agent)
--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -58,10 +58,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, refusedAnswer("the caller has left: " + err.Error())
 	}
+	now := c.clock.Now()
 	if deadline, ok := ctx.Deadline(); ok {
-		j.AnswerBy = deadline
+		j.AnswerBy = now.Add(time.Until(deadline))
 	}
-	status, reason := c.table.Submit(time.Now(), j)
+	status, reason := c.table.Submit(now, j)
 	switch status {
 	case jobs.SubmitRefused:
 		return nil, refusedAnswer(reason)
@@ -121,7 +122,7 @@
 	if len(c.waiters[id]) > 0 {
 		return unknownAnswer(reason)
 	}
-	unstarted := c.table.Abandon(time.Now(), id, reason)
+	unstarted := c.table.Abandon(c.clock.Now(), id, reason)
 	c.flush()
 	if unstarted {
 		return refusedAnswer("given up before a start: " + reason)
--- a/coord/control.go
+++ b/coord/control.go
@@ -36,7 +36,7 @@
 func (c *Coordinator) tailControl(ctx context.Context) error {
 	needSnapshot := true
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := c.clock.Now()
 		records := 0
 		var err error
 		if needSnapshot {
@@ -72,7 +72,7 @@
 	c.ownershipProof = sent
 	c.table.ConfirmOwnership(sent)
 	c.notifyOwnershipChange()
-	now := time.Now()
+	now := c.clock.Now()
 	c.updateShare(now)
 	c.attachDetached(now)
 	c.table.PlaceReady(now)
@@ -101,7 +101,7 @@
 	if sent.After(c.ownershipProof) {
 		c.ownershipProof = sent
 		c.table.ConfirmOwnership(sent)
-		c.table.PlaceReady(time.Now())
+		c.table.PlaceReady(c.clock.Now())
 		c.flush()
 	}
 	if len(records) > 0 {
@@ -114,13 +114,13 @@
 // a confirmation of the ownership: the endpoints of such ends take no starts meanwhile. The caller
 // holds the lock.
 func (c *Coordinator) confirmOwnership() {
-	now := time.Now()
+	now := c.clock.Now()
 	if now.Before(c.nextConfirmAt) || !c.table.AwaitsProof() {
 		return
 	}
 	c.nextConfirmAt = now.Add(confirmInterval)
 	go func() {
-		if _, err := c.readControlTail(c.baseCtx, time.Now(), 0); err != nil {
+		if _, err := c.readControlTail(c.baseCtx, c.clock.Now(), 0); err != nil {
 			c.recordStoreError("confirm", err)
 		}
 	}()
@@ -132,7 +132,7 @@
 	for i := range records {
 		r, err := work.DecodeControl(records[i].Key, records[i].Value)
 		if err != nil {
-			c.rejects.Add(time.Now(), "control", 1, records[i].Key, err)
+			c.rejects.Add(c.clock.Now(), "control", 1, records[i].Key, err)
 			continue
 		}
 		switch {
@@ -170,7 +170,7 @@
 func (c *Coordinator) removeAgent(name string) {
 	delete(c.agents, name)
 	c.membersChanged = true
-	c.table.RemoveAgent(time.Now(), name)
+	c.table.RemoveAgent(c.clock.Now(), name)
 }
 
 func (c *Coordinator) handleCoordinatorAddress(a work.Address) {
@@ -201,7 +201,7 @@
 	partition := c.configSource.Partition()
 	from := int64(-1)
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := c.clock.Now()
 		var err error
 		if from < 0 {
 			from, err = c.readConfigSnapshot(ctx, partition)
@@ -257,7 +257,7 @@
 	for i := range records {
 		change, err := c.configSource.Decode(records[i])
 		if err != nil {
-			c.rejects.Add(time.Now(), "operators", 1, records[i].Key, err)
+			c.rejects.Add(c.clock.Now(), "operators", 1, records[i].Key, err)
 			continue
 		}
 		if change.Domain != "" {
@@ -265,7 +265,7 @@
 		}
 		c.applyConfig(change, records[i], "store")
 	}
-	c.table.PlaceReady(time.Now())
+	c.table.PlaceReady(c.clock.Now())
 	c.flush()
 }
 
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -53,6 +53,7 @@
 // Coordinator connects the job table with callers, agents, peers and the store.
 type Coordinator struct {
 	cfg          Config
+	clock        carobpulley.Clock
 	log          zerolog.Logger
 	store        carobpulley.Store
 	configSource carobpulley.ConfigSource
@@ -121,9 +122,10 @@
 }
 
 // New returns a Coordinator. All its calls are cancelled when baseCtx ends.
-func New(baseCtx context.Context, cfg Config, log zerolog.Logger, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers) *Coordinator {
+func New(baseCtx context.Context, cfg Config, clock carobpulley.Clock, log zerolog.Logger, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers) *Coordinator {
 	c := &Coordinator{
 		cfg:          cfg,
+		clock:        clock,
 		log:          log,
 		store:        store,
 		configSource: configSource,
@@ -182,7 +184,7 @@
 		case <-tick.C:
 		}
 		c.lock()
-		now := time.Now()
+		now := c.clock.Now()
 		c.lastTick = now
 		c.table.Tick(now)
 		c.checkConfigAge(now)
@@ -198,7 +200,7 @@
 // flush sends the table's dispatches, wakes the journals with changes, returns
 // results to waiting callers and logs decisions. The caller holds the lock.
 func (c *Coordinator) flush() {
-	c.growShare(time.Now())
+	c.growShare(c.clock.Now())
 	for _, dispatch := range c.table.Dispatches() {
 		if len(dispatch.Stops) > 0 {
 			if c.unanswered[dispatch.Agent] == nil {
--- a/coord/drain.go
+++ b/coord/drain.go
@@ -34,21 +34,21 @@
 	case <-running.Done():
 		return nil
 	}
-	now := time.Now()
+	began := time.Now()
 	c.lock()
 	c.draining = true
-	c.drainSince = now
+	c.drainSince = c.clock.Now()
 	c.mu.Unlock()
 	c.log.Info().Msg("draining")
-	for running.Err() == nil && time.Since(now) < handOverTimeout && c.handOver(running) {
+	for running.Err() == nil && time.Since(began) < handOverTimeout && c.handOver(running) {
 		sleep(running, handOverInterval)
 	}
-	sleep(running, listenerCloseDelay-time.Since(now))
-	closing, cancel := context.WithDeadline(running, now.Add(c.cfg.DrainTimeout))
+	sleep(running, listenerCloseDelay-time.Since(began))
+	closing, cancel := context.WithDeadline(running, began.Add(c.cfg.DrainTimeout))
 	defer cancel()
 	stop := context.AfterFunc(closing, c.abandonWaitingJobs)
 	defer stop()
-	last, cancelLast := context.WithDeadline(running, now.Add(c.cfg.DrainTimeout+finalAnswerTime))
+	last, cancelLast := context.WithDeadline(running, began.Add(c.cfg.DrainTimeout+finalAnswerTime))
 	defer cancelLast()
 	closeListeners(last)
 	return nil
@@ -60,7 +60,7 @@
 	c.lock()
 	defer c.mu.Unlock()
 	for id := range c.waiters {
-		unstarted := c.table.Abandon(time.Now(), id, "the process ends")
+		unstarted := c.table.Abandon(c.clock.Now(), id, "the process ends")
 		c.notifyWaiters(id, waitResult{shardReleased: true, result: jobs.BestEffortResult{Job: id, State: work.StateCancelled, Unstarted: unstarted, Reason: "the process ends"}})
 	}
 	c.flush()
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -74,7 +74,7 @@
 		}
 		c.cfg.Meter.Add(meter.Name("holds", "elsewhere"), 1)
 		c.log.Info().Str("job", j.ID).Str("coordinator", holder.Coordinator).Uint64("incarnation", holder.Incarnation).
-			Int64("age_ms", time.Since(since).Milliseconds()).Msg("held elsewhere")
+			Int64("age_ms", c.clock.Now().Sub(since).Milliseconds()).Msg("held elsewhere")
 		c.endPending(j.ID)
 		joined := false
 		if a, joined = c.join(ctx, holder, since, j); joined {
@@ -130,7 +130,7 @@
 func (c *Coordinator) askHome(ctx context.Context, id string, replaced holds.Holder) (holder holds.Holder, since time.Time, held bool) {
 	for range maxHoldTries {
 		c.lock()
-		now := time.Now()
+		now := c.clock.Now()
 		home := c.holdings.homes.Of(now, id, c.holdings.members)
 		if home == "" || home == c.cfg.Self.Name {
 			holder, since = c.holdings.table.Take(now, id, c.self(), replaced)
@@ -164,7 +164,7 @@
 		return holds.Holder{}, time.Time{}, err
 	}
 	holder, err = link.HolderFromWire(reply.Msg.GetHolder())
-	return holder, time.Now().Add(-link.HoldAge(reply.Msg)), err
+	return holder, c.clock.Now().Add(-link.HoldAge(reply.Msg)), err
 }
 
 // recordHome records whether a home has answered. A connection that broke tells nothing about the home,
@@ -180,7 +180,7 @@
 	case link.ConnectionBroken(err):
 		c.cfg.Meter.Add(meter.Name("holds", "broken"), 1)
 	default:
-		c.holdings.homes.Failed(time.Now(), home)
+		c.holdings.homes.Failed(c.clock.Now(), home)
 		c.cfg.Meter.Add(meter.Name("holds", "unanswered"), 1)
 		c.log.Warn().Err(peer.CallError("hold", err)).Str("coordinator", home).Msg("hold not answered")
 	}
@@ -209,11 +209,11 @@
 			}
 			continue
 		}
-		now := time.Now()
+		now := c.clock.Now()
 		if !now.Before(goneAt) {
 			return carobpulley.JobAnswer{}, false
 		}
-		if deadline, ok := ctx.Deadline(); ok && deadline.Before(goneAt) {
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < goneAt.Sub(now) {
 			break
 		}
 		sleep(ctx, min(holderRetryInterval, goneAt.Sub(now)))
@@ -251,7 +251,7 @@
 	c := s.c
 	c.lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.clock.Now()
 	holder, since := c.holdings.table.Take(now, r.Msg.GetId(), by, replaced)
 	return connect.NewResponse(&relay.HoldReply{Holder: link.HolderToWire(holder), AgeMs: now.Sub(since).Milliseconds()}), nil
 }
--- a/coord/journal.go
+++ b/coord/journal.go
@@ -102,9 +102,9 @@
 	backoff := appendBackoff
 	unanswered := false
 	for {
-		sent := time.Now()
+		sent := c.clock.Now()
 		err := j.appendOnce(b)
-		now := time.Now()
+		now := c.clock.Now()
 		c.cfg.Meter.Observe("append", now.Sub(sent))
 		if err == nil {
 			j.handleCommit(now, b)
--- a/coord/ownership.go
+++ b/coord/ownership.go
@@ -73,7 +73,7 @@
 		return
 	}
 	c.claims[claim.Shard] = claim
-	c.health[claim.Shard] = &ownerHealth{healthyAt: time.Now()}
+	c.health[claim.Shard] = &ownerHealth{healthyAt: c.clock.Now()}
 	c.log.Info().Int("shard", claim.Shard).Uint64("epoch", claim.Epoch).Str("owner", claim.Owner.Name).Msg("shard claimed")
 	if j := c.journals[claim.Shard]; j != nil {
 		c.releaseShard(claim.Shard, "the control topic holds a newer claim")
@@ -157,7 +157,7 @@
 	if c.claims[claim.Shard].Epoch != claim.Epoch || c.journals[claim.Shard] != nil {
 		return
 	}
-	now := time.Now()
+	now := c.clock.Now()
 	for _, err := range c.table.AcquireShard(now, claim.Shard, claim.Epoch, records) {
 		c.rejects.Add(now, "jobs", 1, work.ClaimKey(claim.Shard), err)
 	}
@@ -175,10 +175,10 @@
 // watchOwners checks the owners of all shards and claims the shards that need another
 // one.
 func (c *Coordinator) watchOwners(ctx context.Context) error {
-	last := time.Now()
+	last := c.clock.Now()
 	for ctx.Err() == nil {
 		sleep(ctx, ownerCheckInterval)
-		now := time.Now()
+		now := c.clock.Now()
 		c.lock()
 		if now.Sub(last) > stallThreshold {
 			for _, h := range c.health {
@@ -304,7 +304,7 @@
 		if err == nil || carobpulley.KindOf(err) != carobpulley.KindConflict {
 			break
 		}
-		if _, readErr := c.readControlTail(call, time.Now(), 0); readErr != nil {
+		if _, readErr := c.readControlTail(call, c.clock.Now(), 0); readErr != nil {
 			err = readErr
 			break
 		}
@@ -322,7 +322,7 @@
 // pingOwner pings a shard's owner and updates the shard's health.
 func (c *Coordinator) pingOwner(number int, claim work.Claim, h *ownerHealth) {
 	reply, err := c.ping(claim.Owner.Addr)
-	now := time.Now()
+	now := c.clock.Now()
 	c.lock()
 	defer c.mu.Unlock()
 	h.pinging = false
--- a/coord/stall.go
+++ b/coord/stall.go
@@ -14,7 +14,7 @@
 // before it can place a task.
 func (c *Coordinator) lock() {
 	c.mu.Lock()
-	now := time.Now()
+	now := c.clock.Now()
 	pause := now.Sub(c.lastTick)
 	if c.lastTick.IsZero() || pause < pauseThreshold {
 		return
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -214,7 +214,7 @@
 	p, ctx, baseCtx, self := f.newProcess(CoordinatorAddr(n))
 	self.Name = fmt.Sprintf("coordinator-%d", n)
 	p.Name = self.Name
-	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()},
+	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, carobpulley.SteadyClock{},
 		f.spec.Log.With().Str("process", self.Name).Logger(), p.Store, f, p.peers)
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewCoordinatorServiceHandler(p.Coordinator.Handler()))
@@ -240,7 +240,7 @@
 	token := f.lastToken
 	f.mu.Unlock()
 	p.Name = self.Name
-	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, DomainOutWithin: domainOutWithin, Meter: meter.New()},
+	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, DomainOutWithin: domainOutWithin, Meter: meter.New()}, carobpulley.SteadyClock{},
 		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, f, p.peers, token)
 	mux := http.NewServeMux()
 	mux.Handle(f.holdingOrders(self.Name)(relay.NewAgentServiceHandler(p.Agent)))
--- a/guard/announce.go
+++ b/guard/announce.go
@@ -20,7 +20,7 @@
 	}
 	for ctx.Err() == nil {
 		pause := reannounceAfter
-		if a.announceDue(time.Now()) {
+		if a.announceDue(a.clock.Now()) {
 			if err := a.announce(ctx); err != nil {
 				a.log.Warn().Err(err).Msg("agent address not appended to the store")
 				pause = announceRetryInterval
@@ -72,7 +72,7 @@
 	if a.controller.Instance() == "" {
 		return nil
 	}
-	s := a.controller.State(time.Now(), "")
+	s := a.controller.State(a.clock.Now(), "")
 	return &work.EndpointCapacity{Service: s.Service, Labels: s.Labels, Capacity: s.Capacity}
 }
 
--- a/guard/domains.go
+++ b/guard/domains.go
@@ -35,21 +35,21 @@
 			return nil
 		case <-tick.C:
 		}
-		now := time.Now()
+		now := a.clock.Now()
 		a.mu.Lock()
 		due := a.controller.DomainReadDue(now) && !now.Before(next)
 		known := a.controller.Domains()
 		a.mu.Unlock()
 		if due {
 			a.readDomains(ctx, known)
-			next = time.Now().Add(domainReadPause + time.Duration(random.Int64N(int64(domainReadPause))))
+			next = a.clock.Now().Add(domainReadPause + time.Duration(random.Int64N(int64(domainReadPause))))
 		}
 	}
 }
 
 // readDomains reads the operators' records that follow those known here.
 func (a *Agent) readDomains(ctx context.Context, v domain.View) {
-	sent := time.Now()
+	sent := a.clock.Now()
 	call, cancel := context.WithTimeout(ctx, domainReadTimeout)
 	defer cancel()
 	err := a.updateDomains(call, sent, &v)
@@ -59,7 +59,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	changed := a.controller.HandleDomainRead(time.Now(), sent, v, err)
+	changed := a.controller.HandleDomainRead(a.clock.Now(), sent, v, err)
 	a.logDomains(changed, "store")
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -83,6 +83,7 @@
 // Agent connects a runs.Controller to its endpoint, its coordinators and the store.
 type Agent struct {
 	cfg      Config
+	clock    carobpulley.Clock
 	log      zerolog.Logger
 	endpoint carobpulley.EndpointClient
 	store    carobpulley.Store
@@ -116,10 +117,11 @@
 }
 
 // New returns an Agent. token is the first fencing token.
-func New(cfg Config, log zerolog.Logger, endpoint carobpulley.EndpointClient, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers, token int64) *Agent {
-	now := time.Now()
+func New(cfg Config, clock carobpulley.Clock, log zerolog.Logger, endpoint carobpulley.EndpointClient, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers, token int64) *Agent {
+	now := clock.Now()
 	return &Agent{
 		cfg:          cfg,
+		clock:        clock,
 		log:          log,
 		endpoint:     endpoint,
 		store:        store,
--- a/guard/heartbeat.go
+++ b/guard/heartbeat.go
@@ -11,7 +11,7 @@
 
 // HandleHeartbeat implements carobpulley.HeartbeatSink.
 func (a *Agent) HandleHeartbeat(hb carobpulley.Heartbeat) {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	changed := a.controller.HandleHeartbeat(now, hb)
 	probe := changed || a.controller.NeedsProbe()
@@ -28,7 +28,7 @@
 // HandleShutdown implements carobpulley.HeartbeatSink.
 func (a *Agent) HandleShutdown(instance string) {
 	a.mu.Lock()
-	changed := a.controller.HandleShutdown(time.Now(), instance)
+	changed := a.controller.HandleShutdown(a.clock.Now(), instance)
 	a.mu.Unlock()
 	if changed {
 		a.log.Info().Str("instance", instance).Msg("runner left")
@@ -55,7 +55,7 @@
 		case <-a.probes:
 		}
 		a.mu.Lock()
-		sent := a.controller.BeginProbe(time.Now())
+		sent := a.controller.BeginProbe(a.clock.Now())
 		a.mu.Unlock()
 		a.sendPoll(ctx, sent, 0)
 		select {
--- a/guard/lost.go
+++ b/guard/lost.go
@@ -14,7 +14,7 @@
 
 // logLost logs the runs that were judged lost, with the evidence. The caller holds a.mu.
 func (a *Agent) logLost() {
-	now := time.Now()
+	now := a.clock.Now()
 	for _, l := range a.controller.Lost() {
 		a.cfg.Meter.Add(meter.Name("runs_lost", l.Reason), 1)
 		a.log.Warn().Str("task", l.Run.Task).Int64("run", l.Run.Number).Str("reason", l.Reason).
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -25,7 +25,7 @@
 // poll makes one poll and returns the pause until the next one.
 func (a *Agent) poll(ctx context.Context) time.Duration {
 	a.mu.Lock()
-	sent := a.controller.BeginPoll(time.Now())
+	sent := a.controller.BeginPoll(a.clock.Now())
 	known := a.controller.ClockKnown()
 	a.mu.Unlock()
 	wait := pollWait
@@ -39,7 +39,7 @@
 // unanswered start.
 func (a *Agent) pollNow(ctx context.Context) {
 	a.mu.Lock()
-	sent := a.controller.BeginPoll(time.Now())
+	sent := a.controller.BeginPoll(a.clock.Now())
 	a.mu.Unlock()
 	a.sendPoll(ctx, sent, 0)
 }
@@ -48,7 +48,7 @@
 	call, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	lists, refusal, err := a.endpoint.Renew(call, sent.Lease, sent.AckedUpTo, wait)
 	cancel()
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	var changed bool
 	failed := err != nil || refusal != ""
@@ -100,7 +100,7 @@
 		case <-tick.C:
 		}
 		a.mu.Lock()
-		changed := a.controller.Tick(time.Now())
+		changed := a.controller.Tick(a.clock.Now())
 		a.logLosses()
 		commands := a.controller.Commands()
 		a.mu.Unlock()
@@ -123,7 +123,7 @@
 
 func (a *Agent) start(ctx context.Context, s work.Start) {
 	a.mu.Lock()
-	lease, refusal := a.controller.StartLease(time.Now(), s.Run)
+	lease, refusal := a.controller.StartLease(a.clock.Now(), s.Run)
 	a.mu.Unlock()
 	if refusal != "" {
 		a.cfg.Meter.Add(meter.Name("starts_not_sent", refusal), 1)
@@ -137,7 +137,7 @@
 	cancel()
 	a.cfg.Meter.Observe("start", time.Since(sent))
 	a.mu.Lock()
-	a.controller.HandleStartReply(time.Now(), s.Run, lease, answer, err)
+	a.controller.HandleStartReply(a.clock.Now(), s.Run, lease, answer, err)
 	commands := a.controller.Commands()
 	uncertain := a.controller.StartUncertain(s.Run)
 	a.mu.Unlock()
--- a/guard/report.go
+++ b/guard/report.go
@@ -25,7 +25,7 @@
 		case <-tick.C:
 		case <-a.wakeReports:
 		}
-		now := time.Now()
+		now := a.clock.Now()
 		a.mu.Lock()
 		coordinators := a.controller.Coordinators()
 		var due []runs.CoordinatorAddress
@@ -89,7 +89,7 @@
 		return err
 	}
 	a.mu.Lock()
-	sentAt := time.Now()
+	sentAt := a.clock.Now()
 	sent := a.controller.Report(sentAt, to.Name)
 	domains := a.controller.Domains()
 	a.mu.Unlock()
@@ -110,15 +110,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	defer func() { a.execute(context.WithoutCancel(ctx), a.controller.Commands()) }()
-	a.handleDomains(time.Now(), link.DomainsFromWire(reply.Msg.GetDomains(), sentAt), to.Name)
+	a.handleDomains(a.clock.Now(), link.DomainsFromWire(reply.Msg.GetDomains(), sentAt), to.Name)
 	if reply.Msg.GetStale() {
 		if reply.Msg.GetReleased() {
 			a.controller.Release(to.Name)
 		}
 		return nil
 	}
-	a.lastContact = time.Now()
-	a.controller.HandleReportReply(time.Now(), to.Name, sent, runs.ReportReply{
+	a.lastContact = a.clock.Now()
+	a.controller.HandleReportReply(a.clock.Now(), to.Name, sent, runs.ReportReply{
 		Epochs: link.EpochsFromWire(reply.Msg.GetOwned()),
 		Acked:  reply.Msg.GetAcked(),
 
@@ -136,7 +136,7 @@
 	m := r.Msg
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := a.clock.Now()
 	if !a.controller.CanAttach(now) {
 		return connect.NewResponse(&relay.ReportRequest{Refusal: "the runner's lists are not read yet"}), nil
 	}
@@ -164,7 +164,7 @@
 func (a *Agent) Order(ctx context.Context, r *connect.Request[relay.OrderRequest]) (*connect.Response[relay.OrderReply], error) {
 	dispatch := link.DispatchFromWire(r.Msg)
 	a.mu.Lock()
-	now := time.Now()
+	now := a.clock.Now()
 	a.handleDomains(now, link.DomainsFromWire(r.Msg.GetDomains(), a.controller.EchoTime(now, dispatch.Echo)), dispatch.Coordinator)
 	refused, stale := a.controller.HandleDispatch(now, dispatch)
 	commands := a.controller.Commands()
