logs: a suspension of the host is logged and counted

What operators saw: nothing. A process that was suspended can't tell from its steady clock; hypothesis 1 of docs/incidents/twice-two-coordinators.md could not be told from a pause by the logs.

Change: package boottime reads CLOCK_BOOTTIME. At each tick an agent and a coordinator compare it with the steady clock: a gap that has grown by 100 ms is logged as `process was suspended` with gap_ms and counted as `suspensions`. The boot clock is read first and only growth counts, so a pause between the two readings is no suspension. It costs one system call a tick, 25 a second.

No host was suspended for real.

--- a/clock.go
+++ b/clock.go
@@ -6,6 +6,8 @@
 // with each other only: timers and contexts run on the clock of the runtime.
 type Clock interface {
 	Now() time.Time
+	// Suspended returns for how long the host was suspended since some fixed time.
+	Suspended() time.Duration
 }
 
 // SteadyClock is the clock of the runtime. It stands still while the host is suspended.
@@ -13,3 +15,6 @@
 
 // Now implements Clock.
 func (SteadyClock) Now() time.Time { return time.Now() }
+
+// Suspended implements Clock.
+func (SteadyClock) Suspended() time.Duration { return 0 }
--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -7,7 +7,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"carobpulley"
 	"carobpulley/guard"
 	"carobpulley/link"
 	"carobpulley/logs"
@@ -39,7 +38,7 @@
 		Meter:        p.meter,
 
 		DomainOutWithin: p.settings.DomainOutWithin,
-	}, carobpulley.SteadyClock{}, p.log, platform.NewEndpointClient(p.settings.Runner, rejects), platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers(), firstToken())
+	}, p.clock, p.log, platform.NewEndpointClient(p.settings.Runner, rejects), platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers(), firstToken())
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewAgentServiceHandler(agent))
 	return p.serve([]listener{
--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -6,7 +6,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"carobpulley"
 	"carobpulley/coord"
 	"carobpulley/link"
 	"carobpulley/logs"
@@ -38,7 +37,7 @@
 		Shards:          p.shards,
 		DrainTimeout:    p.drainTimeout(),
 		Meter:           p.meter,
-	}, carobpulley.SteadyClock{}, p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
+	}, p.clock, p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
 	callers := platform.NewCallerHandler(coordinator, p.log, p.meter)
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewCoordinatorServiceHandler(coordinator.Handler()))
--- a/cmd/carobd/process.go
+++ b/cmd/carobd/process.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"carobpulley/boottime"
 	"carobpulley/logs"
 	"carobpulley/meter"
 	"carobpulley/platform"
@@ -74,6 +75,7 @@
 	log      zerolog.Logger
 	writer   *logs.Writer
 	self     work.Address
+	clock    *boottime.Clock
 	shards   int
 	meter    *meter.Set
 	// ctx is cancelled on SIGTERM or SIGINT, or by stop.
@@ -91,11 +93,16 @@
 	if err != nil {
 		return nil, err
 	}
+	clock, err := boottime.New()
+	if err != nil {
+		return nil, err
+	}
 	log, writer := logs.New(os.Stdout, settings.Name)
 	p := &process{
 		settings: settings,
 		log:      log,
 		writer:   writer,
+		clock:    clock,
 		shards:   cmd.Int("shards"),
 		meter:    meter.New(),
 		self: work.Address{
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -175,6 +175,7 @@
 }
 
 func (c *Coordinator) tickLoop(ctx context.Context) error {
+	suspensions := logs.NewSuspensions(c.clock, c.log, c.cfg.Meter)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -183,6 +184,7 @@
 			return nil
 		case <-tick.C:
 		}
+		suspensions.Check()
 		c.lock()
 		now := c.clock.Now()
 		c.lastTick = now
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/logs"
 	"carobpulley/meter"
 	"carobpulley/runs"
 	"carobpulley/work"
@@ -91,6 +92,7 @@
 
 // tickLoop checks the deadlines at regular intervals.
 func (a *Agent) tickLoop(ctx context.Context) error {
+	suspensions := logs.NewSuspensions(a.clock, a.log, a.cfg.Meter)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -99,6 +101,7 @@
 			return nil
 		case <-tick.C:
 		}
+		suspensions.Check()
 		a.mu.Lock()
 		changed := a.controller.Tick(a.clock.Now())
 		a.logLosses()
