emul: hosts that are suspended, failing

Change: Process.Suspend suspends a host. Its clock stands still, messages and answers to it, its heartbeats and its own calls wait until it wakes, in any order; the other processes, endpoints and the store go on. Calls to the endpoint and the store keep the time limit that was left. TestNoRunTwiceAfterASuspension suspends agents, coordinators, both and one after the other for 0.3 to 6 s, at full endpoints, while callers come back elsewhere 1,300 ms after a call that broke. TestNoStartInADomainThatWentOutDuringASuspension takes a domain out meanwhile.

A coordinator that was suspended for 6 s starts what it had before, beside the runs of the next coordinator, and an agent that was suspended for 2 s after a coordinator starts an order that was placed elsewhere at the same time. The domain's test passes on the steady clock too, so it doesn't show that part.

An approximation: timers can't be held in virtual time. Those of a suspended process fire, find its clock standing, and what they then send waits, but time-outs of its calls to other processes run out. So answers that a real process would read when it wakes are lost here.

--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -68,6 +68,7 @@
 	kill        context.CancelFunc
 	server      *http.Server
 	peers       *link.Peers
+	suspension  *suspension
 	done        chan struct{}
 }
 
@@ -172,9 +173,10 @@
 	f.mu.Unlock()
 	ctx, stop := context.WithCancel(f.ctx)
 	baseCtx, kill := context.WithCancel(f.ctx)
+	s := &suspension{}
 	p := &Process{
-		Addr: addr, Store: f.Store.View(), stop: stop, kill: kill,
-		peers: link.NewPeersWithDial(f.Net.Dialer(addr)), done: make(chan struct{}),
+		Addr: addr, Store: f.Store.View(), stop: stop, kill: kill, suspension: s,
+		peers: link.NewPeersWithDial(s.dialer(f.Net.Dialer(addr))), done: make(chan struct{}),
 	}
 	self := work.Address{Addr: netip.AddrPortFrom(addr, innerPort), Incarnation: incarnation, Share: 1}
 	return p, ctx, baseCtx, self
@@ -182,7 +184,7 @@
 
 // serve starts the server and the main loop of a process.
 func (f *Fleet) serve(p *Process, handler http.Handler, run func() error) {
-	p.server = &http.Server{Handler: f.repeated(handler), ReadHeaderTimeout: time.Minute}
+	p.server = &http.Server{Handler: f.repeated(p.suspension.handler(handler)), ReadHeaderTimeout: time.Minute}
 	ln := f.Net.Listen(netip.AddrPortFrom(p.Addr, innerPort))
 	f.wg.Add(2)
 	go func() {
@@ -214,8 +216,8 @@
 	p, ctx, baseCtx, self := f.newProcess(CoordinatorAddr(n))
 	self.Name = fmt.Sprintf("coordinator-%d", n)
 	p.Name = self.Name
-	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, carobpulley.SteadyClock{},
-		f.spec.Log.With().Str("process", self.Name).Logger(), p.Store, f, p.peers)
+	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, p.suspension,
+		f.spec.Log.With().Str("process", self.Name).Logger(), suspendedStore{p.Store, p.suspension}, f, p.peers)
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewCoordinatorServiceHandler(p.Coordinator.Handler()))
 	f.mu.Lock()
@@ -240,8 +242,8 @@
 	token := f.lastToken
 	f.mu.Unlock()
 	p.Name = self.Name
-	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, DomainOutWithin: domainOutWithin, Meter: meter.New()}, carobpulley.SteadyClock{},
-		f.spec.Log.With().Str("process", self.Name).Logger(), f.Endpoints[n], p.Store, f, p.peers, token)
+	p.Agent = guard.New(guard.Config{Self: self, MaxLease: maxLease, Shards: f.spec.Shards, DrainTimeout: drainTimeout, DomainOutWithin: domainOutWithin, Meter: meter.New()}, p.suspension,
+		f.spec.Log.With().Str("process", self.Name).Logger(), suspendedEndpoint{f.Endpoints[n], p.suspension}, suspendedStore{p.Store, p.suspension}, f, p.peers, token)
 	mux := http.NewServeMux()
 	mux.Handle(f.holdingOrders(self.Name)(relay.NewAgentServiceHandler(p.Agent)))
 	f.Agents[n] = p
@@ -249,13 +251,13 @@
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
-		f.sendHeartbeats(baseCtx, p.Agent, n, time.Duration(self.Incarnation)*heartbeatStagger%heartbeatInterval)
+		f.sendHeartbeats(baseCtx, p, n, time.Duration(self.Incarnation)*heartbeatStagger%heartbeatInterval)
 	}()
 }
 
 // sendHeartbeats sends an endpoint's heartbeats to its agent. The first one follows after a
 // delay because an endpoint's heartbeats are not aligned with the start of its agent.
-func (f *Fleet) sendHeartbeats(ctx context.Context, agent *guard.Agent, n int, delay time.Duration) {
+func (f *Fleet) sendHeartbeats(ctx context.Context, p *Process, n int, delay time.Duration) {
 	domain := fmt.Sprintf("domain-%d", n%3)
 	select {
 	case <-ctx.Done():
@@ -263,7 +265,9 @@
 	}
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		if !f.Endpoints[n].Down() {
-			agent.HandleHeartbeat(f.Endpoints[n].Heartbeat(fmt.Sprintf("runner-%d", n), service, domain, sequence))
+			hb := f.Endpoints[n].Heartbeat(fmt.Sprintf("runner-%d", n), service, domain, sequence)
+			p.suspension.wait()
+			p.Agent.HandleHeartbeat(hb)
 		}
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/emul/suspend.go
@@ -0,0 +1,203 @@
+package emul
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"carobpulley"
+	"carobpulley/link"
+	"carobpulley/work"
+)
+
+// suspension is the clock of a process whose host can be suspended, and the gate in front of all that
+// the process receives and sends. While it is suspended, its clock stands at the beginning, and messages
+// and answers to it wait, as do its own calls.
+//
+// Timers can't be held in virtual time. A timer of the process that fires meanwhile finds the clock
+// standing, and what it then sends waits; but the time-outs of calls to other processes run out, and the
+// process takes its pauses to be over, at most by the length of the suspension too early.
+type suspension struct {
+	mu sync.Mutex
+	// since is the beginning of the suspension, and awake is closed at its end; zero while the process
+	// runs.
+	since time.Time
+	awake chan struct{}
+	// total is the length of all suspensions that are over.
+	total time.Duration
+}
+
+// Now implements carobpulley.Clock. It is the clock that doesn't count suspensions.
+func (s *suspension) Now() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.awake != nil {
+		return s.since.Add(-s.total)
+	}
+	return time.Now().Add(-s.total)
+}
+
+// Suspended implements carobpulley.Clock.
+func (s *suspension) Suspended() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+func (s *suspension) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.since, s.awake = time.Now(), make(chan struct{})
+}
+
+func (s *suspension) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total += time.Since(s.since)
+	close(s.awake)
+	s.awake = nil
+}
+
+// wait waits until the process runs.
+func (s *suspension) wait() {
+	for {
+		s.mu.Lock()
+		awake := s.awake
+		s.mu.Unlock()
+		if awake == nil {
+			return
+		}
+		<-awake
+	}
+}
+
+// Suspend suspends the host of a process for a time.
+func (p *Process) Suspend(d time.Duration) {
+	p.suspension.begin()
+	time.Sleep(d)
+	p.suspension.end()
+}
+
+// handler returns a handler whose requests wait while the process is suspended.
+func (s *suspension) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		s.wait()
+		h.ServeHTTP(w, r)
+	})
+}
+
+// dialer returns a dialer whose connections neither send nor receive while the process is suspended.
+func (s *suspension) dialer(dial link.DialFunc) link.DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		s.wait()
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return suspendedConn{c, s}, nil
+	}
+}
+
+type suspendedConn struct {
+	net.Conn
+	s *suspension
+}
+
+// Read implements net.Conn.
+func (c suspendedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.s.wait()
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c suspendedConn) Write(p []byte) (int, error) {
+	c.s.wait()
+	return c.Conn.Write(p)
+}
+
+// throughSuspension makes a call of the process. Its time limit doesn't run while the process is
+// suspended before the call is sent.
+func throughSuspension(ctx context.Context, s *suspension, call func(context.Context)) {
+	limit, limited := ctx.Deadline()
+	remaining := time.Until(limit)
+	began := time.Now()
+	s.wait()
+	if limited && time.Since(began) > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), remaining)
+		defer cancel()
+	}
+	call(ctx)
+	s.wait()
+}
+
+// suspendedEndpoint is the endpoint as a process that can be suspended reaches it.
+type suspendedEndpoint struct {
+	carobpulley.EndpointClient
+	s *suspension
+}
+
+// Start implements carobpulley.EndpointClient.
+func (e suspendedEndpoint) Start(ctx context.Context, l carobpulley.Lease, start work.Start) (a carobpulley.StartAnswer, err error) {
+	throughSuspension(ctx, e.s, func(ctx context.Context) { a, err = e.EndpointClient.Start(ctx, l, start) })
+	return a, err
+}
+
+// Stop implements carobpulley.EndpointClient.
+func (e suspendedEndpoint) Stop(ctx context.Context, l carobpulley.Lease, run work.Run) (a carobpulley.StartAnswer, err error) {
+	throughSuspension(ctx, e.s, func(ctx context.Context) { a, err = e.EndpointClient.Stop(ctx, l, run) })
+	return a, err
+}
+
+// Renew implements carobpulley.EndpointClient.
+func (e suspendedEndpoint) Renew(ctx context.Context, l carobpulley.Lease, acked int64, wait time.Duration) (lists carobpulley.RunLists, refusal string, err error) {
+	throughSuspension(ctx, e.s, func(ctx context.Context) { lists, refusal, err = e.EndpointClient.Renew(ctx, l, acked, wait) })
+	return lists, refusal, err
+}
+
+// suspendedStore is the store as a process that can be suspended reaches it.
+type suspendedStore struct {
+	store carobpulley.Store
+	s     *suspension
+}
+
+// Append implements carobpulley.Store.
+func (v suspendedStore) Append(ctx context.Context, p carobpulley.Partition, records []carobpulley.KeyedRecord) (err error) {
+	throughSuspension(ctx, v.s, func(ctx context.Context) { err = v.store.Append(ctx, p, records) })
+	return err
+}
+
+// AppendAt implements carobpulley.Store.
+func (v suspendedStore) AppendAt(ctx context.Context, p carobpulley.Partition, at int64, records []carobpulley.KeyedRecord) (end int64, err error) {
+	throughSuspension(ctx, v.s, func(ctx context.Context) { end, err = v.store.AppendAt(ctx, p, at, records) })
+	return end, err
+}
+
+// AppendFenced implements carobpulley.Store.
+func (v suspendedStore) AppendFenced(ctx context.Context, p carobpulley.Partition, w carobpulley.Writer, records []carobpulley.KeyedRecord) (end int64, err error) {
+	throughSuspension(ctx, v.s, func(ctx context.Context) { end, err = v.store.AppendFenced(ctx, p, w, records) })
+	return end, err
+}
+
+// Newest implements carobpulley.Store.
+func (v suspendedStore) Newest(ctx context.Context, p carobpulley.Partition) (records []carobpulley.KeyedRecord, end int64, err error) {
+	throughSuspension(ctx, v.s, func(ctx context.Context) { records, end, err = v.store.Newest(ctx, p) })
+	return records, end, err
+}
+
+// Tail implements carobpulley.Store.
+func (v suspendedStore) Tail(ctx context.Context, p carobpulley.Partition, from int64, wait time.Duration) (records []carobpulley.KeyedRecord, next int64, err error) {
+	throughSuspension(ctx, v.s, func(ctx context.Context) { records, next, err = v.store.Tail(ctx, p, from, wait) })
+	return records, next, err
+}
--- /dev/null
+++ b/emul/suspend_test.go
@@ -0,0 +1,160 @@
+package emul
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"carobpulley"
+	"carobpulley/work"
+)
+
+const (
+	// suspendedRun is the time of a run in the tests of suspensions.
+	suspendedRun = 1500 * time.Millisecond
+	// callerTimeout is how long a caller waits for an answer.
+	callerTimeout = 4 * time.Second
+	// callerPatience is how long a caller tries to get a result.
+	callerPatience = 30 * time.Second
+	// departureDelay is how long after its awakening a process sees at most that callers have left.
+	departureDelay = 20 * time.Millisecond
+)
+
+// submitOnce submits a best-effort job as a caller that waits for callerTimeout. A coordinator that is
+// suspended reads the job, and that its caller has left, after it.
+func (f *Fleet) submitOnce(at int, j *work.Job) (a carobpulley.JobAnswer, answered bool) {
+	p := f.coordinator(at)
+	ctx, cancel := context.WithCancel(f.ctx)
+	answers := make(chan carobpulley.JobAnswer, 1)
+	go func() {
+		p.suspension.wait()
+		answers <- p.Coordinator.Submit(ctx, j)
+		cancel()
+	}()
+	select {
+	case a = <-answers:
+		return a, true
+	case <-time.After(callerTimeout):
+	}
+	go func() {
+		p.suspension.wait()
+		time.Sleep(departureDelay)
+		cancel()
+	}()
+	return a, false
+}
+
+// submitUntilAnswered submits a job until it is answered with its result. After a call without an answer
+// the caller comes back resubmitAfter later at the next coordinator.
+func (f *Fleet) submitUntilAnswered(n, tasks int) bool {
+	until := time.Now().Add(callerPatience)
+	for try := 0; time.Now().Before(until); try++ {
+		j := testJob(n, true, tasks)
+		j.Steps[0].EstimateMS = suspendedRun.Milliseconds()
+		a, answered := f.submitOnce((n+try)%len(f.Coordinators), j)
+		if answered && a.Code == carobpulley.AnswerOK {
+			return true
+		}
+		time.Sleep(resubmitAfter)
+	}
+	return false
+}
+
+// suspendCases are orders in which processes are suspended, each for the same time.
+var suspendCases = []struct {
+	name    string
+	suspend func(f *Fleet, d time.Duration)
+}{
+	{"agent", func(f *Fleet, d time.Duration) { suspendAll(d, f.Agents[1]) }},
+	{"agents", func(f *Fleet, d time.Duration) { suspendAll(d, f.Agents[0], f.Agents[1]) }},
+	{"coordinator", func(f *Fleet, d time.Duration) { suspendAll(d, f.coordinator(0)) }},
+	{"coordinators", func(f *Fleet, d time.Duration) { suspendAll(d, f.coordinator(0), f.coordinator(1)) }},
+	{"both", func(f *Fleet, d time.Duration) { suspendAll(d, f.Agents[1], f.coordinator(0)) }},
+	{"agent then coordinator", func(f *Fleet, d time.Duration) {
+		suspendAll(d, f.Agents[1])
+		suspendAll(d, f.coordinator(0))
+	}},
+	{"coordinator then agent", func(f *Fleet, d time.Duration) {
+		suspendAll(d, f.coordinator(0))
+		suspendAll(d, f.Agents[1])
+	}},
+	{"agent twice", func(f *Fleet, d time.Duration) {
+		suspendAll(d, f.Agents[1])
+		time.Sleep(30 * time.Millisecond)
+		suspendAll(d, f.Agents[1])
+	}},
+}
+
+func suspendAll(d time.Duration, processes ...*Process) {
+	var wg sync.WaitGroup
+	for _, p := range processes {
+		wg.Go(func() { p.Suspend(d) })
+	}
+	wg.Wait()
+}
+
+// Guards against runs that begin after a suspension on what was true before it, while their tasks run
+// elsewhere: the steady clock of a host doesn't count the time for which it is suspended.
+func TestNoRunTwiceAfterASuspension(t *testing.T) {
+	for _, c := range suspendCases {
+		for _, d := range []time.Duration{300, 700, 1300, 2000, 3200, 6000} {
+			d *= time.Millisecond
+			t.Run(fmt.Sprintf("%s/%s", c.name, d), func(t *testing.T) {
+				spec := testSpec()
+				spec.Seed = uint64(d)
+				spec.Behavior = func(work.Start) (time.Duration, work.Outcome) { return suspendedRun, work.OutcomeDone }
+				runFleet(t, spec, func(t *testing.T, f *Fleet) {
+					var wg sync.WaitGroup
+					const jobs = 60
+					unanswered := make(chan int, jobs)
+					for n := range jobs {
+						wg.Go(func() {
+							time.Sleep(time.Duration(n) * 73 * time.Millisecond)
+							if !f.submitUntilAnswered(n, 3) {
+								unanswered <- n
+							}
+						})
+					}
+					time.Sleep(time.Second)
+					c.suspend(f, d)
+					wg.Wait()
+					if n := len(unanswered); n > 0 {
+						t.Errorf("%d of %d jobs without a result", n, jobs)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against starts in a failure domain that was taken out of service while the host of an agent was
+// suspended.
+func TestNoStartInADomainThatWentOutDuringASuspension(t *testing.T) {
+	for _, after := range []time.Duration{0, 950} {
+		after *= time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
+			spec := testSpec()
+			spec.Behavior = func(work.Start) (time.Duration, work.Outcome) { return suspendedRun, work.OutcomeDone }
+			runFleet(t, spec, func(t *testing.T, f *Fleet) {
+				var wg sync.WaitGroup
+				for n := range 100 {
+					wg.Go(func() {
+						time.Sleep(time.Duration(n) * 31 * time.Millisecond)
+						f.submitUntilAnswered(n, 3)
+					})
+				}
+				time.Sleep(time.Second)
+				wg.Go(func() { suspendAll(6*time.Second, f.Agents[1]) })
+				time.Sleep(after)
+				f.SetDomain("domain-1", true)
+				acknowledged := time.Now()
+				wg.Wait()
+				if got := f.Checker.StartsAfter(1, acknowledged.Add(domainOutWithin)); got > 0 {
+					t.Errorf("%d starts in the domain beyond %s", got, domainOutWithin)
+				}
+			})
+		})
+	}
+}
