--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -24,7 +24,7 @@
 }
 
 func (c *Coordinator) awaitBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
-	s := &submission{job: j, arrivedAt: time.Now()}
+	s := &submission{job: j, arrivedAt: c.clock.Now()}
 	for {
 		own, answered, a := c.acquire(ctx, s)
 		if !answered {
@@ -60,10 +60,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, refusedAnswer("the caller has left: " + err.Error())
 	}
+	now := c.clock.Now()
 	if deadline, ok := ctx.Deadline(); ok {
-		j.AnswerBy = deadline
+		j.AnswerBy = now.Add(time.Until(deadline))
 	}
-	status, reason := c.table.Submit(time.Now(), j)
+	status, reason := c.table.Submit(now, j)
 	switch status {
 	case jobs.SubmitRefused:
 		return nil, refusedAnswer(reason)
@@ -145,7 +146,7 @@
 	if len(c.waiters[id]) > 0 {
 		return unknownAnswer(reason)
 	}
-	unstarted := c.table.Abandon(time.Now(), id, reason)
+	unstarted := c.table.Abandon(c.clock.Now(), id, reason)
 	c.flush()
 	if unstarted {
 		return refusedAnswer("given up before a start: " + reason)
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -53,9 +53,10 @@
 			return true, false, carobpulley.JobAnswer{}
 		}
 		if n == 0 {
+			now := c.clock.Now()
 			c.cfg.Meter.Add(meter.Name("holds", "elsewhere"), 1)
 			c.log.Info().Str("job", id).Str("coordinator", h.Holder.Coordinator).Uint64("incarnation", h.Holder.Incarnation).
-				Int64("age_ms", ageMS(h.At)).Int64("seen_ms", ageMS(h.Seen)).Msg("held elsewhere")
+				Int64("age_ms", now.Sub(h.At).Milliseconds()).Int64("seen_ms", now.Sub(h.Seen).Milliseconds()).Msg("held elsewhere")
 		}
 		c.endPending(id)
 		s.replaced = 0
@@ -69,15 +70,16 @@
 		case joinUnanswered:
 		}
 		goneAt := s.holderGoneAt(h)
-		if now := time.Now(); !now.Before(goneAt) {
+		now := c.clock.Now()
+		if !now.Before(goneAt) {
 			s.replaced, s.uncertain = h.Number, true
 			continue
 		}
-		if deadline, ok := ctx.Deadline(); ok && deadline.Before(goneAt) {
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < goneAt.Sub(now) {
 			c.cfg.Meter.Add("joins_unanswered", 1)
 			return false, true, unknownAnswer("another coordinator has the job and does not answer")
 		}
-		sleep(ctx, min(holderRetryInterval, time.Until(goneAt)))
+		sleep(ctx, min(holderRetryInterval, goneAt.Sub(now)))
 	}
 	if err := ctx.Err(); err != nil {
 		return false, true, refusedAnswer("the caller has left: " + err.Error())
@@ -94,8 +96,6 @@
 	return gone
 }
 
-func ageMS(t time.Time) int64 { return time.Since(t).Milliseconds() }
-
 // beginPending marks an id as pending. It waits while another submission has it so, and reports false if
 // the job is in the table then, and not being stopped, or the caller has left.
 func (c *Coordinator) beginPending(ctx context.Context, id string) bool {
--- a/coord/homes.go
+++ b/coord/homes.go
@@ -76,7 +76,7 @@
 	for n := range maxHoldTries {
 		ask := &holdAsk{id: id, by: c.self(), replaced: replaced, again: n > 0, done: make(chan struct{})}
 		c.lock()
-		now := time.Now()
+		now := c.clock.Now()
 		home := c.holdings.homes.Ask(now, id, c.cfg.Self.Name, c.holdings.members)
 		c.submitAsk(now, ask, home)
 		c.mu.Unlock()
@@ -102,7 +102,7 @@
 func (c *Coordinator) copyHold(ctx context.Context, id string) {
 	ask := &holdAsk{id: id, by: c.self(), replaced: holds.AnyHold, passedOn: true, done: make(chan struct{})}
 	c.lock()
-	now := time.Now()
+	now := c.clock.Now()
 	next := c.holdings.homes.Next(now, id, c.cfg.Self.Name, c.holdings.members)
 	if next != "" {
 		c.submitAsk(now, ask, next)
@@ -212,7 +212,7 @@
 	if err != nil {
 		return wasReused(), err
 	}
-	now := time.Now()
+	now := c.clock.Now()
 	for n, m := range reply.Msg.GetHolds()[:min(len(asks), len(reply.Msg.GetHolds()))] {
 		if asks[n].hold, err = link.HoldFromWire(now, asks[n].by, m); err != nil {
 			return false, err
@@ -232,7 +232,7 @@
 		c.cfg.Meter.Add(meter.Name("holds", "granted"), int64(asks))
 		return false
 	}
-	c.holdings.homes.Failed(time.Now(), home)
+	c.holdings.homes.Failed(c.clock.Now(), home)
 	c.cfg.Meter.Add(meter.Name("holds", "unanswered"), int64(asks))
 	c.log.Warn().Err(err).Str("coordinator", home).Int("asks", asks).Msg("hold not answered")
 	return true
@@ -256,7 +256,7 @@
 		if ask, err = c.awaitHome(ctx, ask); err != nil {
 			return nil, err
 		}
-		reply.Holds[n] = link.HoldToWire(time.Now(), ask.by, ask.hold)
+		reply.Holds[n] = link.HoldToWire(c.clock.Now(), ask.by, ask.hold)
 	}
 	return connect.NewResponse(reply), nil
 }
@@ -264,7 +264,7 @@
 // passOn adds an ask of another process to the next call to the home of its id, or answers it if that is
 // this process or the ask was passed on before. The caller holds the lock.
 func (c *Coordinator) passOn(ask *holdAsk) {
-	now, home := time.Now(), c.cfg.Self.Name
+	now, home := c.clock.Now(), c.cfg.Self.Name
 	if !ask.passedOn {
 		home = c.holdings.homes.Of(now, ask.id, c.holdings.members)
 	}
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/logs"
 	"carobpulley/meter"
 	"carobpulley/runs"
 	"carobpulley/work"
@@ -25,7 +26,7 @@
 // poll makes one poll and returns the pause until the next one.
 func (a *Agent) poll(ctx context.Context) time.Duration {
 	a.mu.Lock()
-	sent := a.controller.BeginPoll(time.Now())
+	sent := a.controller.BeginPoll(a.clock.Now())
 	known := a.controller.ClockKnown()
 	a.mu.Unlock()
 	wait := pollWait
@@ -39,7 +40,7 @@
 // unanswered start.
 func (a *Agent) pollNow(ctx context.Context) {
 	a.mu.Lock()
-	sent := a.controller.BeginPoll(time.Now())
+	sent := a.controller.BeginPoll(a.clock.Now())
 	a.mu.Unlock()
 	a.sendPoll(ctx, sent, 0)
 }
@@ -48,7 +49,7 @@
 	call, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	lists, refusal, err := a.endpoint.Renew(call, sent.Lease, sent.AckedUpTo, wait)
 	cancel()
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	var changed bool
 	failed := err != nil || refusal != ""
@@ -91,6 +92,7 @@
 
 // tickLoop checks the deadlines at regular intervals.
 func (a *Agent) tickLoop(ctx context.Context) error {
+	suspensions := logs.NewSuspensions(a.clock, a.log, a.cfg.Meter)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -99,8 +101,9 @@
 			return nil
 		case <-tick.C:
 		}
+		suspensions.Check()
 		a.mu.Lock()
-		changed := a.controller.Tick(time.Now())
+		changed := a.controller.Tick(a.clock.Now())
 		a.logLosses()
 		commands := a.controller.Commands()
 		a.mu.Unlock()
@@ -123,7 +126,7 @@
 
 func (a *Agent) start(ctx context.Context, s work.Start) {
 	a.mu.Lock()
-	lease, refusal := a.controller.StartLease(time.Now(), s.Run)
+	lease, refusal := a.controller.StartLease(a.clock.Now(), s.Run)
 	a.mu.Unlock()
 	if refusal != "" {
 		a.cfg.Meter.Add(meter.Name("starts_not_sent", refusal), 1)
@@ -137,7 +140,7 @@
 	cancel()
 	a.cfg.Meter.Observe("start", time.Since(sent))
 	a.mu.Lock()
-	a.controller.HandleStartReply(time.Now(), s.Run, lease, answer, err)
+	a.controller.HandleStartReply(a.clock.Now(), s.Run, lease, answer, err)
 	commands := a.controller.Commands()
 	uncertain := a.controller.StartUncertain(s.Run)
 	a.mu.Unlock()
