runs: a start that overtakes a stop, failing

A coordinator that can't reach an agent for a moment asks for a stop in that time. Its next start reaches the agent before the stop is repeated, and proves the coordinator alive at a time after the caller left. Where the endpoint carries out no stop, its lease outlasts the caller's return.

The change belongs to coord (sendDispatch) and to the model with it.

--- a/runs/resubmit_world_test.go
+++ b/runs/resubmit_world_test.go
@@ -632,3 +632,14 @@
 		}
 	}
 }
+
+// Guards against the same where a start overtakes the stop that its coordinator has sent before: the model
+// sends dispatches as package coord does, of which only the one with the stop is repeated.
+func TestLaterStartDoesNotOvertakeAStop(t *testing.T) {
+	if got, trace := playLeases(218, 12*time.Second, false, 100*time.Millisecond); got != "" {
+		for _, line := range trace[max(0, len(trace)-80):] {
+			t.Log(line)
+		}
+		t.Error(got)
+	}
+}
