coord: one reading of the clock for each time the lock is held

What callers saw: nothing. A reading of the boot clock is a system call, which costs processor time, and a report or a submission took four to six.

Change: lock() keeps the time at which the lock was acquired, and what happens under the lock is judged by it. Readings from before the lock, which may be older than the wait for it, are gone. What was placed is judged anew before it is sent: sendDispatch acquires the lock for each try.

Evidence: all tests of emul but the two that are known red, those of coord. The cost was not measured.

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -56,9 +56,9 @@
 		Attachment:  attachment,
 		Shards:      link.EpochsToWire(epochs),
 	}))
-	now := c.clock.Now()
 	c.lock()
 	defer c.mu.Unlock()
+	now := c.now
 	if err != nil {
 		err = peer.CallError("attach", err)
 		c.nextAttachAt[agent.Name] = now.Add(c.attachRetryDelay(agent.Name))
@@ -98,10 +98,10 @@
 		agent, known := c.agents[d.Agent]
 		sendable := jobs.SendNever
 		if known {
-			sendable = c.table.Refresh(c.clock.Now(), d)
+			sendable = c.table.Refresh(c.now, d)
 		}
 		m := link.DispatchToWire(c.cfg.Self.Name, c.cfg.Self.Incarnation, d)
-		m.Domains = link.DomainsToWire(c.clock.Now(), c.domains)
+		m.Domains = link.DomainsToWire(c.now, c.domains)
 		c.mu.Unlock()
 		switch sendable {
 		case jobs.SendNever:
@@ -152,12 +152,12 @@
 	if reply.GetStale() {
 		c.table.Detach(d.Agent, d.Attachment)
 		delete(c.nextAttachAt, d.Agent)
-		c.attachDetached(c.clock.Now())
+		c.attachDetached(c.now)
 		return
 	}
 	c.table.HandleDispatchReply(d, link.EndpointStateFromWire(reply.GetRunner()))
 	for reason, runs := range link.RefusedStartsFromWire(reply.GetRefused()) {
-		c.table.HandleRefusedStarts(c.clock.Now(), d, runs, reason)
+		c.table.HandleRefusedStarts(c.now, d, runs, reason)
 	}
 	c.flush()
 }
@@ -166,9 +166,9 @@
 // ownership while the coordinator's own proof is valid.
 func (c *Coordinator) Report(_ context.Context, r *connect.Request[relay.ReportRequest]) (*connect.Response[relay.ReportReply], error) {
 	report := link.ReportFromWire(r.Msg)
-	now := c.clock.Now()
 	c.lock()
 	defer c.mu.Unlock()
+	now := c.now
 	c.mergeDomains(link.DomainsFromWire(r.Msg.GetDomains(), time.Time{}), report.Agent)
 	domains := link.DomainsToWire(now, c.domains)
 	answer := c.table.HandleReport(now, report)
--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -58,7 +58,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, refusedAnswer("the caller has left: " + err.Error())
 	}
-	now := c.clock.Now()
+	now := c.now
 	if deadline, ok := ctx.Deadline(); ok {
 		j.AnswerBy = now.Add(time.Until(deadline))
 	}
@@ -122,7 +122,7 @@
 	if len(c.waiters[id]) > 0 {
 		return unknownAnswer(reason)
 	}
-	unstarted := c.table.Abandon(c.clock.Now(), id, reason)
+	unstarted := c.table.Abandon(c.now, id, reason)
 	c.flush()
 	if unstarted {
 		return refusedAnswer("given up before a start: " + reason)
--- a/coord/calls.go
+++ b/coord/calls.go
@@ -42,7 +42,7 @@
 	if c.routing == nil || c.draining {
 		return false
 	}
-	now := c.clock.Now()
+	now := c.now
 	for number := range c.cfg.Shards {
 		claim, known := c.claims[number]
 		if !known {
@@ -243,8 +243,8 @@
 // submitAsOwner adds a submitted job to the table and returns once it is stored.
 func (c *Coordinator) submitAsOwner(ctx context.Context, spec *work.Job) carobpulley.JobAnswer {
 	number := work.ShardOf(spec.ID, c.cfg.Shards)
-	now := c.clock.Now()
 	c.lock()
+	now := c.now
 	j := c.journals[number]
 	if j == nil || c.handingOver(now) {
 		c.mu.Unlock()
@@ -284,7 +284,7 @@
 func (c *Coordinator) stateAsOwner(queue, id string) carobpulley.JobAnswer {
 	c.lock()
 	defer c.mu.Unlock()
-	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(c.clock.Now()) {
+	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(c.now) {
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
 	state, known := c.table.State(queue, id)
@@ -299,7 +299,7 @@
 
 func (c *Coordinator) cancelAsOwner(ctx context.Context, queue, id string) carobpulley.JobAnswer {
 	c.lock()
-	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(c.clock.Now()) {
+	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(c.now) {
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
@@ -307,7 +307,7 @@
 		c.mu.Unlock()
 		return refusedAnswer(jobs.ReasonUnreadable)
 	}
-	known, stored := c.table.Cancel(c.clock.Now(), queue, id)
+	known, stored := c.table.Cancel(c.now, queue, id)
 	if !known || stored {
 		c.flush()
 		c.mu.Unlock()
--- a/coord/configage.go
+++ b/coord/configage.go
@@ -21,7 +21,7 @@
 	c.lock()
 	defer c.mu.Unlock()
 	if c.configRead.stale {
-		c.log.Info().Int64("offset", next).Int64("age_ms", c.clock.Now().Sub(c.configRead.sentAt).Milliseconds()).Msg("operators' records read again")
+		c.log.Info().Int64("offset", next).Int64("age_ms", c.now.Sub(c.configRead.sentAt).Milliseconds()).Msg("operators' records read again")
 	}
 	c.configRead = configRead{sentAt: sent, next: next}
 	c.domains.Confirm(next, sent)
--- a/coord/configpeer.go
+++ b/coord/configpeer.go
@@ -116,7 +116,7 @@
 			return err
 		}
 		c.applyConfig(change, r, peer)
-		c.table.PlaceReady(c.clock.Now())
+		c.table.PlaceReady(c.now)
 		c.flush()
 	}
 	c.peerConfig.offset = m.GetOffset()
@@ -132,7 +132,7 @@
 	}
 	c.log.Info().Int64("version", config.Version).Int("routes", len(config.Routes)).Str("from", from).Msg("configuration in force")
 	if n := len(change.LeftOut); n > 0 {
-		c.rejects.Add(c.clock.Now(), "configuration", n, r.Key, errors.Join(change.LeftOut...))
+		c.rejects.Add(c.now, "configuration", n, r.Key, errors.Join(change.LeftOut...))
 	}
 	c.cfg.Meter.Set("plan_version", config.Version)
 	c.routing = config
--- a/coord/control.go
+++ b/coord/control.go
@@ -72,7 +72,7 @@
 	c.ownershipProof = sent
 	c.table.ConfirmOwnership(sent)
 	c.notifyOwnershipChange()
-	now := c.clock.Now()
+	now := c.now
 	c.updateShare(now)
 	c.attachDetached(now)
 	c.table.PlaceReady(now)
@@ -101,7 +101,7 @@
 	if sent.After(c.ownershipProof) {
 		c.ownershipProof = sent
 		c.table.ConfirmOwnership(sent)
-		c.table.PlaceReady(c.clock.Now())
+		c.table.PlaceReady(c.now)
 		c.flush()
 	}
 	if len(records) > 0 {
@@ -114,7 +114,7 @@
 // a confirmation of the ownership: the endpoints of such ends take no starts meanwhile. The caller
 // holds the lock.
 func (c *Coordinator) confirmOwnership() {
-	now := c.clock.Now()
+	now := c.now
 	if now.Before(c.nextConfirmAt) || !c.table.AwaitsProof() {
 		return
 	}
@@ -132,7 +132,7 @@
 	for i := range records {
 		r, err := work.DecodeControl(records[i].Key, records[i].Value)
 		if err != nil {
-			c.rejects.Add(c.clock.Now(), "control", 1, records[i].Key, err)
+			c.rejects.Add(c.now, "control", 1, records[i].Key, err)
 			continue
 		}
 		switch {
@@ -170,7 +170,7 @@
 func (c *Coordinator) removeAgent(name string) {
 	delete(c.agents, name)
 	c.membersChanged = true
-	c.table.RemoveAgent(c.clock.Now(), name)
+	c.table.RemoveAgent(c.now, name)
 }
 
 func (c *Coordinator) handleCoordinatorAddress(a work.Address) {
@@ -257,7 +257,7 @@
 	for i := range records {
 		change, err := c.configSource.Decode(records[i])
 		if err != nil {
-			c.rejects.Add(c.clock.Now(), "operators", 1, records[i].Key, err)
+			c.rejects.Add(c.now, "operators", 1, records[i].Key, err)
 			continue
 		}
 		if change.Domain != "" {
@@ -265,7 +265,7 @@
 		}
 		c.applyConfig(change, records[i], "store")
 	}
-	c.table.PlaceReady(c.clock.Now())
+	c.table.PlaceReady(c.now)
 	c.flush()
 }
 
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -61,7 +61,10 @@
 	rejects      *logs.Rejects
 	baseCtx      context.Context
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// now is the time at which the lock was acquired. It is read once, since a reading may be a system
+	// call.
+	now     time.Time
 	table   *jobs.Table
 	routing *work.RoutingConfig
 	// domains is what is known of the failure domains, from the operators' topic or from other
@@ -186,7 +189,7 @@
 		}
 		suspensions.Check()
 		c.lock()
-		now := c.clock.Now()
+		now := c.now
 		c.lastTick = now
 		c.table.Tick(now)
 		c.checkConfigAge(now)
@@ -202,7 +205,7 @@
 // flush sends the table's dispatches, wakes the journals with changes, returns
 // results to waiting callers and logs decisions. The caller holds the lock.
 func (c *Coordinator) flush() {
-	c.growShare(c.clock.Now())
+	c.growShare(c.now)
 	for _, dispatch := range c.table.Dispatches() {
 		if len(dispatch.Stops) > 0 {
 			if c.unanswered[dispatch.Agent] == nil {
--- a/coord/domains.go
+++ b/coord/domains.go
@@ -22,7 +22,7 @@
 func (c *Coordinator) mergeDomains(v domain.View, from string) {
 	if c.domains.Merge(v) {
 		c.domainsChanged(true, from)
-		c.table.PlaceReady(c.clock.Now())
+		c.table.PlaceReady(c.now)
 	}
 }
 
--- a/coord/drain.go
+++ b/coord/drain.go
@@ -37,7 +37,7 @@
 	began := time.Now()
 	c.lock()
 	c.draining = true
-	c.drainSince = c.clock.Now()
+	c.drainSince = c.now
 	c.mu.Unlock()
 	c.log.Info().Msg("draining")
 	for running.Err() == nil && time.Since(began) < handOverTimeout && c.handOver(running) {
@@ -60,7 +60,7 @@
 	c.lock()
 	defer c.mu.Unlock()
 	for id := range c.waiters {
-		unstarted := c.table.Abandon(c.clock.Now(), id, "the process ends")
+		unstarted := c.table.Abandon(c.now, id, "the process ends")
 		c.notifyWaiters(id, waitResult{shardReleased: true, result: jobs.BestEffortResult{Job: id, State: work.StateCancelled, Unstarted: unstarted, Reason: "the process ends"}})
 	}
 	c.flush()
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -130,7 +130,7 @@
 func (c *Coordinator) askHome(ctx context.Context, id string, replaced holds.Holder) (holder holds.Holder, since time.Time, held bool) {
 	for range maxHoldTries {
 		c.lock()
-		now := c.clock.Now()
+		now := c.now
 		home := c.holdings.homes.Of(now, id, c.holdings.members)
 		if home == "" || home == c.cfg.Self.Name {
 			holder, since = c.holdings.table.Take(now, id, c.self(), replaced)
@@ -180,7 +180,7 @@
 	case link.ConnectionBroken(err):
 		c.cfg.Meter.Add(meter.Name("holds", "broken"), 1)
 	default:
-		c.holdings.homes.Failed(c.clock.Now(), home)
+		c.holdings.homes.Failed(c.now, home)
 		c.cfg.Meter.Add(meter.Name("holds", "unanswered"), 1)
 		c.log.Warn().Err(peer.CallError("hold", err)).Str("coordinator", home).Msg("hold not answered")
 	}
@@ -251,7 +251,7 @@
 	c := s.c
 	c.lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
+	now := c.now
 	holder, since := c.holdings.table.Take(now, r.Msg.GetId(), by, replaced)
 	return connect.NewResponse(&relay.HoldReply{Holder: link.HolderToWire(holder), AgeMs: now.Sub(since).Milliseconds()}), nil
 }
--- a/coord/ownership.go
+++ b/coord/ownership.go
@@ -73,7 +73,7 @@
 		return
 	}
 	c.claims[claim.Shard] = claim
-	c.health[claim.Shard] = &ownerHealth{healthyAt: c.clock.Now()}
+	c.health[claim.Shard] = &ownerHealth{healthyAt: c.now}
 	c.log.Info().Int("shard", claim.Shard).Uint64("epoch", claim.Epoch).Str("owner", claim.Owner.Name).Msg("shard claimed")
 	if j := c.journals[claim.Shard]; j != nil {
 		c.releaseShard(claim.Shard, "the control topic holds a newer claim")
@@ -157,7 +157,7 @@
 	if c.claims[claim.Shard].Epoch != claim.Epoch || c.journals[claim.Shard] != nil {
 		return
 	}
-	now := c.clock.Now()
+	now := c.now
 	for _, err := range c.table.AcquireShard(now, claim.Shard, claim.Epoch, records) {
 		c.rejects.Add(now, "jobs", 1, work.ClaimKey(claim.Shard), err)
 	}
@@ -178,8 +178,8 @@
 	last := c.clock.Now()
 	for ctx.Err() == nil {
 		sleep(ctx, ownerCheckInterval)
-		now := c.clock.Now()
 		c.lock()
+		now := c.now
 		if now.Sub(last) > stallThreshold {
 			for _, h := range c.health {
 				h.healthyAt = now
@@ -322,9 +322,9 @@
 // pingOwner pings a shard's owner and updates the shard's health.
 func (c *Coordinator) pingOwner(number int, claim work.Claim, h *ownerHealth) {
 	reply, err := c.ping(claim.Owner.Addr)
-	now := c.clock.Now()
 	c.lock()
 	defer c.mu.Unlock()
+	now := c.now
 	h.pinging = false
 	c.mergeDomains(link.DomainsFromWire(reply.GetDomains(), time.Time{}), claim.Owner.Name)
 	if err != nil {
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -66,7 +66,7 @@
 	}
 	c.lock()
 	defer c.mu.Unlock()
-	return c.attempts.begin(c.clock.Now(), attempt{m.GetCoordinator(), m.GetIncarnation(), m.GetNumber()})
+	return c.attempts.begin(c.now, attempt{m.GetCoordinator(), m.GetIncarnation(), m.GetNumber()})
 }
 
 // State implements relay.CoordinatorServiceHandler.
@@ -118,11 +118,11 @@
 	c.lock()
 	defer c.mu.Unlock()
 	return &relay.PingReply{
-		Domains:     link.DomainsToWire(c.clock.Now(), c.domains),
+		Domains:     link.DomainsToWire(c.now, c.domains),
 		Name:        c.cfg.Self.Name,
 		Incarnation: c.cfg.Self.Incarnation,
 		Owned:       link.EpochsToWire(c.table.OwnedShards()),
-		StoreAgeMs:  c.clock.Now().Sub(c.ownershipProof).Milliseconds(),
+		StoreAgeMs:  c.now.Sub(c.ownershipProof).Milliseconds(),
 		Draining:    c.draining,
 	}
 }
--- a/coord/stall.go
+++ b/coord/stall.go
@@ -15,6 +15,7 @@
 func (c *Coordinator) lock() {
 	c.mu.Lock()
 	now := c.clock.Now()
+	c.now = now
 	pause := now.Sub(c.lastTick)
 	if c.lastTick.IsZero() || pause < pauseThreshold {
 		return
