emul: durable jobs beside hosts that are suspended

Guards, in 24 cases, against durable jobs that are lost or whose tasks run twice when the hosts of their owner, of the next one or of an agent are suspended.

--- a/emul/suspend_test.go
+++ b/emul/suspend_test.go
@@ -141,6 +141,43 @@
 	}
 }
 
+// Guards against durable jobs that are lost, or whose tasks run twice, when the host of their owner, of the
+// next one or of an agent is suspended.
+func TestDurableJobsSurviveSuspensions(t *testing.T) {
+	for _, c := range suspendCases {
+		for _, d := range []time.Duration{700, 2000, 6000} {
+			d *= time.Millisecond
+			t.Run(fmt.Sprintf("%s/%s", c.name, d), func(t *testing.T) {
+				runFleet(t, suspensionSpec(d), func(t *testing.T, f *Fleet) {
+					const jobs = 12
+					var wg sync.WaitGroup
+					for n := range jobs {
+						wg.Go(func() {
+							time.Sleep(time.Duration(n) * 300 * time.Millisecond)
+							until := time.Now().Add(callerPatience)
+							for try := n; time.Now().Before(until); try++ {
+								if a, answered := f.submitOnce(try%len(f.Coordinators), testJob(n, false, 3)); answered && a.Code == carobpulley.AnswerOK {
+									return
+								}
+								time.Sleep(resubmitAfter)
+							}
+							t.Errorf("job %d is not accepted", n)
+						})
+					}
+					time.Sleep(time.Second)
+					c.suspend(f, d)
+					wg.Wait()
+					for n := range jobs {
+						if got := awaitEnd(t, f, 2, jobID(n), callerPatience); got != work.StateCompleted {
+							t.Errorf("job %d: %s", n, got)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a test of suspensions that shows nothing: by the steady clock, tasks run twice at a time.
 func TestSuspensionsShowOnTheSteadyClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
