--- a/coord/homes.go
+++ b/coord/homes.go
@@ -76,7 +76,7 @@
 	for n := range maxHoldTries {
 		ask := &holdAsk{id: id, by: c.self(), replaced: replaced, again: n > 0, done: make(chan struct{})}
 		c.lock()
-		now := c.clock.Now()
+		now := c.now
 		home := c.holdings.homes.Ask(now, id, c.cfg.Self.Name, c.holdings.members)
 		c.submitAsk(now, ask, home)
 		c.mu.Unlock()
@@ -102,7 +102,7 @@
 func (c *Coordinator) copyHold(ctx context.Context, id string) {
 	ask := &holdAsk{id: id, by: c.self(), replaced: holds.AnyHold, passedOn: true, done: make(chan struct{})}
 	c.lock()
-	now := c.clock.Now()
+	now := c.now
 	next := c.holdings.homes.Next(now, id, c.cfg.Self.Name, c.holdings.members)
 	if next != "" {
 		c.submitAsk(now, ask, next)
@@ -232,7 +232,7 @@
 		c.cfg.Meter.Add(meter.Name("holds", "granted"), int64(asks))
 		return false
 	}
-	c.holdings.homes.Failed(c.clock.Now(), home)
+	c.holdings.homes.Failed(c.now, home)
 	c.cfg.Meter.Add(meter.Name("holds", "unanswered"), int64(asks))
 	c.log.Warn().Err(err).Str("coordinator", home).Int("asks", asks).Msg("hold not answered")
 	return true
@@ -251,12 +251,15 @@
 		c.passOn(ask)
 	}
 	c.mu.Unlock()
-	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(asks))}
-	for n, ask := range asks {
-		if ask, err = c.awaitHome(ctx, ask); err != nil {
+	for n := range asks {
+		if asks[n], err = c.awaitHome(ctx, asks[n]); err != nil {
 			return nil, err
 		}
-		reply.Holds[n] = link.HoldToWire(c.clock.Now(), ask.by, ask.hold)
+	}
+	now := c.clock.Now()
+	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(asks))}
+	for n, ask := range asks {
+		reply.Holds[n] = link.HoldToWire(now, ask.by, ask.hold)
 	}
 	return connect.NewResponse(reply), nil
 }
@@ -264,7 +267,7 @@
 // passOn adds an ask of another process to the next call to the home of its id, or answers it if that is
 // this process or the ask was passed on before. The caller holds the lock.
 func (c *Coordinator) passOn(ask *holdAsk) {
-	now, home := c.clock.Now(), c.cfg.Self.Name
+	now, home := c.now, c.cfg.Self.Name
 	if !ask.passedOn {
 		home = c.holdings.homes.Of(now, ask.id, c.holdings.members)
 	}
