coord: a dispatch carries the stops that have not got through

Callers could get two runs of a task at a time: a run went on 1.3 s after its caller had left, while the caller was back at another coordinator.

Cause: a coordinator that can't reach an agent for a while repeats the dispatch with a stop. Its next start may get there first; what that proves is newer than the caller's leaving, so the lease of the run that is to be stopped rests on it. Answers to reports carried unanswered stops, dispatches did not.

Change: a dispatch carries the stops of other ones to the agent of which a try has failed. Those that are only under way are left out: they arrive in milliseconds, and an agent repeats each stop that it gets.

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -101,6 +101,7 @@
 			sendable = c.table.Refresh(c.now, d)
 		}
 		m := link.DispatchToWire(c.cfg.Self.Name, c.cfg.Self.Incarnation, d)
+		m.Stops = append(m.Stops, link.RunsToWire(c.delayedStops(d))...)
 		m.Domains = link.DomainsToWire(c.now, c.domains)
 		c.mu.Unlock()
 		switch sendable {
@@ -123,6 +124,7 @@
 		}
 		c.log.Warn().Err(peer.CallError("order", err)).Str("host", d.Agent).Uint64("attachment", d.Attachment).Int("starts", len(d.Starts)).
 			Int("stops", len(d.Stops)).Msg("order not answered")
+		c.recordDelayed(d)
 		sleep(c.baseCtx, dispatchRetryInterval)
 	}
 }
@@ -133,6 +135,27 @@
 	delete(c.unanswered[d.Agent], d)
 }
 
+// recordDelayed records that a try of a dispatch has failed.
+func (c *Coordinator) recordDelayed(d *jobs.Dispatch) {
+	c.lock()
+	defer c.mu.Unlock()
+	if _, underWay := c.unanswered[d.Agent][d]; underWay {
+		c.unanswered[d.Agent][d] = true
+	}
+}
+
+// delayedStops returns the stops of other dispatches to the agent of which a try has failed. This one may
+// get there first, and what it proves is newer than the decision to stop. The caller holds the lock.
+func (c *Coordinator) delayedStops(d *jobs.Dispatch) []work.Run {
+	var stops []work.Run
+	for other, failed := range c.unanswered[d.Agent] {
+		if other != d && failed && other.Attachment == d.Attachment {
+			stops = append(stops, other.Stops...)
+		}
+	}
+	return stops
+}
+
 // unansweredStops returns the stops of an attachment's dispatches that the agent has not answered.
 // The caller holds the lock.
 func (c *Coordinator) unansweredStops(agent string, attachment uint64) []work.Run {
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -103,7 +103,8 @@
 	attempts    attempts
 	lastAttempt atomic.Uint64
 	holdings    holdings
-	// unanswered holds, by agent, the dispatches with stops that are under way.
+	// unanswered holds, by agent, the dispatches with stops that are under way, and whether a try of them
+	// has failed.
 	unanswered map[string]map[*jobs.Dispatch]bool
 	// nextAttachAt holds, for each agent, the earliest time of the next attach call.
 	nextAttachAt map[string]time.Time
@@ -211,7 +212,7 @@
 			if c.unanswered[dispatch.Agent] == nil {
 				c.unanswered[dispatch.Agent] = make(map[*jobs.Dispatch]bool)
 			}
-			c.unanswered[dispatch.Agent][dispatch] = true
+			c.unanswered[dispatch.Agent][dispatch] = false
 		}
 		go c.sendDispatch(dispatch)
 	}
--- a/runs/resubmit_world_test.go
+++ b/runs/resubmit_world_test.go
@@ -53,10 +53,12 @@
 	echo        int64
 	calls       map[work.Run]*placed
 	stops       map[work.Run]bool
-	cutTo       time.Time // what it sends is lost until then
-	cutFrom     time.Time
-	slowUntil   time.Time
-	slow        time.Duration
+	// delayed holds the stops of dispatches that were sent again and are not answered, by the attachment.
+	delayed   map[work.Run]uint64
+	cutTo     time.Time // what it sends is lost until then
+	cutFrom   time.Time
+	slowUntil time.Time
+	slow      time.Duration
 }
 
 // leasing is an agent beside one endpoint. Coordinators die and their callers leave, commands to the
@@ -449,11 +451,20 @@
 	if attachment := co.attachment; len(stops) > 0 {
 		m.after(dispatchRepeat, func() {
 			if !answered && co.up && co.attached && co.attachment == attachment {
+				for _, key := range stops {
+					co.delayed[key] = attachment
+				}
 				m.dispatch(co, nil, stops)
 			}
 		})
 	}
-	d := Dispatch{Coordinator: co.name, Incarnation: co.incarnation, Attachment: co.attachment, Echo: co.echo, Starts: starts, Stops: stops}
+	carried := slices.Clone(stops)
+	for key, attachment := range co.delayed {
+		if attachment == co.attachment && !slices.Contains(stops, key) {
+			carried = append(carried, key)
+		}
+	}
+	d := Dispatch{Coordinator: co.name, Incarnation: co.incarnation, Attachment: co.attachment, Echo: co.echo, Starts: starts, Stops: carried}
 	m.transit(co, co.cutTo, m.mine(func() {
 		refused, stale := m.c.HandleDispatch(m.now, d)
 		m.log("agent: dispatch of %s, starts %v, stops %v, stale %v, refused %v", co.name, len(starts), stops, stale, refused)
@@ -466,6 +477,9 @@
 				return
 			}
 			answered = true
+			for _, key := range stops {
+				delete(co.delayed, key)
+			}
 			if stale {
 				co.attached = co.attached && co.attachment != d.Attachment
 			}
@@ -555,7 +569,7 @@
 	m.after(m.between(0, 3*time.Second), func() {
 		co.incarnation++
 		co.up, co.heard = true, m.now
-		co.calls, co.stops = map[work.Run]*placed{}, map[work.Run]bool{}
+		co.calls, co.stops, co.delayed = map[work.Run]*placed{}, map[work.Run]bool{}, map[work.Run]uint64{}
 	})
 }
 
@@ -613,7 +627,7 @@
 		running: map[work.Run]*placed{}, placed: map[owned]*placed{}, ended: map[string]int64{},
 	}
 	for _, name := range []string{"c", "d", "e"}[:2+seed%2] {
-		co := &sender{name: name, incarnation: 7, up: true, heard: m.now, calls: map[work.Run]*placed{}, stops: map[work.Run]bool{}}
+		co := &sender{name: name, incarnation: 7, up: true, heard: m.now, calls: map[work.Run]*placed{}, stops: map[work.Run]bool{}, delayed: map[work.Run]uint64{}}
 		m.coordinators = append(m.coordinators, co)
 		m.after(m.between(10*time.Millisecond, 60*time.Millisecond), func() { m.step(co) })
 	}
@@ -633,8 +647,8 @@
 	}
 }
 
-// Guards against the same where a start overtakes the stop that its coordinator has sent before: the model
-// sends dispatches as package coord does, of which only the one with the stop is repeated.
+// Guards against the same where a start overtakes the stop that its coordinator has sent before, and which
+// is repeated: package coord sends such stops with each dispatch.
 func TestLaterStartDoesNotOvertakeAStop(t *testing.T) {
 	if got, trace := playLeases(218, 12*time.Second, false, 100*time.Millisecond); got != "" {
 		for _, line := range trace[max(0, len(trace)-80):] {
