--- a/coord/homes.go
+++ b/coord/homes.go
@@ -156,7 +156,7 @@
 			return
 		}
 		n := min(len(asks), maxHoldBatch)
-		asks, c.holdings.asks[home] = asks[:n], asks[n:]
+		asks, c.holdings.asks[home] = asks[:n:n], asks[n:]
 		peer := c.peers.At(c.coordinators[home].Addr)
 		c.mu.Unlock()
 		if c.recordHome(home, c.sendAsks(peer, asks), len(asks)) {
