--- a/emul/suspend_days_test.go
+++ b/emul/suspend_days_test.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// suspendDays is the number of seeds of TestSuspendDays in a test run without EMUL_DAYS.
+const suspendDays = 6
+
 // suspendActions returns suspensions of hosts.
 func suspendActions() []faultAction {
 	duration := func(rng *rand.Rand) time.Duration {
@@ -44,6 +47,9 @@
 // Guards against runs that begin after a suspension on what was true before it, beside all other faults.
 func TestSuspendDays(t *testing.T) {
 	first, count := seedRange(t)
+	if count == defaultSeeds {
+		count = suspendDays
+	}
 	for seed := first; seed < first+count; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			runFleet(t, suspendDaySpec(seed), func(t *testing.T, f *Fleet) { runSeed(t, f, seed, suspendDayActions()) })
