--- a/emul/suspend_test.go
+++ b/emul/suspend_test.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-
 	"time"
 
 	"carobpulley"
