--- a/runs/lease.go
+++ b/runs/lease.go
@@ -37,9 +37,9 @@
 }
 
 // StartLease returns the lease for a start that is sent now. It ends the run instead, and returns the
-// reason, if the proof of the run's coordinator is too old for the endpoint's lease, or that or the
-// knowledge of the failure domains has become too old, or the endpoint's capacity too small, since the start was decided on, as when this process was
-// paused or the start is repeated.
+// reason, if what the start was decided on holds no longer, as when this process was paused or the start
+// is repeated: the proof of the run's coordinator, the knowledge of the failure domains, the endpoint's
+// capacity. The proof must also be recent enough for the lease that the endpoint has.
 func (c *Controller) StartLease(now time.Time, key work.Run) (lease carobpulley.Lease, refusal string) {
 	r := c.runs[key]
 	if r == nil || r.phase != phaseStarting {
