emul: a job under another one's id, while that one's coordinator is there or gone

The race detector found that TestEndFoundByARestartedAgentIsNotTakenForAnother ended before the agent that it restarts: since jobs have holds, the second job is answered 409 at once by the coordinator that has the first one, instead of running beside its end. The test asks for that answer now, and has a case in which that coordinator is killed, so that the second job runs and must be answered by its own runs. It waits for the restart.

--- a/emul/sharedid_test.go
+++ b/emul/sharedid_test.go
@@ -39,18 +39,32 @@
 }
 
 // Guards against a best-effort job that is answered as completed by the end of another job's run with the
-// same name and number: a restarted agent finds it at its endpoint.
+// same name and number: a restarted agent finds it at its endpoint. While the coordinator that has the other
+// job is there, the job is refused as a conflict.
 func TestEndFoundByARestartedAgentIsNotTakenForAnother(t *testing.T) {
 	const x, y = 200 * time.Millisecond, 700 * time.Millisecond
-	for kill := x - 4*time.Millisecond; kill < x+8*time.Millisecond; kill += time.Millisecond {
-		runFleet(t, lastingBySpec(map[string]time.Duration{"x": x, "y": y}), func(_ *testing.T, f *Fleet) {
-			time.AfterFunc(kill, func() {
-				f.Agents[0].Kill()
-				time.Sleep(300 * time.Millisecond)
-				f.StartAgent(0)
-			})
-			f.submitChecked(1, specJob(1, true, 2, "x"), kill+20*time.Millisecond)
-			f.submitChecked(0, specJob(1, true, 2, "y"), 6*time.Second)
+	for name, killed := range map[string]bool{"coordinator there": false, "coordinator killed": true} {
+		t.Run(name, func(t *testing.T) {
+			for kill := x - 4*time.Millisecond; kill < x+8*time.Millisecond; kill += time.Millisecond {
+				runFleet(t, lastingBySpec(map[string]time.Duration{"x": x, "y": y}), func(t *testing.T, f *Fleet) {
+					restarted := make(chan struct{})
+					time.AfterFunc(kill, func() {
+						defer close(restarted)
+						f.Agents[0].Kill()
+						if killed {
+							f.coordinator(1).Kill()
+						}
+						time.Sleep(300 * time.Millisecond)
+						f.StartAgent(0)
+					})
+					f.submitChecked(1, specJob(1, true, 2, "x"), kill+20*time.Millisecond)
+					a := f.submitChecked(0, specJob(1, true, 2, "y"), 6*time.Second)
+					if killed != (a.Code == carobpulley.AnswerOK) || !killed && a.Code != carobpulley.AnswerConflict {
+						t.Errorf("killed at %s: answer %+v", kill, a)
+					}
+					<-restarted
+				})
+			}
 		})
 	}
 }
