jobs, runs: log what a second placement of a task rests on

Two runs of one task at a time were reported without a record. The logs had each inference that a run is over, but not the placement that rests on it, and no line for a listed run that its agent doesn't hold as a run: an inference that is wrong, or a start that was carried out late, left no trace there.

Change: a coordinator logs `placed again` with the run that was taken to be over, its agent, the basis and its age, and counts placed_again{basis}; ends that an endpoint lists and refusals are not inferences and log nothing. An agent logs `unknown run found` and counts runs_found{reason}: inherited, late, or ended, which is the sign of a wrong inference. No decision changes.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -226,6 +226,9 @@
 	}
 	for _, d := range c.table.Decisions() {
 		c.cfg.Meter.Add(meter.Name("decisions", d.Event), 1)
+		if d.Basis != "" {
+			c.cfg.Meter.Add(meter.Name("placed_again", d.Basis), 1)
+		}
 		c.log.Info().Str("job", d.Job).Str("task", d.Task).Int64("run", d.Run).
 			Str("host", d.Agent).Str("why", d.Reason).Msg(d.Event)
 	}
--- a/guard/lost.go
+++ b/guard/lost.go
@@ -10,6 +10,7 @@
 func (a *Agent) logLosses() {
 	a.logCrashes()
 	a.logLost()
+	a.logFound()
 }
 
 // logLost logs the runs that were judged lost, with the evidence. The caller holds a.mu.
@@ -28,6 +29,18 @@
 	}
 }
 
+// logFound logs the listed runs that this process did not know. The caller holds a.mu.
+func (a *Agent) logFound() {
+	now := a.clock.Now()
+	for _, f := range a.controller.Found() {
+		a.cfg.Meter.Add(meter.Name("runs_found", f.Reason), 1)
+		a.log.Warn().Str("task", f.Run.Task).Int64("run", f.Run.Number).Str("reason", f.Reason).
+			Str("coordinator", f.Coordinator).Int64("ended_age_ms", ageMS(now, f.EndedAt)).
+			Int64("generation_age_ms", ageMS(now, f.GenerationAt)).
+			Msg("unknown run found")
+	}
+}
+
 // ageMS returns the time since t in milliseconds, or -1 if t is zero.
 func ageMS(now, t time.Time) int64 {
 	if t.IsZero() {
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -227,9 +227,8 @@
 	}
 	for tk := range a.placed {
 		if !listed[tk] {
-			t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "not run", Reason: "not on the agent's list"})
 			tk.requireProof(now)
-			t.requeueTask(now, tk)
+			t.inferEnd(now, tk, basisUnlisted, Decision{Event: "not run", Reason: "not on the agent's list"})
 		}
 	}
 	for number, s := range t.shards {
@@ -336,9 +335,8 @@
 	a.attached = false
 	a.dispatch = nil
 	for tk := range a.placed {
-		t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "lost", Reason: "nothing heard of its agent, its lease has lapsed"})
 		tk.requireProof(now)
-		t.requeueTask(now, tk)
+		t.inferEnd(now, tk, basisSilent, Decision{Event: "lost", Reason: "nothing heard of its agent, its lease has lapsed"})
 	}
 }
 
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -170,6 +170,7 @@
 	})
 	t.ackEnd(a, e)
 	tk.avoid = a
+	tk.inferred = &inference{basis: string(e.Outcome), run: e.Run, agent: a.name, at: now}
 	t.enqueueTask(now, tk)
 }
 
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -38,6 +38,7 @@
 		t.ackEnd(a, e)
 		if e.Outcome == work.OutcomeNotStarted || e.Outcome == work.OutcomeLost {
 			tk.avoid = a
+			tk.inferred = &inference{basis: string(e.Outcome), run: e.Run, agent: a.name, at: now}
 		}
 		t.enqueueTask(now, tk)
 	}
@@ -180,8 +181,7 @@
 		if tk.job.durable() {
 			continue
 		}
-		t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "not run", Reason: "its agent has restarted"})
-		t.requeueTask(now, tk)
+		t.inferEnd(now, tk, basisRestarted, Decision{Event: "not run", Reason: "its agent has restarted"})
 	}
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -53,6 +53,8 @@
 	// stopCheckAt is the time from which the agent's list is asked for if no end of the run of an
 	// ended job is known; zero until the first check.
 	stopCheckAt time.Time
+	// inferred is set while the last run was taken to be over, until the task is placed again.
+	inferred *inference
 }
 
 // ack is an end to acknowledge once the job's changes are stored.
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -219,6 +219,7 @@
 	tk.run = max(tk.run, tk.job.runBase) + 1
 	fits := tk.resources().Fits(a.free)
 	t.assign(now, tk, a)
+	t.logPlacedAgain(now, tk)
 	t.foundCapacity(now, a)
 	s := tk.start()
 	if t.suspects[tk.job] {
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -115,6 +115,8 @@
 type Decision struct {
 	Job, Task, Agent, Event, Reason string
 	Run                             int64
+	// Basis is the reason by which an earlier run of a task that is placed again was taken to be over.
+	Basis string
 }
 
 // New returns an empty table.
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -213,7 +213,9 @@
 	newCrashes []CrashedRun
 	lastCrash  int64
 	// lost holds the runs that ended as lost and were not yet returned by Lost.
-	lost     []LostRun
+	lost []LostRun
+	// found holds the listed runs that this process did not know and that Found has not returned.
+	found    []FoundRun
 	commands []Command
 }
 
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -175,6 +175,7 @@
 		}
 		// An earlier process of this agent started it, or a command reached a later generation of
 		// the endpoint. It is stopped before anything else starts.
+		c.recordFound(now, key)
 		c.runs[key] = &run{start: work.Start{Run: key}, phase: phaseRunning, phaseSince: now, confirmedAt: now, stopping: true, listedIn: c.unread.lists}
 		c.commands = append(c.commands, Command{Stop: key})
 		return
