runs: a start that its endpoint held back is no certain crash

Cause: a start without an answer counted as certainly at the endpoint if its call was open at the crash, or had ended with its connection at any time before it, and no other start could be the cause. A start that the endpoint holds back, for seconds or for good, looks the same: its connection ends with the endpoint.

Such a start is certain now only if its connection has ended, within 10 ms of the decision to start, at most 50 ms before the crash is known and with no poll answered between the two, and if no command to the endpoint timed out in the 3 s before. A call that is open at the crash is judged when it ends.

What remains: a start that is the first one to be held back for 3 s counts if the endpoint crashes within 10 ms of it.

--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -60,7 +60,9 @@
 	acknowledgeable map[work.Run]work.Start
 	endCount        int64
 	endAdded        chan struct{}
-	down            bool
+	// crashed is closed when the endpoint crashes.
+	crashed chan struct{}
+	down    bool
 	// lossRate is the share of commands that are not answered; half of these are applied after
 	// a delay, the others never.
 	lossRate float64
@@ -87,6 +89,7 @@
 	e.acknowledgeable = make(map[work.Run]work.Start)
 	e.endCount = 0
 	e.endAdded = make(chan struct{})
+	e.crashed = make(chan struct{})
 }
 
 // Heartbeat returns a heartbeat of the endpoint's current generation.
@@ -133,6 +136,9 @@
 
 // crash implements Crash. The caller holds the lock.
 func (e *Endpoint) crash() {
+	if !e.down {
+		close(e.crashed)
+	}
 	e.down = true
 	for key := range e.running {
 		e.checker.recordBroken(key.Task)
--- a/emul/trouble.go
+++ b/emul/trouble.go
@@ -107,8 +107,7 @@
 		})
 	}
 	if f.late > 0 || f.unsent {
-		<-ctx.Done()
-		return none, commandError(carobpulley.KindUnknown)
+		return none, commandError(e.holdBack(ctx))
 	}
 	if f.cut > 0 {
 		time.AfterFunc(f.before, func() { callLater(lease, call) })
@@ -133,6 +132,22 @@
 	return a, nil
 }
 
+// holdBack waits until the sender of a command gives up, or its connection ends with the endpoint.
+func (e *Endpoint) holdBack(ctx context.Context) carobpulley.Kind {
+	e.mu.Lock()
+	crashed, down := e.crashed, e.down
+	e.mu.Unlock()
+	if down {
+		return carobpulley.KindGone
+	}
+	select {
+	case <-ctx.Done():
+		return carobpulley.KindUnknown
+	case <-crashed:
+		return carobpulley.KindBroken
+	}
+}
+
 // callLater carries a command out that gets no answer.
 func callLater[A any](lease carobpulley.Lease, call func(context.Context, carobpulley.Lease) (A, error)) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*commandLatency)
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -172,6 +172,11 @@
 		if err != nil || answer.Refusal != "" {
 			a.log.Warn().Err(err).Str("task", key.Task).Int64("run", key.Number).Str("refusal", answer.Refusal).Msg("stop not confirmed")
 		}
+		if err != nil {
+			a.mu.Lock()
+			a.controller.HandleStopError(a.clock.Now(), err)
+			a.mu.Unlock()
+		}
 		if answer.Refusal == carobpulley.RefusalStaleToken {
 			a.mu.Lock()
 			a.controller.RaiseToken(lease.Token)
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -86,6 +86,8 @@
 	// it has left as announced while the run was there.
 	crashed *work.Crash
 	left    bool
+	// onlyCause is set if at the crash nothing else than the run's start could have caused it.
+	onlyCause bool
 	// brokenAt is the time at which the connection of the start ended before its answer, if it did.
 	brokenAt time.Time
 	// token is the highest token with which an unanswered start may have been sent.
@@ -173,9 +175,13 @@
 	// listsKnown is set once it is known what the endpoint runs of an earlier process of this agent: its
 	// lists were read, or nothing listened at its address.
 	listsKnown bool
-	// failedPolls counts consecutive failed polls.
-	failedPolls int
-	token       int64
+	// failedPolls counts consecutive failed polls, and answeredPoll is the time of the latest one that
+	// was answered.
+	failedPolls  int
+	answeredPoll time.Time
+	// timedOutAt is the time at which the latest command timed out.
+	timedOutAt time.Time
+	token      int64
 	// clockMS is the latest reading of the endpoint's clock, received at clockAt; 0 if there is
 	// none.
 	clockMS int64
--- a/runs/crash.go
+++ b/runs/crash.go
@@ -13,8 +13,14 @@
 	crashRetention = 30 * time.Second
 	// maxCrashes bounds the crashes that are remembered, the latest ones.
 	maxCrashes = 512
-	// answerWait is the least time for which a start waits for the answers to starts before it.
+	// answerWait is the least time for which a start waits for the answers to starts before it, and the
+	// most from the end of a start's connection to the news of the crash that ended it: the next poll is
+	// sent at once.
 	answerWait = 50 * time.Millisecond
+	// carryOutTime is the time within which an endpoint that doesn't hold a start back carries it out.
+	carryOutTime = 10 * time.Millisecond
+	// holdBackMemory is how long after a command that timed out starts may be held back as well.
+	holdBackMemory = 3 * time.Second
 )
 
 // crash is the record of a run that was at the endpoint when it crashed.
@@ -70,13 +76,28 @@
 	return e
 }
 
-// of returns the record of the crash for a run. A start whose call the crash ended counts as certain
-// if it was a suspect's and the only one under way, or if only starts of its job were under way and
-// nothing ran. A start that had timed out before tells nothing.
-func (e evidence) of(task string, r *run) *work.Crash {
-	onlyCause := e.underWay == 1 && r.start.Suspect || e.alone && e.confirmed == 0
-	certain := !r.underWay() || r.calling() && onlyCause
-	return &work.Crash{Task: task, Endpoint: e.endpoint, Certain: certain, Alone: e.alone}
+// record records the crash for a run. A start without an answer counts as certain if its connection ended
+// by the crash and nothing else could have caused it: it was a suspect's and the only one under way, or
+// only starts of its job were under way and nothing ran. If its call goes on, crashStart decides.
+func (c *Controller) record(now time.Time, e evidence, task string, r *run) {
+	r.onlyCause = e.underWay == 1 && r.start.Suspect || e.alone && e.confirmed == 0
+	certain := !r.underWay() || r.onlyCause && c.endedByCrash(now, r)
+	r.crashed = &work.Crash{Task: task, Endpoint: e.endpoint, Certain: certain, Alone: e.alone}
+}
+
+// endedByCrash reports whether the crash that is known now has ended the connection of a run's start, and
+// the start was not held back: starts that an endpoint holds back, for seconds or for good, end with their
+// connection as well.
+func (c *Controller) endedByCrash(now time.Time, r *run) bool {
+	return !r.brokenAt.IsZero() && r.brokenAt.Sub(r.launchedAt) <= carryOutTime && now.Sub(r.brokenAt) <= answerWait &&
+		c.answeredPoll.Before(r.brokenAt) && (c.timedOutAt.IsZero() || r.brokenAt.Sub(c.timedOutAt) > holdBackMemory)
+}
+
+// HandleStopError handles a stop without an answer.
+func (c *Controller) HandleStopError(now time.Time, err error) {
+	if carobpulley.KindOf(err) == carobpulley.KindUnknown {
+		c.timedOutAt = now
+	}
 }
 
 // mustWait reports whether a start waits for the answers to others: a suspect's start is the only one
@@ -99,6 +120,9 @@
 		c.endRun(now, key, r, work.OutcomeNotStarted)
 	case kind == carobpulley.KindBroken:
 		r.brokenAt = now
+		r.crashed.Certain = r.crashed.Certain || r.onlyCause && c.endedByCrash(now, r)
+	case kind == carobpulley.KindUnknown:
+		c.timedOutAt = now
 	}
 }
 
--- a/runs/crash_test.go
+++ b/runs/crash_test.go
@@ -84,6 +84,101 @@
 	}
 }
 
+// Guards against a job that is given up for crashes of other causes: the endpoint crashed while it held the
+// job's starts back, or after their connections had ended.
+func TestStartThatIsHeldBackIsNoCertainCrash(t *testing.T) {
+	timedOut := func(f *fixture, s work.Start) {
+		f.controller.HandleStartReply(f.now, s.Run, f.controller.Lease(f.now), carobpulley.StartAnswer{}, &carobpulley.Error{Op: "start", Kind: carobpulley.KindUnknown})
+	}
+	for name, s := range map[string]work.Start{"suspect": newSuspect(1), "alone": newStart(1, 100)} {
+		for name, crash := range map[string]func(f *fixture){
+			name + ", call timed out after the crash": func(f *fixture) {
+				f.controller.Commands()
+				f.crash()
+				f.advance(20 * time.Millisecond)
+				timedOut(f, s)
+				f.restart()
+			},
+			name + ", call timed out after the restart": func(f *fixture) {
+				f.controller.Commands()
+				f.crash()
+				f.restart()
+				f.advance(20 * time.Millisecond)
+				timedOut(f, s)
+			},
+			name + ", connection ended long before": func(f *fixture) {
+				f.breakStarts()
+				f.advance(100 * time.Millisecond)
+				f.crash()
+			},
+			name + ", polled between the end of the connection and the crash": func(f *fixture) {
+				f.breakStarts()
+				sent := f.controller.BeginPoll(f.now)
+				f.advance(time.Millisecond)
+				f.controller.HandlePoll(f.now, sent, carobpulley.RunLists{Clock: 5100, Generation: 1})
+				f.crash()
+			},
+			name + ", connection ended by the crash after a while": func(f *fixture) {
+				f.advance(35 * time.Millisecond)
+				f.breakStarts()
+				f.crash()
+			},
+			name + ", connection ended after the crash was known": func(f *fixture) {
+				f.advance(35 * time.Millisecond)
+				f.crash()
+				f.breakStarts()
+				f.crash()
+			},
+			name + ", repeated after a time-out": func(f *fixture) {
+				f.controller.Commands()
+				timedOut(f, s)
+				f.advance(time.Millisecond)
+				f.poll(carobpulley.RunLists{})
+				f.breakStarts()
+				f.crash()
+			},
+		} {
+			t.Run(name, func(t *testing.T) {
+				f := newFixture(t)
+				f.dispatch("c", s)
+				crash(f)
+				f.checkCrashes(work.Crash{Task: s.Run.Task, Endpoint: "a/i/1", Alone: true})
+			})
+		}
+	}
+}
+
+// Guards against a job that is given up for crashes of other causes, as its starts were held back like the
+// commands before them: those that a restarted process sends first are polls and stops.
+func TestStartsAreHeldBackLikeOtherCommands(t *testing.T) {
+	timedOut := &carobpulley.Error{Op: "order", Kind: carobpulley.KindUnknown}
+	for name, command := range map[string]func(f *fixture){
+		"start": func(f *fixture) {
+			f.dispatch("c", newStart(1, 100))
+			f.controller.Commands()
+			f.controller.HandleStartReply(f.now, newRun(1), f.controller.Lease(f.now), carobpulley.StartAnswer{}, timedOut)
+			f.advance(time.Millisecond)
+			f.poll(carobpulley.RunLists{Finished: []work.End{{Sequence: 1, Run: newRun(1), Outcome: work.OutcomeDone}}})
+		},
+		"stop": func(f *fixture) { f.controller.HandleStopError(f.now, timedOut) },
+		"poll": func(f *fixture) { f.controller.HandlePollError(f.now, f.controller.BeginPoll(f.now), "", timedOut) },
+	} {
+		for since, certain := range map[time.Duration]bool{time.Millisecond: false, holdBackMemory + time.Second: true} {
+			t.Run(name, func(t *testing.T) {
+				f := newFixture(t)
+				command(f)
+				f.advance(since)
+				f.poll(carobpulley.RunLists{})
+				f.report("c", nil)
+				f.dispatch("c", newSuspect(2))
+				f.breakStarts()
+				f.crash()
+				f.checkCrashes(work.Crash{Task: newRun(2).Task, Endpoint: "a/i/1", Certain: certain, Alone: true})
+			})
+		}
+	}
+}
+
 // Guards against a task that crashes its endpoint during the call of its start and is not counted,
 // since a poll finds the endpoint gone before the call ends.
 func TestStartThatACrashEndsIsACertainCrash(t *testing.T) {
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -55,6 +55,8 @@
 	r.phaseSince = now
 	if carobpulley.KindOf(err) == carobpulley.KindBroken {
 		r.brokenAt = now
+	} else {
+		c.timedOutAt = now
 	}
 	r.token = l.Token
 	c.retireToken(l.Token)
@@ -132,6 +134,9 @@
 	changed := restarted || c.unresponsive || c.clockMS == 0
 	c.unresponsive = false
 	c.failedPolls = 0
+	if sent.SentAt.After(c.answeredPoll) {
+		c.answeredPoll = sent.SentAt
+	}
 	c.clockMS = lists.Clock
 	c.clockAt = now
 	for i := range lists.Finished {
@@ -244,6 +249,7 @@
 	if refusal == "" && carobpulley.KindOf(err) == carobpulley.KindUnknown {
 		// It may still be carried out and renew a lease that nothing else renews any more.
 		c.retireToken(sent.Lease.Token)
+		c.timedOutAt = now
 	}
 	c.failedPolls++
 	if c.failedPolls < maxFailedPolls {
--- a/runs/restart.go
+++ b/runs/restart.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		if crashed && !r.affected() {
-			r.crashed = evidence.of(key.Task, r)
+			c.record(now, evidence, key.Task, r)
 		}
 		r.left = r.left || !crashed && r.phase == phaseRunning
 		// The command may still reach the next generation of the endpoint, which has seen no token yet.
