single: a random model of placements and of the runs before them

It asserts at each start in a dispatch that no earlier run of the task is on, or can still begin: a start without an answer counts as able to begin unless the endpoint has seen a higher token or an end of the run in its generation, or the start is late by the reading in force. It does not matter whether it begins in fact. Runs that begin, and starts that are sent, after their task was placed again are failures too.

Each seed plays a random part of the faults, some of them together. Traces name the basis on which the coordinator took the run to be over. SINGLE_SEEDS=FIRST-LAST and SINGLE_MIX=FAULT,... play others; a seed alone prints its trace.

--- /dev/null
+++ b/single/single_test.go
@@ -0,0 +1,87 @@
+package single
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// play plays a time and returns what broke, with the trace.
+func play(seed uint64, m mix, length time.Duration) *world {
+	rng := rand.New(rand.NewPCG(seed, 77))
+	if m.drawn {
+		m = m.draw(rng)
+	}
+	w := &world{
+		mix: m, rng: rng, now: testStart, placements: map[string][]*placement{}, basis: map[string]string{}, again: map[string]int{},
+		ownDeadline: seed%2 == 0, pollsFromArrival: seed%3 == 0 && m.commands,
+	}
+	w.co = newCoordinator(w)
+	for n := range agents {
+		w.agents = append(w.agents, newAgent(w, agentName(n)))
+	}
+	w.after(w.ms(1, 200), func() { w.callers(1) })
+	w.after(500*time.Millisecond, w.faults)
+	w.run(testStart.Add(length))
+	return w
+}
+
+// seeds returns the seeds of the environment variable SINGLE_SEEDS, as FIRST-LAST.
+func seeds(t *testing.T, first, last uint64) (uint64, uint64) {
+	text := os.Getenv("SINGLE_SEEDS")
+	if text == "" {
+		return first, last
+	}
+	low, high, _ := strings.Cut(text, "-")
+	from, err := strconv.ParseUint(low, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, err := strconv.ParseUint(high, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return from, to
+}
+
+// allFaults are the faults, of which each seed plays a part.
+const allFaults = "draw,commands,refusals,crashes,leaves,freezes,restarts,low-tokens,network,co-freezes,co-restarts,callers,at-once," +
+	"beats,ends,overdue,paused-starts,late-after-break"
+
+// check plays seeds of a mix of faults, which the environment variable SINGLE_MIX replaces.
+func check(t *testing.T, names string, first, last uint64) {
+	t.Helper()
+	if text := os.Getenv("SINGLE_MIX"); text != "" {
+		names = text
+	}
+	begun, placed, tasks := 0, 0, 0
+	again := map[string]int{}
+	first, last = seeds(t, first, last)
+	for seed := first; seed <= last; seed++ {
+		w := play(seed, parseMix(names), 20*time.Second)
+		begun += w.begun
+		placed += w.placed
+		tasks += len(w.placements)
+		for basis, n := range w.again {
+			again[basis] += n
+		}
+		if w.broke == "" {
+			continue
+		}
+		t.Errorf("seed %d: %s", seed, w.broke)
+		if first == last {
+			for _, line := range w.trace[max(0, len(w.trace)-400):] {
+				t.Log(line)
+			}
+		}
+	}
+	t.Logf("seeds %d to %d of %s: %d runs began, %d placements of %d tasks; placed again by basis: %v", first, last, names, begun, placed, tasks, again)
+}
+
+// Guards against a task that is placed while an earlier run of it is at work or can still begin.
+func TestEarlierRunIsOver(t *testing.T) {
+	check(t, allFaults, 1, 6)
+}
