single, known red: starts at a reborn endpoint, and of a paused agent

- A start that got no answer and was repeated: once the endpoint has crashed or left, the agent tells the run as over at once, since the second start was confirmed or reached nobody.
The first one may be carried out seconds later by the endpoint's next generation, which has seen no token.
- An agent that is frozen between the lease of a start and the start sends it when it wakes, after its coordinator has placed the task elsewhere.
Where the endpoint judges a start by the lease in force, the next poll makes it acceptable.

Agents of the model are also frozen before they handle an answer.

With starts that cross a rebirth, what no agent can know is left out by two switches of the model, named for it: a start that the earlier generation would have refused when the run was told over, and one that is late by the clock of the earlier generation.

--- a/single/agent_test.go
+++ b/single/agent_test.go
@@ -128,8 +128,9 @@
 		return
 	}
 	send := func() { a.sendStart(s, lease) }
-	if a.w.mix.pausedStarts {
-		a.w.after(a.w.between(0, 500*time.Microsecond), a.mine(send))
+	if a.w.mix.pausedStarts && a.w.chance(0.02) {
+		a.w.freezeAgent(a)
+		a.mine(send)()
 		return
 	}
 	send()
--- a/single/single_test.go
+++ b/single/single_test.go
@@ -29,38 +29,51 @@
 	return w
 }
 
-// seeds returns the seeds of the environment variable SINGLE_SEEDS, as FIRST-LAST.
-func seeds(t *testing.T, first, last uint64) (uint64, uint64) {
+// chosen returns the seeds of the environment variable SINGLE_SEEDS, as FIRST-LAST, or the given ones.
+func chosen(t *testing.T, given []uint64) []uint64 {
 	text := os.Getenv("SINGLE_SEEDS")
 	if text == "" {
-		return first, last
+		return given
 	}
 	low, high, _ := strings.Cut(text, "-")
-	from, err := strconv.ParseUint(low, 10, 64)
+	first, err := strconv.ParseUint(low, 10, 64)
 	if err != nil {
 		t.Fatal(err)
 	}
-	to, err := strconv.ParseUint(high, 10, 64)
+	last, err := strconv.ParseUint(high, 10, 64)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return from, to
+	return upTo(first, last)
 }
 
-// allFaults are the faults, of which each seed plays a part.
-const allFaults = "draw,commands,refusals,crashes,leaves,freezes,restarts,low-tokens,network,co-freezes,co-restarts,callers,at-once," +
-	"beats,ends,overdue,paused-starts,late-after-break"
+// upTo returns the seeds from first to last.
+func upTo(first, last uint64) []uint64 {
+	var seeds []uint64
+	for seed := first; seed <= last; seed++ {
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
+const (
+	// allFaults are the faults, of which each seed plays a part.
+	allFaults = "draw,commands,refusals,crashes,leaves,freezes,restarts,low-tokens,network,co-freezes,co-restarts,callers,at-once," +
+		"beats,ends,overdue"
+	// rebirths adds starts that a later generation of their endpoint carries out, which knows no token yet.
+	rebirths = ",across-rebirths,except-refused-before,except-lapsed"
+)
 
 // check plays seeds of a mix of faults, which the environment variable SINGLE_MIX replaces.
-func check(t *testing.T, names string, first, last uint64) {
+func check(t *testing.T, names string, seeds ...uint64) {
 	t.Helper()
 	if text := os.Getenv("SINGLE_MIX"); text != "" {
 		names = text
 	}
 	begun, placed, tasks := 0, 0, 0
 	again := map[string]int{}
-	first, last = seeds(t, first, last)
-	for seed := first; seed <= last; seed++ {
+	seeds = chosen(t, seeds)
+	for _, seed := range seeds {
 		w := play(seed, parseMix(names), 20*time.Second)
 		begun += w.begun
 		placed += w.placed
@@ -72,16 +85,26 @@
 			continue
 		}
 		t.Errorf("seed %d: %s", seed, w.broke)
-		if first == last {
+		if len(seeds) == 1 {
 			for _, line := range w.trace[max(0, len(w.trace)-400):] {
 				t.Log(line)
 			}
 		}
 	}
-	t.Logf("seeds %d to %d of %s: %d runs began, %d placements of %d tasks; placed again by basis: %v", first, last, names, begun, placed, tasks, again)
+	t.Logf("%d seeds of %s: %d runs began, %d placements of %d tasks; placed again by basis: %v", len(seeds), names, begun, placed, tasks, again)
 }
 
 // Guards against a task that is placed while an earlier run of it is at work or can still begin.
 func TestEarlierRunIsOver(t *testing.T) {
-	check(t, allFaults, 1, 6)
+	check(t, allFaults+",late-after-break", upTo(1, 6)...)
+}
+
+// Guards against the same where a start that was repeated is carried out by its endpoint's next generation.
+func TestEarlierRunIsOverAtARebornEndpoint(t *testing.T) {
+	check(t, allFaults+rebirths, 38, 140)
+}
+
+// Guards against the same where the agent is frozen right before it sends a start.
+func TestEarlierRunIsOverBesidePausedStarts(t *testing.T) {
+	check(t, allFaults+",late-after-break,paused-starts", 24)
 }
--- a/single/wire_test.go
+++ b/single/wire_test.go
@@ -55,10 +55,14 @@
 	settled := false
 	finish := func(err error, after time.Duration) {
 		w.after(after, a.mine(func() {
-			if !settled {
-				settled = true
-				c.done(err)
+			if settled {
+				return
+			}
+			settled = true
+			if w.mix.freezes && w.chance(0.001) { // before the answer is handled
+				w.freezeAgent(a)
 			}
+			a.mine(func() { c.done(err) })()
 		}))
 	}
 	sentTo := e.generation
