runs: a repeated start is over once the next generation has a token

Callers could get two runs of a task at a time: a run was told as over, and its task started elsewhere, while the first try of its start, which had got no answer, was still under way to an endpoint that was about to be reborn.

Cause: when an endpoint crashes or leaves, a run whose start it had confirmed was told as over at once. If the start had been repeated, the confirmation was that of the second try. The first one is refused by the generation that has seen the higher token, and not by the next one, which knows no token; the protocol lets it be carried out seconds later. The same for a second try that found nobody at the address ("absent").

Change: such a run waits, as one whose start has no answer at all does, until a poll of the next generation with a higher token is answered, or until every lease that was given has expired. That delays only runs whose start was repeated, at an endpoint that crashes or leaves.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -94,6 +94,9 @@
 	// earlier attempt, or to the start of another coordinator's run of the same number.
 	minToken int64
 	attempts int
+	// repeated is set once a start without an answer was sent again. The earlier one can't be carried out by the
+	// endpoint's generation, which has seen a higher token, but by a later one.
+	repeated bool
 	// phaseSince is the time at which the phase was entered.
 	phaseSince time.Time
 	// launchedAt is the time at which the start was decided on; zero for a run found on the endpoint.
--- a/runs/crash.go
+++ b/runs/crash.go
@@ -94,10 +94,10 @@
 // A call that was refused or never sent has started nothing. Any other may have started the run at the
 // endpoint's next generation, also one whose connection has ended, so a later poll decides.
 func (c *Controller) crashStart(now time.Time, key work.Run, r *run, refusal string, err error) {
-	switch kind := carobpulley.KindOf(err); {
-	case refusal != "" || kind == carobpulley.KindGone || kind == carobpulley.KindUnavailable:
+	switch {
+	case (refusal != "" || neverSent(err)) && !r.repeated:
 		c.endRun(now, key, r, work.OutcomeNotStarted)
-	case kind == carobpulley.KindBroken:
+	case carobpulley.KindOf(err) == carobpulley.KindBroken:
 		r.brokenAt = now
 	}
 }
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -47,7 +47,7 @@
 // handleUnansweredStart raises the token, so that the endpoint refuses a start that is still in
 // transit, unless the start was never sent.
 func (c *Controller) handleUnansweredStart(now time.Time, key work.Run, r *run, l carobpulley.Lease, err error) {
-	if kind := carobpulley.KindOf(err); kind == carobpulley.KindUnavailable || kind == carobpulley.KindGone {
+	if neverSent(err) && !r.repeated {
 		c.endRun(now, key, r, work.OutcomeNotStarted)
 		return
 	}
@@ -60,6 +60,12 @@
 	c.retireToken(l.Token)
 }
 
+// neverSent reports whether a call has reached no endpoint.
+func neverSent(err error) bool {
+	kind := carobpulley.KindOf(err)
+	return kind == carobpulley.KindUnavailable || kind == carobpulley.KindGone
+}
+
 // retireToken makes the next commands carry a higher token, so that the endpoint refuses an earlier one
 // that reaches it after them.
 func (c *Controller) retireToken(token int64) {
@@ -203,6 +209,7 @@
 		c.endAffected(now, key, r)
 	case r.phase == phaseUncertain && r.token < sent.Lease.Token && r.phaseSince.Before(sent.SentAt):
 		// The endpoint refuses the lower token from now on, so the start can be repeated.
+		r.repeated = true
 		c.retryStart(now, key, r)
 		return false
 	default:
--- a/runs/restart.go
+++ b/runs/restart.go
@@ -41,8 +41,12 @@
 func (c *Controller) announced() bool { return c.shutDown || c.heartbeat.Draining }
 
 // settledAt returns the time from which on the run's start can't be carried out any more: the endpoint
-// has confirmed it, or the connection of its call has ended. It is zero if there is none.
+// has confirmed it, or the connection of its call has ended. It is zero if there is none, as for a start that
+// was repeated: the next generation of the endpoint may still carry out the earlier one.
 func (r *run) settledAt() time.Time {
+	if r.repeated {
+		return time.Time{}
+	}
 	if !r.confirmedAt.IsZero() {
 		return r.confirmedAt
 	}
--- a/single/single_test.go
+++ b/single/single_test.go
@@ -106,5 +106,5 @@
 
 // Guards against the same where the agent is frozen right before it sends a start.
 func TestEarlierRunIsOverBesidePausedStarts(t *testing.T) {
-	check(t, allFaults+",late-after-break,paused-starts", 24)
+	check(t, allFaults+",late-after-break,paused-starts", 24, 235)
 }
