runs: a run that has ended stays its coordinator's when its end is listed

An agent started a run again that it had told as over, while its coordinator had placed the task elsewhere.

Cause: an agent remembers for 3 s whose run has ended, so that a repeated dispatch, or a late copy of one, does not start it again. An end that the endpoint lists after the run was told as lost, as when its lease expired while polls had no answers, replaced that entry by one without a coordinator, and the next copy of the dispatch started the run. The endpoint refuses it as old unless it was reborn meanwhile; then the run is on beside the other one.

TestRunThatHasEndedStaysEndedOnceItsEndIsListed failed with "1 starts of a run that has ended, want 0".

Change: the entry keeps its coordinator.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -357,9 +357,10 @@
 	incarnation uint64
 }
 
-// recordEnded records that a run has ended.
+// recordEnded records that a run has ended. One that has been told before stays its coordinator's.
 func (c *Controller) recordEnded(now time.Time, key work.Run, r *run) {
-	ended := endedRun{at: now}
+	ended := c.endedRuns[key]
+	ended.at = now
 	if r != nil {
 		ended.coordinator = r.coordinator
 		ended.incarnation = r.incarnation
--- a/runs/repeated_test.go
+++ b/runs/repeated_test.go
@@ -54,3 +54,21 @@
 		})
 	}
 }
+
+// Guards against a run that begins again, beside the one that has replaced it: its agent forgets whose it was when
+// the endpoint lists an end that the agent has told before, and a copy of the dispatch arrives.
+func TestRunThatHasEndedStaysEndedOnceItsEndIsListed(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newStart(1, 100))
+	f.confirmStarts()
+	f.advance(time.Millisecond)
+	f.poll(carobpulley.RunLists{})
+	f.report("c", nil)
+	f.poll(carobpulley.RunLists{Finished: []work.End{{Sequence: 1, Run: newRun(1), Outcome: work.OutcomeLeaseExpired}}})
+	if refused := f.dispatch("c", newStart(1, 100)); len(refused) > 0 {
+		t.Errorf("refused %v", refused)
+	}
+	if got := f.confirmStarts(); got != 0 {
+		t.Errorf("%d starts of a run that has ended, want 0", got)
+	}
+}
