single: how long runs are on that the mix leaves out; traces in files

Such runs are counted now, with the time for which they were on.

SINGLE_TRACE=DIRECTORY writes the trace of each seed that fails, since the order of maps in the packages under test changes what a seed plays.

--- a/single/single_test.go
+++ b/single/single_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -72,12 +74,14 @@
 	}
 	begun, placed, tasks := 0, 0, 0
 	again := map[string]int{}
+	var leftOut []time.Duration
 	seeds = chosen(t, seeds)
 	for _, seed := range seeds {
 		w := play(seed, parseMix(names), 20*time.Second)
 		begun += w.begun
 		placed += w.placed
 		tasks += len(w.placements)
+		leftOut = append(leftOut, w.leftOut...)
 		for basis, n := range w.again {
 			again[basis] += n
 		}
@@ -85,12 +89,22 @@
 			continue
 		}
 		t.Errorf("seed %d: %s", seed, w.broke)
+		if dir := os.Getenv("SINGLE_TRACE"); dir != "" {
+			name := filepath.Join(dir, strconv.FormatUint(seed, 10)+".trace")
+			if err := os.WriteFile(name, []byte(strings.Join(w.trace, "\n")), 0o600); err != nil {
+				t.Error(err)
+			}
+		}
 		if len(seeds) == 1 {
 			for _, line := range w.trace[max(0, len(w.trace)-400):] {
 				t.Log(line)
 			}
 		}
 	}
+	slices.Sort(leftOut)
+	if n := len(leftOut); n > 0 {
+		t.Logf("left out: %d runs that began in spite of a later placement, on for %v (median), %v at most", n, leftOut[n/2], leftOut[n-1])
+	}
 	t.Logf("%d seeds of %s: %d runs began, %d placements of %d tasks; placed again by basis: %v", len(seeds), names, begun, placed, tasks, again)
 }
 
--- a/single/world_test.go
+++ b/single/world_test.go
@@ -70,6 +70,8 @@
 	// the last one.
 	begun, placed int
 	again         map[string]int
+	// leftOut holds how long runs were on that began in spite of a later placement, where the mix leaves that out.
+	leftOut []time.Duration
 }
 
 func (w *world) after(d time.Duration, do func()) {
