--- a/runs/controller.go
+++ b/runs/controller.go
@@ -96,6 +96,9 @@
 	// earlier attempt, or to the start of another coordinator's run of the same number.
 	minToken int64
 	attempts int
+	// repeated is set once a start without an answer was sent again. The earlier one can't be carried out by the
+	// endpoint's generation, which has seen a higher token, but by a later one.
+	repeated bool
 	// phaseSince is the time at which the phase was entered.
 	phaseSince time.Time
 	// launchedAt is the time at which the start was decided on; zero for a run found on the endpoint.
@@ -362,9 +365,10 @@
 	incarnation uint64
 }
 
-// recordEnded records that a run has ended.
+// recordEnded records that a run has ended. One that has been told before stays its coordinator's.
 func (c *Controller) recordEnded(now time.Time, key work.Run, r *run) {
-	ended := endedRun{at: now}
+	ended := c.endedRuns[key]
+	ended.at = now
 	if r != nil {
 		ended.coordinator = r.coordinator
 		ended.incarnation = r.incarnation
