--- a/runs/crash.go
+++ b/runs/crash.go
@@ -121,7 +121,7 @@
 	case carobpulley.KindOf(err) == carobpulley.KindBroken:
 		r.brokenAt = now
 		r.crashed.Certain = r.crashed.Certain || r.onlyCause && c.endedByCrash(now, r)
-	case kind == carobpulley.KindUnknown:
+	case carobpulley.KindOf(err) == carobpulley.KindUnknown:
 		c.timedOutAt = now
 	}
 }
