emul: suspended hosts of endpoints, frozen agents, late starts

Three things could not be played: an agent that is paused between its last check of a command and the endpoint, the suspension of the host that holds agent and endpoint, whose clock stands meanwhile, and an endpoint that judges a start by the lease in force.

A call of an agent to its endpoint has its time limit on the agent's steady clock now: an answer that has come while the host was suspended is taken, and isn't a call without an answer.

--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -28,6 +28,9 @@
 type activeRun struct {
 	start work.Start
 	timer *time.Timer
+	// due is the time at which the run ends by itself, and end ends it.
+	due time.Time
+	end func()
 }
 
 // Endpoint emulates an endpoint beside an agent. Its clock counts milliseconds from its
@@ -61,6 +64,9 @@
 	endCount        int64
 	endAdded        chan struct{}
 	down            bool
+	// lateByLease makes a start late if the lease in force has expired, and not by its own deadline alone.
+	lateByLease bool
+	standstill  standstill
 	// lossRate is the share of commands that are not answered; half of these are applied after
 	// a delay, the others never.
 	lossRate float64
@@ -72,12 +78,14 @@
 // a run.
 func NewEndpoint(checker *Checker, capacity work.Resources, seed uint64, behavior func(work.Start) (time.Duration, work.Outcome)) *Endpoint {
 	e := &Endpoint{checker: checker, number: checker.addEndpoint(), capacity: capacity, behavior: behavior, rng: rand.New(rand.NewPCG(seed, 1))}
+	e.lateByLease = e.number%2 == 1 // PROTOCOL.md permits both
 	e.reset()
 	return e
 }
 
 func (e *Endpoint) reset() {
 	e.startedAt = time.Now()
+	e.standstill.since, e.standstill.total = e.startedAt, 0
 	e.generation = e.startedAt.UnixMilli()
 	e.token = 0
 	e.deadline = time.Time{}
@@ -160,7 +168,7 @@
 func (e *Endpoint) Close() { e.Crash() }
 
 func (e *Endpoint) clockMS() int64 {
-	return time.Since(e.startedAt).Milliseconds()*98/100 + 1000
+	return (e.standstill.now().Sub(e.startedAt)-e.standstill.total).Milliseconds()*98/100 + 1000
 }
 
 // runEvent returns an event of a run for the checker. The caller holds the lock.
@@ -261,6 +269,9 @@
 		a.Clock = e.clockMS()
 		return a
 	}
+	if err := e.awaitWake(ctx, func() { applyIfUp() }); err != nil {
+		return carobpulley.StartAnswer{}, err
+	}
 	if unanswered {
 		if delayed {
 			delay := time.Duration(2000+int(draw*10000)) * time.Millisecond
@@ -272,6 +283,9 @@
 	if err := sleep(ctx, commandLatency); err != nil {
 		return carobpulley.StartAnswer{}, err
 	}
+	if err := e.awaitWake(ctx, func() { applyIfUp() }); err != nil {
+		return carobpulley.StartAnswer{}, err
+	}
 	a := applyIfUp()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -289,13 +303,13 @@
 	if e.running[start.Run] != nil {
 		return carobpulley.StartAnswer{}
 	}
+	e.extendLease(lease.DeadlineMS)
 	if start.Run.Number <= e.lastEnded[start.Run.Task] {
 		return carobpulley.StartAnswer{Refusal: carobpulley.RefusalStaleRun}
 	}
-	if lease.DeadlineMS <= e.clockMS() {
+	if lease.DeadlineMS <= e.clockMS() && (!e.lateByLease || !time.Now().Before(e.deadline)) {
 		return carobpulley.StartAnswer{Refusal: carobpulley.RefusalLeaseExpired}
 	}
-	e.extendLease(lease.DeadlineMS)
 	used := start.Resources
 	for _, other := range e.running {
 		used = used.Add(other.start.Resources)
@@ -306,11 +320,12 @@
 	d, outcome := e.behavior(start)
 	e.checker.recordStart(e.runEvent(eventStarted, start.Run), start.Run.Task)
 	key := start.Run
-	e.running[key] = &activeRun{start: start, timer: time.AfterFunc(d, func() {
+	end := func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.endRun(key, outcome)
-	})}
+	}
+	e.running[key] = &activeRun{start: start, timer: time.AfterFunc(d, end), due: time.Now().Add(d), end: end}
 	return carobpulley.StartAnswer{}
 }
 
@@ -350,6 +365,9 @@
 			return carobpulley.RunLists{}, "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown}
 		}
 	}
+	if err := e.awaitWake(ctx, func() {}); err != nil {
+		return carobpulley.RunLists{}, "", err
+	}
 	if e.Down() {
 		return carobpulley.RunLists{}, "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown, Msg: "the connection ended"}
 	}
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -271,7 +271,7 @@
 	case <-time.After(delay):
 	}
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
-		if !f.Endpoints[n].Down() {
+		if !f.Endpoints[n].Down() && !f.Endpoints[n].Standing() {
 			hb := f.Endpoints[n].Heartbeat(fmt.Sprintf("runner-%d", n), service, domain, sequence)
 			p.suspension.wait()
 			p.Agent.HandleHeartbeat(hb)
--- a/emul/suspend.go
+++ b/emul/suspend.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -30,8 +31,12 @@
 	// runs.
 	since time.Time
 	awake chan struct{}
+	// frozen is set if the clock runs on meanwhile, as it does while a process is stopped.
+	frozen bool
 	// total is the length of all suspensions that are over.
 	total time.Duration
+	// beforeSending is called before the process sends a command to its endpoint.
+	beforeSending func(Command)
 }
 
 // Now implements carobpulley.Clock.
@@ -55,16 +60,29 @@
 	return s.total
 }
 
-func (s *suspension) begin() {
+// steady returns the reading of the clock that doesn't count suspensions.
+func (s *suspension) steady() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.since, s.awake = time.Now(), make(chan struct{})
+	now := time.Now()
+	if s.awake != nil && !s.frozen {
+		now = s.since
+	}
+	return now.Add(-s.total)
+}
+
+func (s *suspension) begin(frozen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.since, s.awake, s.frozen = time.Now(), make(chan struct{}), frozen
 }
 
 func (s *suspension) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.total += time.Since(s.since)
+	if !s.frozen {
+		s.total += time.Since(s.since)
+	}
 	close(s.awake)
 	s.awake = nil
 }
@@ -85,8 +103,25 @@
 
 // Suspend suspends the host of a process for a time.
 func (p *Process) Suspend(d time.Duration) {
-	p.suspension.begin()
+	p.suspension.begin(false)
+	time.Sleep(d)
+	p.suspension.end()
+}
+
+// Freeze stops a process for a time, while the clocks of its host run on.
+func (p *Process) Freeze(d time.Duration) {
+	p.suspension.begin(true)
+	time.Sleep(d)
+	p.suspension.end()
+}
+
+// SuspendHost suspends the host of an agent and its endpoint for a time.
+func (f *Fleet) SuspendHost(n int, d time.Duration) {
+	p := f.Agents[n]
+	p.suspension.begin(false)
+	f.Endpoints[n].suspend()
 	time.Sleep(d)
+	f.Endpoints[n].wake()
 	p.suspension.end()
 }
 
@@ -153,6 +188,41 @@
 	s.wait()
 }
 
+// toEndpoint makes a call of the process to its endpoint. Its time limit runs by the steady clock of the
+// process: the answer may have come by the time at which the process wakes.
+func toEndpoint(ctx context.Context, s *suspension, c Command, call func(context.Context)) {
+	s.mu.Lock()
+	before := s.beforeSending
+	s.mu.Unlock()
+	if before != nil {
+		before(c)
+	}
+	limit, limited := ctx.Deadline()
+	remaining := time.Until(limit)
+	began := s.steady()
+	s.wait()
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			cancel()
+		}
+	})()
+	if limited {
+		go func() {
+			for left := remaining; left > 0; left = remaining - s.steady().Sub(began) {
+				if sleep(inner, left) != nil {
+					return
+				}
+				s.wait()
+			}
+			cancel()
+		}()
+	}
+	call(inner)
+	s.wait()
+}
+
 // suspendedEndpoint is the endpoint as a process that can be suspended reaches it.
 type suspendedEndpoint struct {
 	carobpulley.EndpointClient
@@ -161,19 +231,19 @@
 
 // Start implements carobpulley.EndpointClient.
 func (e suspendedEndpoint) Start(ctx context.Context, l carobpulley.Lease, start work.Start) (a carobpulley.StartAnswer, err error) {
-	throughSuspension(ctx, e.s, func(ctx context.Context) { a, err = e.EndpointClient.Start(ctx, l, start) })
+	toEndpoint(ctx, e.s, CommandStart, func(ctx context.Context) { a, err = e.EndpointClient.Start(ctx, l, start) })
 	return a, err
 }
 
 // Stop implements carobpulley.EndpointClient.
 func (e suspendedEndpoint) Stop(ctx context.Context, l carobpulley.Lease, run work.Run) (a carobpulley.StartAnswer, err error) {
-	throughSuspension(ctx, e.s, func(ctx context.Context) { a, err = e.EndpointClient.Stop(ctx, l, run) })
+	toEndpoint(ctx, e.s, CommandStop, func(ctx context.Context) { a, err = e.EndpointClient.Stop(ctx, l, run) })
 	return a, err
 }
 
 // Renew implements carobpulley.EndpointClient.
 func (e suspendedEndpoint) Renew(ctx context.Context, l carobpulley.Lease, acked int64, wait time.Duration) (lists carobpulley.RunLists, refusal string, err error) {
-	throughSuspension(ctx, e.s, func(ctx context.Context) { lists, refusal, err = e.EndpointClient.Renew(ctx, l, acked, wait) })
+	toEndpoint(ctx, e.s, CommandRenew, func(ctx context.Context) { lists, refusal, err = e.EndpointClient.Renew(ctx, l, acked, wait) })
 	return lists, refusal, err
 }
 
