runs, guard: leases after a suspension of the endpoint's host

Two runs of a task at a time, both of one coordinator: the host of an agent and its endpoint was suspended, the answers to polls were lost then, stops were not carried out, and the agent was cut off from its coordinator, which placed the task elsewhere 1,323 ms after the last report. The first run was still on.

An endpoint's clock may stand while its host is suspended. The agent computed leases from the reading before plus the time by the boot clock, so a lease that was sent before the next reading outlasted its proof by up to the length of the suspension, and the agent told a run lost by its own clock while the lease went on, also that of an earlier process. If the clock doesn't stand, what changes is that leases end sooner until the next reading; so nothing starts before it. After a suspension, and while the endpoint is unresponsive, polls don't wait for an end.

A woken agent also acted on timers, polls and queued messages before its next tick, up to 40 ms later, stopped the runs whose proof had expired. Whatever it does first now stops them: the controller gets the time of all suspensions with each reading of the clock.

The models of package runs poll as the guard does: ReadingDue takes the place of ClockKnown.

--- a/emul/suspend.go
+++ b/emul/suspend.go
@@ -23,7 +23,7 @@
 // standing, and what it then sends waits; but the time-outs of calls to other processes run out, and the
 // process takes its pauses to be over, at most by the length of the suspension too early.
 type suspension struct {
-	// steadyAges leaves the suspensions that are over out of the clock too.
+	// steadyAges makes the clock that of carobpulley.SteadyClock: it leaves out the suspensions that are over.
 	steadyAges bool
 
 	mu sync.Mutex
@@ -57,6 +57,9 @@
 func (s *suspension) Suspended() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.steadyAges {
+		return 0
+	}
 	return s.total
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -142,6 +142,7 @@
 			MaxLease:    cfg.MaxLease,
 			Shards:      cfg.Shards,
 			DomainTTL:   max(cfg.DomainOutWithin-domainMargin, cfg.DomainOutWithin/2),
+			Suspended:   clock.Suspended(),
 		}, now),
 	}
 }
@@ -198,6 +199,17 @@
 	return nil
 }
 
+// now returns the time once the controller knows of the suspensions before it. Whatever acts first after one
+// sends the stops that it asks for. The caller holds a.mu.
+func (a *Agent) now(ctx context.Context) time.Time {
+	suspended := a.clock.Suspended()
+	now := a.clock.Now()
+	if a.controller.HandleSuspensions(now, suspended) {
+		a.execute(context.WithoutCancel(ctx), a.controller.Commands())
+	}
+	return now
+}
+
 // Coordinators returns the names of the attached coordinators.
 func (a *Agent) Coordinators() []string {
 	a.mu.Lock()
--- a/guard/heartbeat.go
+++ b/guard/heartbeat.go
@@ -55,7 +55,7 @@
 		case <-a.probes:
 		}
 		a.mu.Lock()
-		sent := a.controller.BeginProbe(a.clock.Now())
+		sent := a.controller.BeginProbe(a.now(ctx))
 		a.mu.Unlock()
 		a.sendPoll(ctx, sent, 0)
 		select {
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -26,11 +26,11 @@
 // poll makes one poll and returns the pause until the next one.
 func (a *Agent) poll(ctx context.Context) time.Duration {
 	a.mu.Lock()
-	sent := a.controller.BeginPoll(a.clock.Now())
-	known := a.controller.ClockKnown()
+	sent := a.controller.BeginPoll(a.now(ctx))
+	due := a.controller.ReadingDue()
 	a.mu.Unlock()
 	wait := pollWait
-	if !known {
+	if due {
 		wait = 0
 	}
 	return a.sendPoll(ctx, sent, wait)
@@ -40,7 +40,7 @@
 // unanswered start.
 func (a *Agent) pollNow(ctx context.Context) {
 	a.mu.Lock()
-	sent := a.controller.BeginPoll(a.clock.Now())
+	sent := a.controller.BeginPoll(a.now(ctx))
 	a.mu.Unlock()
 	a.sendPoll(ctx, sent, 0)
 }
@@ -49,8 +49,8 @@
 	call, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	lists, refusal, err := a.endpoint.Renew(call, sent.Lease, sent.AckedUpTo, wait)
 	cancel()
-	now := a.clock.Now()
 	a.mu.Lock()
+	now := a.now(ctx)
 	var changed bool
 	failed := err != nil || refusal != ""
 	if failed {
@@ -103,7 +103,7 @@
 		}
 		suspensions.Check()
 		a.mu.Lock()
-		changed := a.controller.Tick(a.clock.Now())
+		changed := a.controller.Tick(a.now(ctx))
 		a.logLosses()
 		commands := a.controller.Commands()
 		a.mu.Unlock()
@@ -126,7 +126,7 @@
 
 func (a *Agent) start(ctx context.Context, s work.Start) {
 	a.mu.Lock()
-	lease, refusal := a.controller.StartLease(a.clock.Now(), s.Run)
+	lease, refusal := a.controller.StartLease(a.now(ctx), s.Run)
 	a.mu.Unlock()
 	if refusal != "" {
 		a.cfg.Meter.Add(meter.Name("starts_not_sent", refusal), 1)
@@ -140,7 +140,7 @@
 	cancel()
 	a.cfg.Meter.Observe("start", time.Since(sent))
 	a.mu.Lock()
-	a.controller.HandleStartReply(a.clock.Now(), s.Run, lease, answer, err)
+	a.controller.HandleStartReply(a.now(ctx), s.Run, lease, answer, err)
 	commands := a.controller.Commands()
 	uncertain := a.controller.StartUncertain(s.Run)
 	a.mu.Unlock()
--- a/guard/report.go
+++ b/guard/report.go
@@ -25,8 +25,8 @@
 		case <-tick.C:
 		case <-a.wakeReports:
 		}
-		now := a.clock.Now()
 		a.mu.Lock()
+		now := a.now(ctx)
 		coordinators := a.controller.Coordinators()
 		var due []runs.CoordinatorAddress
 		for _, to := range coordinators {
@@ -89,7 +89,7 @@
 		return err
 	}
 	a.mu.Lock()
-	sentAt := a.clock.Now()
+	sentAt := a.now(ctx)
 	sent := a.controller.Report(sentAt, to.Name)
 	domains := a.controller.Domains()
 	a.mu.Unlock()
@@ -110,15 +110,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	defer func() { a.execute(context.WithoutCancel(ctx), a.controller.Commands()) }()
-	a.handleDomains(a.clock.Now(), link.DomainsFromWire(reply.Msg.GetDomains(), sentAt), to.Name)
+	now := a.now(ctx)
+	a.handleDomains(now, link.DomainsFromWire(reply.Msg.GetDomains(), sentAt), to.Name)
 	if reply.Msg.GetStale() {
 		if reply.Msg.GetReleased() {
 			a.controller.Release(to.Name)
 		}
 		return nil
 	}
-	a.lastContact = a.clock.Now()
-	a.controller.HandleReportReply(a.clock.Now(), to.Name, sent, runs.ReportReply{
+	a.lastContact = now
+	a.controller.HandleReportReply(now, to.Name, sent, runs.ReportReply{
 		Epochs: link.EpochsFromWire(reply.Msg.GetOwned()),
 		Acked:  reply.Msg.GetAcked(),
 
@@ -132,11 +133,11 @@
 }
 
 // Attach implements relay.AgentServiceHandler.
-func (a *Agent) Attach(_ context.Context, r *connect.Request[relay.AttachRequest]) (*connect.Response[relay.ReportRequest], error) {
+func (a *Agent) Attach(ctx context.Context, r *connect.Request[relay.AttachRequest]) (*connect.Response[relay.ReportRequest], error) {
 	m := r.Msg
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.clock.Now()
+	now := a.now(ctx)
 	if !a.controller.CanAttach(now) {
 		return connect.NewResponse(&relay.ReportRequest{Refusal: "the runner's lists are not read yet"}), nil
 	}
@@ -164,7 +165,7 @@
 func (a *Agent) Order(ctx context.Context, r *connect.Request[relay.OrderRequest]) (*connect.Response[relay.OrderReply], error) {
 	dispatch := link.DispatchFromWire(r.Msg)
 	a.mu.Lock()
-	now := a.clock.Now()
+	now := a.now(ctx)
 	a.handleDomains(now, link.DomainsFromWire(r.Msg.GetDomains(), a.controller.EchoTime(now, dispatch.Echo)), dispatch.Coordinator)
 	refused, stale := a.controller.HandleDispatch(now, dispatch)
 	commands := a.controller.Commands()
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -58,6 +58,8 @@
 	// DomainTTL is how old the knowledge of the failure domains out of service, or the last attempt
 	// to renew it, may be at a start; 0 if it is not checked.
 	DomainTTL time.Duration
+	// Suspended is the time for which the host was suspended in total before.
+	Suspended time.Duration
 }
 
 type phase int
@@ -180,6 +182,12 @@
 	// none.
 	clockMS int64
 	clockAt time.Time
+	// suspended is the time for which the host was suspended in total, and suspendedSinceReading that since
+	// clockAt. readingVoid is set from its last awakening, at wokeAt, until the clock has been read again.
+	suspended             time.Duration
+	suspendedSinceReading time.Duration
+	readingVoid           bool
+	wokeAt                time.Time
 	// leaseExpiresAt is the time by which every lease that was sent to the endpoint has expired.
 	leaseExpiresAt time.Time
 	// lastListed is the highest number of an end that the endpoint has listed, and ackedUpTo the
@@ -242,6 +250,7 @@
 	return &Controller{
 		cfg:          cfg,
 		origin:       now,
+		suspended:    cfg.Suspended,
 		token:        cfg.Token,
 		runs:         make(map[work.Run]*run),
 		shards:       make(map[int]*shard),
@@ -378,7 +387,9 @@
 	return now.Sub(r.confirmedAt).Milliseconds()
 }
 
-// Usable reports whether starts can be sent to the endpoint.
+// Usable reports whether starts can be sent to the endpoint. After a suspension its clock has to be read
+// first: if it didn't stand, it is ahead of all deadlines.
 func (c *Controller) Usable() bool {
-	return !c.draining && !c.hasUnknownRuns() && c.hasHeartbeat && !c.shutDown && !c.heartbeat.Draining && !c.unresponsive && c.clockMS != 0 && !c.restartClaimed()
+	return !c.draining && !c.hasUnknownRuns() && c.hasHeartbeat && !c.shutDown && !c.heartbeat.Draining && !c.unresponsive &&
+		c.clockMS != 0 && !c.readingVoid && !c.restartClaimed()
 }
--- a/runs/controller_test.go
+++ b/runs/controller_test.go
@@ -21,6 +21,8 @@
 	controller *Controller
 	now        time.Time
 	echo       int64
+	// suspended is the length of all suspensions.
+	suspended time.Duration
 }
 
 func newFixture(t *testing.T) *fixture {
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -27,8 +27,9 @@
 	if !until.After(now) {
 		return l
 	}
-	// By then a slow clock has advanced by at least this since it was read.
-	advance := time.Duration(float64(until.Sub(c.clockAt)) * (1 - ClockSlack))
+	// By then a slow clock, which may have stood while the host was suspended, has advanced by at least
+	// this since it was read.
+	advance := time.Duration(float64(until.Sub(c.clockAt)-c.suspendedSinceReading) * (1 - ClockSlack))
 	l.DeadlineMS = c.clockMS + advance.Milliseconds()
 	if expiry := until.Add(leaseExpiryMargin); expiry.After(c.leaseExpiresAt) {
 		c.leaseExpiresAt = expiry
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -132,8 +132,12 @@
 	changed := restarted || c.unresponsive || c.clockMS == 0
 	c.unresponsive = false
 	c.failedPolls = 0
-	c.clockMS = lists.Clock
-	c.clockAt = now
+	if c.clockMS == 0 || !sent.SentAt.Before(c.wokeAt) {
+		c.clockMS = lists.Clock
+		c.clockAt = now
+		c.suspendedSinceReading = 0
+		c.readingVoid = false
+	}
 	for i := range lists.Finished {
 		if c.isNewEnd(lists.Finished[i].Sequence) {
 			c.handleListedEnd(now, lists.Finished[i])
--- a/runs/report.go
+++ b/runs/report.go
@@ -93,7 +93,8 @@
 // agent can have given has expired.
 func (c *Controller) inheritedLeaseExpiry() time.Time {
 	span := c.cfg.MaxLease
-	return c.origin.Add(span + time.Duration(float64(span)*ClockSlack) + leaseExpiryMargin)
+	span += time.Duration(float64(span)*ClockSlack) + leaseExpiryMargin
+	return c.origin.Add(span + c.suspended - c.cfg.Suspended)
 }
 
 // polledOrUnreachable reports whether the endpoint has answered a poll, or there is no responsive
--- a/runs/resubmit_endpoint_test.go
+++ b/runs/resubmit_endpoint_test.go
@@ -179,7 +179,7 @@
 	var lists carobpulley.RunLists
 	refusal := ""
 	wait := time.Duration(0)
-	if loop && m.c.ClockKnown() {
+	if loop && !m.c.ReadingDue() {
 		wait = m.between(0, 50*time.Millisecond)
 	}
 	m.send(kindPoll, 90*time.Millisecond, 0, sent.Lease, func(l carobpulley.Lease) {
--- a/runs/state.go
+++ b/runs/state.go
@@ -46,8 +46,11 @@
 	return true
 }
 
-// ClockKnown reports whether the endpoint's clock is known.
-func (c *Controller) ClockKnown() bool { return c.clockMS != 0 }
+// ReadingDue reports whether the endpoint's lists and clock are needed at once: they are not known, or the
+// endpoint has not answered, or it was suspended with this host, and may have runs on that are over here.
+func (c *Controller) ReadingDue() bool {
+	return c.clockMS == 0 || c.unresponsive || c.readingVoid
+}
 
 // StartUncertain reports whether the start of a run got no answer.
 func (c *Controller) StartUncertain(key work.Run) bool {
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -286,7 +286,7 @@
 	var lists carobpulley.RunLists
 	refusal := ""
 	wait := time.Duration(0)
-	if loop && w.c.ClockKnown() {
+	if loop && !w.c.ReadingDue() {
 		wait = time.Duration(w.rng.IntN(50)) * time.Millisecond
 	}
 	done := func(err error) {
