--- a/runs/poll.go
+++ b/runs/poll.go
@@ -143,8 +143,12 @@
 	if sent.SentAt.After(c.answeredPoll) {
 		c.answeredPoll = sent.SentAt
 	}
-	c.clockMS = lists.Clock
-	c.clockAt = now
+	if c.clockMS == 0 || !sent.SentAt.Before(c.wokeAt) {
+		c.clockMS = lists.Clock
+		c.clockAt = now
+		c.suspendedSinceReading = 0
+		c.readingVoid = false
+	}
 	for i := range lists.Finished {
 		if c.isNewEnd(lists.Finished[i].Sequence) {
 			c.handleListedEnd(now, lists.Finished[i])
