coord: confirm holds after a pause before anything starts

Callers saw two runs of a task at a time: a coordinator that was paused for 1.4 s and more is replaced as the holder of its jobs, and starts their tasks again 250 ms after it has woken, unless its regular ask for the hold has been answered by then. A home that it does not reach for 250 ms is enough.

A coordinator that wakes now asks the homes for the holds of all jobs that callers wait for, as the regular asks do, and starts nothing of best-effort jobs until they have answered, for 1 s at most. Jobs that others hold are given up; so are those without an answer if the pause was 1 s or more.

--- a/coord/hold.go
+++ b/coord/hold.go
@@ -40,6 +40,8 @@
 	// joined is set once a holder was given the submission: it may wait for the result there, although
 	// the call has broken.
 	joined bool
+	// wakes is the number of pauses of this process before it asked for the hold.
+	wakes uint64
 }
 
 // acquire makes this process the only one that may start a best-effort job: own is set, and the id is
@@ -48,6 +50,7 @@
 func (c *Coordinator) acquire(ctx context.Context, s *submission) (own, answered bool, a carobpulley.JobAnswer) {
 	id := s.job.ID
 	for n := 0; c.beginPending(ctx, id); n++ {
+		s.wakes = c.wakeCount()
 		h, held := c.askHome(ctx, id, s.replaced)
 		if !held || h.Holder.Same(c.self()) {
 			return true, false, carobpulley.JobAnswer{}
@@ -87,6 +90,12 @@
 	return false, false, carobpulley.JobAnswer{}
 }
 
+func (c *Coordinator) wakeCount() uint64 {
+	c.lock()
+	defer c.mu.Unlock()
+	return c.holdings.wakes
+}
+
 // holderGoneAt returns the time from which no run of a holder that does not answer is on.
 func (s *submission) holderGoneAt(h holds.Hold) time.Time {
 	gone := h.Seen.Add(holderGoneAfter)
--- a/coord/homes.go
+++ b/coord/homes.go
@@ -38,6 +38,8 @@
 	pending map[string]chan struct{}
 	// asks holds, by home, the asks that wait for the call under way; a home without a call has none.
 	asks map[string][]*holdAsk
+	// wakes counts the pauses of this process: a hold may have been replaced in each.
+	wakes uint64
 }
 
 func newHoldings() holdings {
--- a/coord/stall.go
+++ b/coord/stall.go
@@ -1,6 +1,13 @@
 package coord
 
-import "time"
+import (
+	"context"
+	"sync"
+	"time"
+
+	"carobpulley/jobs"
+	"carobpulley/work"
+)
 
 const (
 	// pauseThreshold is the time without a tick from which this process counts as paused.
@@ -8,6 +15,11 @@
 	// wakeAllowance is how long nothing of best-effort jobs starts after a pause: the departure of
 	// their callers has to be seen first.
 	wakeAllowance = 250 * time.Millisecond
+	// confirmTimeout bounds the time for which starts wait until the homes have confirmed the holds of this
+	// process's jobs after a pause.
+	confirmTimeout = time.Second
+	// replacedAfter is the least pause in which a holder may have been replaced.
+	replacedAfter = time.Second
 )
 
 // lock acquires the lock. Whatever acts first after this process was paused finds the pause here,
@@ -21,7 +33,62 @@
 		return
 	}
 	c.table.HoldBestEffort(now.Add(wakeAllowance))
+	c.holdings.wakes++
+	go c.confirmHolds(now, pause >= replacedAfter)
 	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, best-effort jobs wait")
 	c.cfg.Meter.Add("pauses", 1)
 	c.lastTick = now
 }
+
+// confirmHolds keeps best-effort jobs from starting anything until the homes have confirmed that this process
+// holds them. Jobs that others hold are given up, and those without an answer if they may have been replaced.
+func (c *Coordinator) confirmHolds(wokeAt time.Time, mayBeReplaced bool) {
+	c.lock()
+	wakes := c.holdings.wakes
+	var ids []string
+	for _, id := range c.table.BestEffortIDs() {
+		if len(c.waiters[id]) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) > 0 {
+		c.table.HoldBestEffort(wokeAt.Add(confirmTimeout))
+	}
+	c.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.baseCtx, confirmTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, id := range ids {
+		wg.Go(func() {
+			switch h, held := c.askHome(ctx, id, 0); {
+			case held && !h.Holder.Same(c.self()):
+				c.giveUp(id, "the job is held by "+h.Holder.Coordinator)
+			case !held && mayBeReplaced:
+				c.giveUp(id, "no home confirms the hold after a pause")
+			}
+		})
+	}
+	wg.Wait()
+	c.lock()
+	defer c.mu.Unlock()
+	if c.holdings.wakes == wakes {
+		c.table.HoldBestEffort(wokeAt.Add(wakeAllowance))
+	}
+}
+
+// giveUp abandons a best-effort job and answers its callers.
+func (c *Coordinator) giveUp(id, reason string) {
+	c.lock()
+	defer c.mu.Unlock()
+	if len(c.waiters[id]) == 0 {
+		return
+	}
+	c.cfg.Meter.Add("given_up_after_pause", 1)
+	c.log.Warn().Str("job", id).Str("why", reason).Msg("given up after a pause")
+	unstarted := c.table.Abandon(c.now, id, reason)
+	c.notifyWaiters(id, waitResult{result: jobs.BestEffortResult{Job: id, State: work.StateCancelled, Unstarted: unstarted, Reason: reason}})
+	c.flush()
+}
--- a/holds/homes.go
+++ b/holds/homes.go
@@ -45,10 +45,15 @@
 	return best(id, members, func(name string) bool { return !h.Down(now, name) })
 }
 
+// First returns the home of an id if no member is passed over; empty if there is none.
+func First(id string, members []Member) string {
+	return best(id, members, func(string) bool { return true })
+}
+
 // Ask returns the member to ask for an id: its home, or else the next member other than the one that asks.
 // That one may reach the home, and others may not have passed it over. It is empty if none is left.
 func (h *Homes) Ask(now time.Time, id, self string, members []Member) string {
-	first := best(id, members, func(string) bool { return true })
+	first := First(id, members)
 	o, out := h.down[first]
 	if first == self || !out {
 		return first
