coord: a home yields its own job to the next home's grant

Callers saw two runs of a task at a time: a home that is cut off is replaced by the next one, which grants an id to another coordinator. As the home is reached again and gets the job itself, it granted itself the id, and its copy to the next home replaced the other one's hold there.

The copy now asks for the hold as any other ask does, in place of the hold that the home has itself replaced. If the next home answers with another holder, the home records that hold, and joins the holder.

TestHomeComesBackFromACut (the home gets the job again) failed for each of its ids on with two runs of a task at a time, and passes.

--- a/coord/homes.go
+++ b/coord/homes.go
@@ -89,7 +89,7 @@
 		}
 		if ask.answered {
 			if home == c.cfg.Self.Name && ask.hold.Holder.Same(c.self()) {
-				c.copyHold(ctx, id)
+				return c.copyHold(ctx, id, ask.hold, replaced), true
 			}
 			return ask.hold, true
 		}
@@ -100,9 +100,10 @@
 }
 
 // copyHold gives the hold of a job whose home is this process to the home after it, which has to know of
-// it if this process ends.
-func (c *Coordinator) copyHold(ctx context.Context, id string) {
-	ask := &holdAsk{id: id, by: c.self(), replaced: holds.AnyHold, passedOn: true, done: make(chan struct{})}
+// it if this process ends. It returns the hold in force: the next home may have granted the id to another
+// process while it did not reach this one.
+func (c *Coordinator) copyHold(ctx context.Context, id string, h holds.Hold, replaced uint64) holds.Hold {
+	ask := &holdAsk{id: id, by: c.self(), replaced: replaced, passedOn: true, done: make(chan struct{})}
 	c.lock()
 	now := c.now
 	next := c.holdings.homes.Next(now, id, c.cfg.Self.Name, c.holdings.members)
@@ -111,12 +112,22 @@
 	}
 	c.mu.Unlock()
 	if next == "" {
-		return
+		return h
 	}
 	select {
 	case <-ask.done:
 	case <-ctx.Done():
+		return h
+	}
+	if !ask.answered || ask.hold.Holder.Same(c.self()) {
+		return h
 	}
+	c.lock()
+	defer c.mu.Unlock()
+	c.cfg.Meter.Add(meter.Name("holds", "yielded"), 1)
+	c.log.Warn().Str("job", id).Str("home", next).Str("coordinator", ask.hold.Holder.Coordinator).Msg("the next home has granted the id to another coordinator")
+	c.holdings.table.Yield(c.now, id, c.self(), ask.hold)
+	return ask.hold
 }
 
 // submitAsk adds an ask to the next call to a home, or answers it if that is this process. The caller
--- a/emul/homememory_test.go
+++ b/emul/homememory_test.go
@@ -52,3 +52,29 @@
 		}
 	}
 }
+
+// Guards against two runs of a task at a time if a home was cut off from the others, the next one lets a
+// coordinator have an id, and the job comes to the home as it is reached again.
+func TestHomeComesBackFromACut(t *testing.T) {
+	for _, again := range []int{3} {
+		t.Run(fmt.Sprint("again at ", again), func(t *testing.T) {
+			for _, n := range idsOf(3, 4, 6) {
+				runFleet(t, homesSpec(2*time.Second), func(_ *testing.T, f *Fleet) {
+					cut := func(on bool) {
+						for other := range 3 {
+							f.cutCoordinators(3, other, on)
+						}
+					}
+					cut(true)
+					var wg sync.WaitGroup
+					wg.Go(func() { f.submitUntil(0, testJob(n, true, 1), 5*time.Second) })
+					time.Sleep(600 * time.Millisecond)
+					cut(false)
+					time.Sleep(5 * time.Millisecond)
+					f.submitUntil(again, testJob(n, true, 1), 5*time.Second)
+					wg.Wait()
+				})
+			}
+		})
+	}
+}
--- a/holds/table.go
+++ b/holds/table.go
@@ -80,6 +80,15 @@
 	return h
 }
 
+// Yield records the hold that another home has granted in place of a holder's, if that is in force.
+func (t *Table) Yield(now time.Time, id string, by Holder, h Hold) {
+	if t.holds[id].Holder.Same(by) {
+		t.last = max(t.last, h.Number)
+		t.holds[id] = h
+		t.order = append(t.order, grant{id, h.Number, now})
+	}
+}
+
 // Len returns the number of ids that are held.
 func (t *Table) Len() int { return len(t.holds) }
 
