coord: a home that may not know all holds recalls them first

Callers saw two runs of a task at a time: a home that is killed, restarts or joins in the milliseconds between a job's submissions at two coordinators knows of no hold, and gives the id away again. The same as a home comes back after it was suspended or cut off, and the next one has granted ids meanwhile. The class is that a restart takes away what kept two runs apart.

A home that may not know who holds its ids now asks the other coordinators once (call Held) before it grants one: after its start, a pause, or an outage of it, or of the home that it stands in for.

- a submission that has seen a holder fall silent waits until that one's runs are over, also if a home that knows less grants it the id;

--- a/coord/control.go
+++ b/coord/control.go
@@ -174,9 +174,16 @@
 }
 
 func (c *Coordinator) handleCoordinatorAddress(a work.Address) {
-	if c.coordinators[a.Name].Incarnation != a.Incarnation {
+	old, known := c.coordinators[a.Name]
+	if old.Incarnation != a.Incarnation {
 		c.holdings.homes.Answered(a.Name) // its host is back
 	}
+	if a.Name == c.cfg.Self.Name && !known {
+		c.holdings.firstProcess = a.Incarnation == c.cfg.Self.Incarnation
+	}
+	if known && a.Share < old.Share || a.Name == c.cfg.Self.Name && old.Addr != a.Addr {
+		c.holdings.memory.Lost(c.now) // ids of other homes are this one's now
+	}
 	c.coordinators[a.Name] = a
 	c.membersChanged = true
 	c.updateHomes()
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -40,6 +40,8 @@
 	// joined is set once a holder was given the submission: it may wait for the result there, although
 	// the call has broken.
 	joined bool
+	// runsEndAt is the time from which no run of a holder that did not answer is on.
+	runsEndAt time.Time
 	// wakes is the number of pauses of this process before it asked for the hold.
 	wakes uint64
 }
@@ -53,6 +55,8 @@
 		s.wakes = c.wakeCount()
 		h, held := c.askHome(ctx, id, s.replaced)
 		if !held || h.Holder.Same(c.self()) {
+			// The home may know less of the earlier holder than this process.
+			sleep(ctx, s.runsEndAt.Sub(c.clock.Now()))
 			return true, false, carobpulley.JobAnswer{}
 		}
 		if n == 0 {
@@ -68,11 +72,12 @@
 		case joinAnswered:
 			return false, true, a
 		case joinAbsent:
-			s.replaced, s.uncertain = h.Number, true
+			s.replaced, s.uncertain, s.runsEndAt = h.Number, true, time.Time{}
 			continue
 		case joinUnanswered:
 		}
 		goneAt := s.holderGoneAt(h)
+		s.runsEndAt, s.uncertain = goneAt, true
 		now := c.clock.Now()
 		if !now.Before(goneAt) {
 			s.replaced, s.uncertain = h.Number, true
--- a/coord/stall.go
+++ b/coord/stall.go
@@ -33,6 +33,7 @@
 		return
 	}
 	c.table.HoldBestEffort(now.Add(wakeAllowance))
+	c.holdings.memory.Lost(now)
 	c.holdings.wakes++
 	go c.confirmHolds(now, pause >= replacedAfter)
 	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, best-effort jobs wait")
