runs: starts that are under way for long are fenced before a lease is renewed

Callers could get two runs of a task at a time, both of one coordinator: an agent is paused between the lease of a start and the start itself, for so long that its coordinator starts the task elsewhere; it wakes, is attached to again and renews the endpoint's lease; then the start arrives.

Cause: the proof of the run's coordinator is checked by the sender only.

Change: before a lease is given, a start that has had no answer for 250 ms is fenced: what is sent from then on carries a higher token. So it either arrives before any newer lease, and is refused once the old one is over, or after the higher token. A fenced start is repeated under the usual checks. A start's call has a limit of 40 ms, after which its token is retired anyway, so this concerns only processes that were paused.

--- a/runs/controller.go
+++ b/runs/controller.go
@@ -36,6 +36,10 @@
 	// maxFailedPolls is the number of consecutive failed polls after which the endpoint counts as
 	// unresponsive and gets no starts; single requests may be left unanswered.
 	maxFailedPolls = 2
+	// startDelayLimit is the time without an answer after which a start is fenced before a lease is renewed. It
+	// exceeds the time limit of a start's call on a host that waits for its share of the processor, and is
+	// far below the time after which a coordinator that hears nothing starts the task elsewhere.
+	startDelayLimit = 250 * time.Millisecond
 	// tombstoneTTL is how long a stop or an ended run is remembered for a start that arrives after
 	// it; dispatches older than MaxEchoAge are rejected anyway.
 	tombstoneTTL = 3 * time.Second
@@ -98,6 +102,10 @@
 	// earlier attempt, or to the start of another coordinator's run of the same number.
 	minToken int64
 	attempts int
+	// leasedAt is the time at which the latest attempt at the start got its lease, with leaseToken; zero before
+	// that.
+	leasedAt   time.Time
+	leaseToken int64
 	// repeated is set once a start without an answer was sent again. The earlier one can't be carried out by the
 	// endpoint's generation, which has seen a higher token, but by a later one.
 	repeated bool
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -11,6 +11,7 @@
 // proof by more than ProofTTL. Without one there is nothing to keep, and a lease, which is never
 // shortened, would outlive the proof of the next run.
 func (c *Controller) Lease(now time.Time) carobpulley.Lease {
+	c.fenceDelayedStarts(now)
 	l := carobpulley.Lease{Instance: c.heartbeat.Instance, Token: c.token}
 	if c.clockMS == 0 || !c.listsKnown {
 		return l
@@ -47,7 +48,9 @@
 		return carobpulley.Lease{}, ReasonStopped
 	}
 	if refusal = c.sendRefusal(now, r); refusal == "" {
-		return c.Lease(now), ""
+		lease = c.Lease(now)
+		r.leasedAt, r.leaseToken = now, lease.Token
+		return lease, ""
 	}
 	outcome := work.OutcomeNotStarted
 	if refusal == ReasonCapacity {
@@ -57,6 +60,17 @@
 	return carobpulley.Lease{}, refusal
 }
 
+// fenceDelayedStarts makes the endpoint refuse starts that have not been answered for longer than their calls
+// may take, as when this process was paused before it sent one. A lease that is renewed from now on would keep
+// such a start at work, although its task may have been started elsewhere.
+func (c *Controller) fenceDelayedStarts(now time.Time) {
+	for _, r := range c.runs {
+		if r.phase == phaseStarting && !r.leasedAt.IsZero() && now.Sub(r.leasedAt) > startDelayLimit {
+			c.retireToken(r.leaseToken)
+		}
+	}
+}
+
 // sendRefusal returns the reason for which a start that was decided on may not be sent any more; empty
 // if it may.
 func (c *Controller) sendRefusal(now time.Time, r *run) string {
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -87,6 +87,7 @@
 	r.phase = phaseStarting
 	r.phaseSince = now
 	r.brokenAt = time.Time{}
+	r.leasedAt = time.Time{}
 	r.minToken = c.token
 	c.commands = append(c.commands, Command{Start: &r.start})
 }
