coord: runs of ended coordinators are not waited for after a loss of all

Cause: a home whose memory is young, and which learns that another coordinator has restarted, lets each id wait until the runs of that one's earlier process are over, since both may have known of a job that nobody else knows. After a loss of power that holds for all ids, although no runs are left.

Change: this wait applies only if some coordinator has outlived the ended one. If all have started within 400 ms, ids are granted as the recall shows them.

--- a/coord/recall.go
+++ b/coord/recall.go
@@ -23,6 +23,8 @@
 	// repeatAfter is the time without an answer over a connection that was open before after which a call is
 	// made over a new one.
 	repeatAfter = recallWait / 2
+	// startSpread is the time within which the processes of a fleet that starts again come up.
+	startSpread = 400 * time.Millisecond
 )
 
 var (
@@ -44,6 +46,10 @@
 	// have.
 	homeEnded   *recalled
 	othersEnded bool
+	// ended holds the answers of peers whose process has ended, until another coordinator is known to have
+	// outlived it: after a loss of all processes no job could go on, and all ids would wait for runs.
+	ended    []recalled
+	outlived bool
 	// answered, failed and unsupported count the peers, and learned the holds that they told.
 	answered, failed, unsupported, learned int
 }
@@ -55,7 +61,9 @@
 	// ended is a process of the peer's name that has ended by endedAt, if one has lately.
 	ended   holds.Holder
 	endedAt time.Time
-	err     error
+	// startedAt is the start of the peer's process; zero without an answer.
+	startedAt time.Time
+	err       error
 }
 
 // recall lets an ask wait for the recall of the holds of its home, which it starts unless one is under way.
@@ -167,7 +175,16 @@
 		default:
 			r.failed++
 		}
-		c.learnEnd(r, result)
+		if !result.endedAt.IsZero() {
+			r.ended = append(r.ended, result)
+		}
+		r.outlived = r.outlived || !result.startedAt.IsZero() && result.startedAt.Before(c.holdings.startedAt.Add(-startSpread))
+	}
+	if r.outlived || c.now.Sub(c.holdings.startedAt) >= holderGoneAfter {
+		for _, result := range r.ended {
+			c.learnEnd(r, result)
+		}
+		r.ended = nil
 	}
 	learned, contrary := c.holdings.table.Learn(c.now, r.since, reports)
 	r.learned += learned
@@ -182,9 +199,6 @@
 // may have known of. The home itself has copied those of its own jobs, which are lost if another process has
 // ended too. The caller holds the lock.
 func (c *Coordinator) learnEnd(r *recall, result recalled) {
-	if result.endedAt.IsZero() {
-		return
-	}
 	since, out := c.holdings.homes.Out(result.peer)
 	switch {
 	case out && since.Before(result.endedAt):
@@ -232,7 +246,9 @@
 		}
 		return result
 	}
-	if age := time.Duration(reply.Msg.GetAgeMs()) * time.Millisecond; reply.Msg.GetRestarted() && age < agentTimeout {
+	age := time.Duration(reply.Msg.GetAgeMs()) * time.Millisecond
+	result.startedAt = now.Add(-age)
+	if reply.Msg.GetRestarted() && age < agentTimeout {
 		holder.Incarnation = 0
 		result.ended, result.endedAt = holder, now.Add(-age)
 		holder.Incarnation = a.Incarnation
