runs: a run that was told lost and is listed again

Two runs of a task at a time at one endpoint, both of one coordinator: its agent told the first one lost, as the endpoint answered nothing and its lease seemed over, up to 40 ms before it answered again. Its clock had stood still, and the run was on. The answer was to a poll from before the loss; the agent took the run in that list for one that had ended meanwhile, told the endpoint usable, and the coordinator placed the task there at once. The next list, up to 50 ms later, stopped the first run.

A loss by the lease is inferred, so a list that is handled later and shows the run counts for more. Such a run is now handled as any that the agent doesn't know: it is stopped, and nothing starts before it is gone.

--- a/emul/standstill_test.go
+++ b/emul/standstill_test.go
@@ -68,6 +68,9 @@
 		explained := false
 		after := time.Duration(math.MaxInt64)
 		for _, s := range suspensions {
+			if o.starts[0].endpoint == o.starts[1].endpoint {
+				break // its agent knows of both
+			}
 			if s.wakes(o.starts[0]) && o.to.After(s.began) || s.wakes(o.starts[1]) && o.to.After(s.began) {
 				explained = true
 				after = min(after, o.to.Sub(s.end))
@@ -230,3 +233,25 @@
 		})
 	}
 }
+
+// Guards against runs of a task at one endpoint beside each other: its agent told the first one lost, as its
+// lease seemed over, just before the endpoint, whose clock had stood still, answered again.
+func TestNoRunBesideOneThatWasToldLost(t *testing.T) {
+	for d := 1400 * time.Millisecond; d < 1600*time.Millisecond; d += 4 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			spec := elsewhereSpec(1, longRun)
+			spec.Coordinators, spec.Endpoints = 1, 1
+			f := New(spec)
+			defer f.Close()
+			time.Sleep(4 * time.Second)
+			go f.submitUntil(0, longJob(1, 4), 9*time.Second)
+			go f.submitUntil(0, longJob(2, 4), 1300*time.Millisecond) // leases end with the proof of its stop
+			time.Sleep(time.Second)
+			f.Endpoints[0].Suspend(d)
+			time.Sleep(time.Second)
+			for _, v := range f.Checker.Violations() {
+				t.Errorf("suspended for %s: %s", d, v)
+			}
+		})
+	}
+}
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -361,6 +361,8 @@
 	at          time.Time
 	coordinator string
 	incarnation uint64
+	// inferred is set if the endpoint has not shown that the run is over: its lease seemed to have expired.
+	inferred bool
 }
 
 // recordEnded records that a run has ended.
--- a/runs/lease.go
+++ b/runs/lease.go
@@ -255,6 +255,9 @@
 			continue
 		}
 		c.loseRun(now, key, r, LostLeaseExpired, Listing{})
+		ended := c.endedRuns[key]
+		ended.inferred = true
+		c.endedRuns[key] = ended
 	}
 	c.token++
 	return true
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -173,7 +173,7 @@
 func (c *Controller) handleListedRun(now time.Time, sent Poll, key work.Run) {
 	r := c.runs[key]
 	if r == nil {
-		if ended, ok := c.endedRuns[key]; ok && !ended.at.Before(sent.SentAt) {
+		if ended, ok := c.endedRuns[key]; ok && !ended.inferred && !ended.at.Before(sent.SentAt) {
 			// This poll was answered before the run ended, and another poll has shown the end.
 			return
 		}
--- a/runs/suspended_test.go
+++ b/runs/suspended_test.go
@@ -114,3 +114,31 @@
 		t.Errorf("after the reading: refused %v", refused)
 	}
 }
+
+// Guards against starts beside runs that are still on: they were told lost as the endpoint's lease seemed over,
+// and the first answer after that is to a poll from before.
+func TestRunThatWasToldLostAndIsListedAgain(t *testing.T) {
+	f := newFixture(t)
+	f.dispatch("c", newStart(1, 100))
+	f.confirmStarts()
+	f.report("c", nil)
+	f.poll(carobpulley.RunLists{Running: []carobpulley.ListedRun{{Run: newRun(1)}}})
+	var sent Poll
+	for f.controller.HasRun(newRun(1)) {
+		sent = f.controller.BeginPoll(f.now)
+		f.advance(40 * time.Millisecond)
+		f.controller.HandlePollError(f.now, sent, "", &carobpulley.Error{Op: "hold", Kind: carobpulley.KindUnknown})
+		sent = f.controller.BeginPoll(f.now)
+		f.advance(time.Millisecond)
+		f.controller.Tick(f.now)
+	}
+	f.controller.Commands()
+	f.advance(time.Millisecond)
+	f.controller.HandlePoll(f.now, sent, carobpulley.RunLists{Clock: 5100, Generation: 1, Running: []carobpulley.ListedRun{{Run: newRun(1)}}})
+	if f.controller.Usable() {
+		t.Error("starts are taken beside the run")
+	}
+	if diff := cmp.Diff([]Command{{Stop: newRun(1)}}, f.controller.Commands()); diff != "" {
+		t.Errorf("commands (-want +got):\n%s", diff)
+	}
+}
