--- a/emul/endpoint.go
+++ b/emul/endpoint.go
@@ -315,7 +315,7 @@
 		used = used.Add(other.start.Resources)
 	}
 	if e.exceedsCapacity(used) {
-		e.checker.AddViolation("start of " + start.Run.Task + " exceeds the capacity of its endpoint")
+		e.checker.recordOverload(e, start, lease.Token)
 	}
 	d, outcome := e.behavior(start)
 	e.checker.recordStart(e.runEvent(eventStarted, start.Run), start.Run.Task)
--- a/emul/trouble.go
+++ b/emul/trouble.go
@@ -35,6 +35,8 @@
 	// Late is the share of commands that get no answer and are carried out minLate to maxLate later, also
 	// by a later generation of the endpoint.
 	Late float64
+	// MaxLate bounds the time by which late commands are late instead, without a least time; 0 if it doesn't.
+	MaxLate time.Duration
 	// FromArrival makes the lease of a late command last as long from its arrival as it would have from
 	// its sending.
 	FromArrival bool
@@ -81,6 +83,9 @@
 	switch draw := e.rng.Float64(); {
 	case draw < t.Late:
 		f.late = minLate + time.Duration(e.rng.Float64()*float64(maxLate-minLate))
+		if t.MaxLate > 0 {
+			f.late = time.Duration(e.rng.Float64() * float64(t.MaxLate))
+		}
 		f.fromArrival = t.FromArrival
 	case draw < t.Late+t.Unsent:
 		f.unsent = true
