single, known red: a start whose connection ended counts as settled

By the protocol a call without a response may be carried out seconds later, so by the endpoint's next generation.

Not mended: with the wait of other unanswered starts (tried), three tests of crashes fail, since the crash is then counted after the next generation has answered, or the lease has expired. The crash would have to be told apart from the end of the run.

--- a/single/single_test.go
+++ b/single/single_test.go
@@ -122,3 +122,9 @@
 func TestEarlierRunIsOverBesidePausedStarts(t *testing.T) {
 	check(t, allFaults+",late-after-break,paused-starts", 24, 235)
 }
+
+// Guards against the same where a start is carried out by its endpoint's next generation after its connection
+// has ended.
+func TestEarlierRunIsOverAfterABrokenCall(t *testing.T) {
+	check(t, allFaults+rebirths+",late-after-break", 234)
+}
