--- a/single/single_test.go
+++ b/single/single_test.go
@@ -120,7 +120,8 @@
 
 // Guards against the same where the agent is frozen right before it sends a start.
 func TestEarlierRunIsOverBesidePausedStarts(t *testing.T) {
-	check(t, allFaults+",late-after-break,paused-starts", 24, 235)
+	// The order of maps decides whether a play meets it.
+	check(t, allFaults+",late-after-break,paused-starts", slices.Repeat([]uint64{24}, 20)...)
 }
 
 // Guards against the same where a start is carried out by its endpoint's next generation after its connection
