holds: later grants are told by their age, not by their number

Callers could get two runs of a task at a time: a home that comes back keeps its grant from before, although another coordinator has granted the id since.

Cause: a grant's number is the home's time of day at its start and the time since, so a later grant by a home whose clock is behind has a smaller number, and a recall dropped it as older.

Change: a recalled grant is compared by its time.

--- a/holds/memory.go
+++ b/holds/memory.go
@@ -162,7 +162,7 @@
 
 // isOlderThan reports whether a report tells nothing against a hold of another holder.
 func (r Report) isOlderThan(h Hold) bool {
-	return r.Evidence == Pending || r.Evidence == Granted && !h.pending && r.Hold.Number <= h.Number
+	return r.Evidence == Pending || r.Evidence == Granted && !h.pending && !r.Hold.At.After(h.At)
 }
 
 // Grants returns the grants for the ids of which belongs is true, whose holders were seen since a time.
