coord: a recall from before a pause is not enough after it

Callers could get two runs of a task at a time: a home is paused while its recall of holds is under way, another coordinator stands in for it meanwhile and grants an id, and the home grants it again by the old answers.

Cause: asks that come after the pause joined the recall under way.

Evidence: found in review; TestRecallFromBeforeAPauseIsNotEnough failed before ("granted after 1 recalls, though the peer has the job"). Change: an ask joins a recall only if that began after what was known was lost.

--- a/coord/recall.go
+++ b/coord/recall.go
@@ -71,7 +71,7 @@
 func (c *Coordinator) recall(now, since time.Time, home string, ask *holdAsk) {
 	c.cfg.Meter.Add(meter.Name("holds", "recalled"), 1)
 	r := c.holdings.recalls[home]
-	if r != nil {
+	if r != nil && !c.holdings.memory.LostSince(r.began) {
 		r.waiting = append(r.waiting, ask)
 		return
 	}
@@ -146,7 +146,9 @@
 	defer c.mu.Unlock()
 	now := c.now
 	c.learn(r, in, c.heldHere(now, r.home))
-	delete(c.holdings.recalls, r.home)
+	if c.holdings.recalls[r.home] == r {
+		delete(c.holdings.recalls, r.home)
+	}
 	c.log.Info().Str("home", r.home).Int("answered", r.answered).Int("failed", r.failed).Int("missing", missing).
 		Int("unsupported", r.unsupported).Int("holds", r.learned).Int("asks", len(r.waiting)).
 		Int64("took_ms", now.Sub(r.began).Milliseconds()).Msg("holds recalled")
--- a/holds/memory.go
+++ b/holds/memory.go
@@ -34,6 +34,9 @@
 // Lost records that holds from before now may be unknown: this process was paused, or ids have moved to it.
 func (m *Memory) Lost(now time.Time) { m.since = now }
 
+// LostSince reports whether holds from before a later time than the given one may be unknown.
+func (m *Memory) LostSince(at time.Time) bool { return at.Before(m.since) }
+
 // PassedOver records that another process has stood in for this one, at least since a time.
 func (m *Memory) PassedOver(now, since time.Time) {
 	if m.recalled[m.self].Before(since) {
