coord: a home's copy of a hold is not doubted

A job was given up that could go on: its home copies the hold to the next home, which has stood in for it and knows of a process that has ended lately, takes the unknown id for one of that process, and the home yields.

Change: only asks of others wait for the runs of an ended process; the home itself knows what it has.

--- a/coord/homes.go
+++ b/coord/homes.go
@@ -158,7 +158,7 @@
 	home := holds.First(ask.id, c.holdings.members)
 	copied := ask.passedOn && ask.by.Coordinator == home
 	if home == "" || copied {
-		c.grant(now, ask, home)
+		c.take(now, ask) // the home itself knows of processes that have ended
 		return
 	}
 	if other := c.holdings.homes.FirstAnswering(ask.id, c.holdings.members); other != "" && other != c.cfg.Self.Name && ask.passedOn {
@@ -178,6 +178,11 @@
 	if h, is := c.holdings.memory.Doubt(now, home, agentTimeout); is && c.holdings.table.Assume(now, ask.id, h) {
 		c.cfg.Meter.Add(meter.Name("holds", "doubted"), 1)
 	}
+	c.take(now, ask)
+}
+
+// take answers an ask by the table of holds. The caller holds the lock.
+func (c *Coordinator) take(now time.Time, ask *holdAsk) {
 	ask.hold, ask.answered = c.holdings.table.Take(now, ask.id, ask.by, ask.replaced), true
 	close(ask.done)
 	switch {
