--- a/runs/crash.go
+++ b/runs/crash.go
@@ -89,7 +89,11 @@
 // the start was not held back: starts that an endpoint holds back, for seconds or for good, end with their
 // connection as well.
 func (c *Controller) endedByCrash(now time.Time, r *run) bool {
-	return !r.brokenAt.IsZero() && r.brokenAt.Sub(r.launchedAt) <= carryOutTime && now.Sub(r.brokenAt) <= answerWait &&
+	sentAt := r.leasedAt
+	if sentAt.IsZero() {
+		sentAt = r.launchedAt
+	}
+	return !r.brokenAt.IsZero() && !r.repeated && r.brokenAt.Sub(sentAt) <= carryOutTime && now.Sub(r.brokenAt) <= answerWait &&
 		c.answeredPoll.Before(r.brokenAt) && (c.timedOutAt.IsZero() || r.brokenAt.Sub(c.timedOutAt) > holdBackMemory)
 }
 
