coord: starts wait from the wake on until holds are confirmed

Jobs that another coordinator has been given could start after a pause: they were held for 250 ms at once, and for up to 1 s by a goroutine that a host without processor time may run later than that. Callers of a job that was given up since another one holds it could be told that it has not run.

Evidence: found in review, by reading; no test shows it. Change: the wake itself holds jobs until the confirmation, which shortens it; a confirmation that is followed by another pause leaves the rest to that one's. A job that is given up so is answered as unknown.

--- a/coord/stall.go
+++ b/coord/stall.go
@@ -32,10 +32,10 @@
 	if c.lastTick.IsZero() || pause < pauseThreshold {
 		return
 	}
-	c.table.HoldBestEffort(now.Add(wakeAllowance))
+	c.table.HoldBestEffort(now.Add(confirmTimeout)) // confirmHolds may run late
 	c.holdings.memory.Lost(now)
 	c.holdings.wakes++
-	go c.confirmHolds(now, pause >= replacedAfter)
+	go c.confirmHolds(now, c.holdings.wakes, pause >= replacedAfter)
 	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, best-effort jobs wait")
 	c.cfg.Meter.Add("pauses", 1)
 	c.lastTick = now
@@ -43,17 +43,20 @@
 
 // confirmHolds keeps best-effort jobs from starting anything until the homes have confirmed that this process
 // holds them. Jobs that others hold are given up, and those without an answer if they may have been replaced.
-func (c *Coordinator) confirmHolds(wokeAt time.Time, mayBeReplaced bool) {
+func (c *Coordinator) confirmHolds(wokeAt time.Time, wakes uint64, mayBeReplaced bool) {
 	c.lock()
-	wakes := c.holdings.wakes
+	if c.holdings.wakes != wakes {
+		c.mu.Unlock()
+		return // another pause has followed
+	}
 	var ids []string
 	for _, id := range c.table.BestEffortIDs() {
 		if len(c.waiters[id]) > 0 {
 			ids = append(ids, id)
 		}
 	}
-	if len(ids) > 0 {
-		c.table.HoldBestEffort(wokeAt.Add(confirmTimeout))
+	if len(ids) == 0 {
+		c.table.HoldBestEffort(wokeAt.Add(wakeAllowance))
 	}
 	c.mu.Unlock()
 	if len(ids) == 0 {
@@ -89,7 +92,8 @@
 	}
 	c.cfg.Meter.Add("given_up_after_pause", 1)
 	c.log.Warn().Str("job", id).Str("why", reason).Msg("given up after a pause")
-	unstarted := c.table.Abandon(c.now, id, reason)
-	c.notifyWaiters(id, waitResult{result: jobs.BestEffortResult{Job: id, State: work.StateCancelled, Unstarted: unstarted, Reason: reason}})
+	c.table.Abandon(c.now, id, reason)
+	// Another coordinator may run the job, so its callers aren't told that it has not run.
+	c.notifyWaiters(id, waitResult{result: jobs.BestEffortResult{Job: id, State: work.StateCancelled, Reason: reason}})
 	c.flush()
 }
