coord: no refusal of a job that another coordinator has been given

A caller could be told that its job has not run, although the coordinator that replaced this one as its holder runs it: the answer depended on the starts here only. Found in review, by reading; no test shows it. The answer is unknown now.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -97,7 +97,7 @@
 		case <-ctx.Done():
 			return c.abandon(id, ch, ctx.Err().Error())
 		case holder := <-lost:
-			return c.abandon(id, ch, "the job is held by "+holder)
+			return correctRefusal(c.abandon(id, ch, "the job is held by "+holder), true, true) // which may run it
 		case <-renew.C:
 			go c.renewHold(ctx, id, lost)
 		}
