--- a/coord/recall.go
+++ b/coord/recall.go
@@ -23,7 +23,8 @@
 	// repeatAfter is the time without an answer over a connection that was open before after which a call is
 	// made over a new one.
 	repeatAfter = recallWait / 2
-	// startSpread is the time within which the processes of a fleet that starts again come up.
+	// startSpread is the time within which the processes of a fleet that starts again, as after a loss of power,
+	// come up.
 	startSpread = 400 * time.Millisecond
 )
 
@@ -46,8 +47,8 @@
 	// have.
 	homeEnded   *recalled
 	othersEnded bool
-	// ended holds the answers of peers whose process has ended, until another coordinator is known to have
-	// outlived it: after a loss of all processes no job could go on, and all ids would wait for runs.
+	// ended holds the answers of peers whose process has ended, until outlived is set: a coordinator has gone on
+	// since. If all have started again, waiting for runs of before would keep every caller waiting.
 	ended    []recalled
 	outlived bool
 	// answered, failed and unsupported count the peers, and learned the holds that they told.
@@ -251,9 +252,8 @@
 	age := time.Duration(reply.Msg.GetAgeMs()) * time.Millisecond
 	result.startedAt = now.Add(-age)
 	if reply.Msg.GetRestarted() && age < agentTimeout {
-		holder.Incarnation = 0
-		result.ended, result.endedAt = holder, now.Add(-age)
-		holder.Incarnation = a.Incarnation
+		// The incarnation of the process before it is not known.
+		result.ended, result.endedAt = holds.Holder{Coordinator: a.Name, Addr: a.Addr}, result.startedAt
 	}
 	result.reports, result.err = link.HeldFromWire(now, holder, reply.Msg)
 	return result
--- a/runs/state.go
+++ b/runs/state.go
@@ -46,8 +46,8 @@
 	return true
 }
 
-// ReadingDue reports whether the endpoint's lists and clock are needed at once: they are not known, or the
-// endpoint has not answered, or it was suspended with this host, and may have runs on that are over here.
+// ReadingDue reports whether the next poll is to return at once, since nothing starts before the endpoint's
+// lists and clock are read: they are not known, the last polls got no answer, or the host was suspended.
 func (c *Controller) ReadingDue() bool {
 	return c.clockMS == 0 || c.unresponsive || c.readingVoid
 }
