coord, holds: homes recall no holds, reverted

Cause: not traced. A review had warned that each other coordinator recalls the holds of one that is out, and that the answers cost the small coordinators their processor time.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -28,7 +28,7 @@
 	for {
 		own, answered, a := c.acquire(ctx, s)
 		if !answered {
-			a = c.runHere(ctx, j, own, s.wakes)
+			a = c.runHere(ctx, j, own)
 		}
 		if a.Code != notOwner {
 			return correctRefusal(a, s.uncertain, true)
@@ -37,14 +37,12 @@
 }
 
 // runHere adds a submission to the table and waits for the job's result. Unless this process may start the
-// job, as it could after a number of pauses, it has to be in the table already.
-func (c *Coordinator) runHere(ctx context.Context, j *work.Job, mayStart bool, wakes uint64) carobpulley.JobAnswer {
+// job, it has to be in the table already.
+func (c *Coordinator) runHere(ctx context.Context, j *work.Job, mayStart bool) carobpulley.JobAnswer {
 	c.lock()
 	if mayStart {
 		c.dropPending(j.ID)
-		mayStart = wakes == c.holdings.wakes
-	}
-	if !mayStart && !c.table.HasJob(j.ID) {
+	} else if !c.table.HasJob(j.ID) {
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
--- a/coord/control.go
+++ b/coord/control.go
@@ -66,13 +66,8 @@
 	}
 	c.lock()
 	defer c.mu.Unlock()
-	first := c.controlOffset == 0
 	c.applyControlRecords(records)
 	c.removeAgentsWithout(records)
-	if _, known := c.coordinators[c.cfg.Self.Name]; first && !known {
-		// A record of this process's own may have replaced that of an earlier one.
-		c.holdings.firstProcess = true
-	}
 	c.controlOffset = end
 	c.ownershipProof = sent
 	c.table.ConfirmOwnership(sent)
@@ -179,13 +174,9 @@
 }
 
 func (c *Coordinator) handleCoordinatorAddress(a work.Address) {
-	old, known := c.coordinators[a.Name]
-	if old.Incarnation != a.Incarnation {
+	if c.coordinators[a.Name].Incarnation != a.Incarnation {
 		c.holdings.homes.Answered(a.Name) // its host is back
 	}
-	if known && a.Share < old.Share || a.Name == c.cfg.Self.Name && old.Addr != a.Addr {
-		c.holdings.memory.Lost(c.now) // ids of other homes are this one's now
-	}
 	c.coordinators[a.Name] = a
 	c.membersChanged = true
 	c.updateHomes()
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -150,7 +150,7 @@
 		health:           make(map[int]*ownerHealth),
 		journals:         make(map[int]*journal),
 		waiters:          make(map[string][]chan waitResult),
-		holdings:         newHoldings(clock.Now(), cfg.Self.Name),
+		holdings:         newHoldings(),
 		unanswered:       make(map[string]map[*jobs.Dispatch]bool),
 		nextAttachAt:     make(map[string]time.Time),
 		ownershipChanged: make(chan struct{}),
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -40,12 +40,6 @@
 	// joined is set once a holder was given the submission: it may wait for the result there, although
 	// the call has broken.
 	joined bool
-	// runsEndAt is the time from which no run of a holder that did not answer is on, and silent the latest such
-	// holder.
-	runsEndAt time.Time
-	silent    holds.Holder
-	// wakes is the number of pauses of this process before it asked for the hold.
-	wakes uint64
 }
 
 // acquire makes this process the only one that may start a best-effort job: own is set, and the id is
@@ -54,12 +48,8 @@
 func (c *Coordinator) acquire(ctx context.Context, s *submission) (own, answered bool, a carobpulley.JobAnswer) {
 	id := s.job.ID
 	for n := 0; c.beginPending(ctx, id); n++ {
-		s.wakes = c.wakeCount()
 		h, held := c.askHome(ctx, id, s.replaced)
 		if !held || h.Holder.Same(c.self()) {
-			if s.awaitSilent(ctx, c) {
-				continue // the hold may have been replaced meanwhile
-			}
 			return true, false, carobpulley.JobAnswer{}
 		}
 		if n == 0 {
@@ -76,17 +66,10 @@
 			return false, true, a
 		case joinAbsent:
 			s.replaced, s.uncertain = h.Number, true
-			if h.Holder.Same(s.silent) {
-				s.runsEndAt = time.Time{}
-			}
 			continue
 		case joinUnanswered:
 		}
 		goneAt := s.holderGoneAt(h)
-		s.silent, s.uncertain = h.Holder, true
-		if goneAt.After(s.runsEndAt) {
-			s.runsEndAt = goneAt
-		}
 		now := c.clock.Now()
 		if !now.Before(goneAt) {
 			s.replaced, s.uncertain = h.Number, true
@@ -104,25 +87,6 @@
 	return false, false, carobpulley.JobAnswer{}
 }
 
-func (c *Coordinator) wakeCount() uint64 {
-	c.lock()
-	defer c.mu.Unlock()
-	return c.holdings.wakes
-}
-
-// awaitSilent waits until no run of a holder that did not answer is on: the home may know less of it than this
-// process. It reports whether it has waited; the id is not pending then.
-func (s *submission) awaitSilent(ctx context.Context, c *Coordinator) bool {
-	wait := s.runsEndAt.Sub(c.clock.Now())
-	s.runsEndAt = time.Time{}
-	if wait <= 0 {
-		return false
-	}
-	c.endPending(s.job.ID)
-	sleep(ctx, wait)
-	return true
-}
-
 // holderGoneAt returns the time from which no run of a holder that does not answer is on.
 func (s *submission) holderGoneAt(h holds.Hold) time.Time {
 	gone := h.Seen.Add(holderGoneAfter)
--- a/coord/homes.go
+++ b/coord/homes.go
@@ -38,22 +38,12 @@
 	pending map[string]chan struct{}
 	// asks holds, by home, the asks that wait for the call under way; a home without a call has none.
 	asks map[string][]*holdAsk
-	// memory tells for which homes holds have to be recalled first, and recalls holds those under way.
-	memory  *holds.Memory
-	recalls map[string]*recall
-	// startedAt is the start of this process, and firstProcess is set if the store has shown no other one
-	// with its name.
-	startedAt    time.Time
-	firstProcess bool
-	// wakes counts the pauses of this process: a hold may have been replaced in each.
-	wakes uint64
 }
 
-func newHoldings(now time.Time, self string) holdings {
+func newHoldings() holdings {
 	return holdings{
-		startedAt: now,
-		table:     holds.New(), homes: holds.NewHomes(), memory: holds.NewMemory(now, self, holderGoneAfter),
-		pending: make(map[string]chan struct{}), asks: make(map[string][]*holdAsk), recalls: make(map[string]*recall),
+		table: holds.New(), homes: holds.NewHomes(),
+		pending: make(map[string]chan struct{}), asks: make(map[string][]*holdAsk),
 	}
 }
 
@@ -97,7 +87,7 @@
 		}
 		if ask.answered {
 			if home == c.cfg.Self.Name && ask.hold.Holder.Same(c.self()) {
-				return c.copyHold(ctx, id, ask.hold, replaced), true
+				c.copyHold(ctx, id)
 			}
 			return ask.hold, true
 		}
@@ -108,10 +98,9 @@
 }
 
 // copyHold gives the hold of a job whose home is this process to the home after it, which has to know of
-// it if this process ends. It returns the hold in force: the next home may have granted the id to another
-// process while it did not reach this one.
-func (c *Coordinator) copyHold(ctx context.Context, id string, h holds.Hold, replaced uint64) holds.Hold {
-	ask := &holdAsk{id: id, by: c.self(), replaced: replaced, passedOn: true, done: make(chan struct{})}
+// it if this process ends.
+func (c *Coordinator) copyHold(ctx context.Context, id string) {
+	ask := &holdAsk{id: id, by: c.self(), replaced: holds.AnyHold, passedOn: true, done: make(chan struct{})}
 	c.lock()
 	now := c.now
 	next := c.holdings.homes.Next(now, id, c.cfg.Self.Name, c.holdings.members)
@@ -120,22 +109,12 @@
 	}
 	c.mu.Unlock()
 	if next == "" {
-		return h
+		return
 	}
 	select {
 	case <-ask.done:
 	case <-ctx.Done():
-		return h
-	}
-	if !ask.answered || ask.hold.Holder.Same(c.self()) {
-		return h
 	}
-	c.lock()
-	defer c.mu.Unlock()
-	c.cfg.Meter.Add(meter.Name("holds", "yielded"), 1)
-	c.log.Warn().Str("job", id).Str("home", next).Str("coordinator", ask.hold.Holder.Coordinator).Msg("the next home has granted the id to another coordinator")
-	c.holdings.table.Yield(c.now, id, c.self(), ask.hold)
-	return ask.hold
 }
 
 // submitAsk adds an ask to the next call to a home, or answers it if that is this process. The caller
@@ -152,37 +131,8 @@
 	}
 }
 
-// takeHere answers an ask as the home of its id, once this process knows who may hold it. A process that was
-// asked in place of a home which it does not know to be out asks that. The caller holds the lock.
+// takeHere answers an ask as the home of its id. The caller holds the lock.
 func (c *Coordinator) takeHere(now time.Time, ask *holdAsk) {
-	home := holds.First(ask.id, c.holdings.members)
-	copied := ask.passedOn && ask.by.Coordinator == home
-	if home == "" || copied {
-		c.take(now, ask) // the home itself knows of processes that have ended
-		return
-	}
-	if other := c.holdings.homes.FirstAnswering(ask.id, c.holdings.members); other != "" && other != c.cfg.Self.Name && ask.passedOn {
-		c.submitAsk(now, ask, other)
-		return
-	}
-	since := c.holdings.memory.Since(now, ask.id, c.holdings.members, c.holdings.homes)
-	if c.holdings.recalls[home] != nil || c.holdings.memory.Gap(now, since, home) {
-		c.recall(now, since, home, ask)
-		return
-	}
-	c.grant(now, ask, home)
-}
-
-// grant answers an ask by what is known here. The caller holds the lock.
-func (c *Coordinator) grant(now time.Time, ask *holdAsk, home string) {
-	if h, is := c.holdings.memory.Doubt(now, home, agentTimeout); is && c.holdings.table.Assume(now, ask.id, h) {
-		c.cfg.Meter.Add(meter.Name("holds", "doubted"), 1)
-	}
-	c.take(now, ask)
-}
-
-// take answers an ask by the table of holds. The caller holds the lock.
-func (c *Coordinator) take(now time.Time, ask *holdAsk) {
 	ask.hold, ask.answered = c.holdings.table.Take(now, ask.id, ask.by, ask.replaced), true
 	close(ask.done)
 	switch {
@@ -208,9 +158,8 @@
 		n := min(len(asks), maxHoldBatch)
 		asks, c.holdings.asks[home] = asks[:n:n], asks[n:]
 		peer := c.peers.At(c.coordinators[home].Addr)
-		began, m := c.now, c.holdRequest(c.now, home, asks)
 		c.mu.Unlock()
-		if c.recordHome(home, began, c.sendAsks(peer, asks, m), len(asks)) {
+		if c.recordHome(home, c.sendAsks(peer, asks), len(asks)) {
 			asks = append(asks, c.takeWaiting(home)...)
 		}
 		for _, ask := range asks {
@@ -231,37 +180,27 @@
 // sendAsks calls a home, and sets the answers of the asks. A call that fails over a connection that was open
 // before is made again over a new one: the connection may have ended or gone silent, which tells nothing about
 // the home, and others may go on asking it.
-func (c *Coordinator) sendAsks(peer *link.Peer, asks []*holdAsk, m *relay.HoldRequest) error {
-	reused, err := c.sendAsksOnce(peer, asks, m)
+func (c *Coordinator) sendAsks(peer *link.Peer, asks []*holdAsk) error {
+	reused, err := c.sendAsksOnce(peer, asks)
 	if err == nil || !reused {
 		return err
 	}
 	c.log.Info().Err(peer.CallError("hold", err)).Int("asks", len(asks)).Msg("hold repeated over a new connection")
 	c.cfg.Meter.Add(meter.Name("holds", "repeated"), int64(len(asks)))
 	peer.CloseIdleConnections()
-	_, err = c.sendAsksOnce(peer, asks, m)
+	_, err = c.sendAsksOnce(peer, asks)
 	return err
 }
 
-// holdRequest returns the message for a call to a home. The caller holds the lock.
-func (c *Coordinator) holdRequest(now time.Time, home string, asks []*holdAsk) *relay.HoldRequest {
+// sendAsksOnce makes one call. reused is set if it went over a connection that was open before.
+func (c *Coordinator) sendAsksOnce(peer *link.Peer, asks []*holdAsk) (reused bool, err error) {
+	timeout := holdTimeout
 	m := &relay.HoldRequest{Holder: link.HolderToWire(c.self()), Asks: make([]*relay.HoldAsk, len(asks))}
-	if at, is := c.holdings.homes.Replaced(home); is {
-		m.PassedOver, m.PassedOverMs = true, now.Sub(at).Milliseconds()
-	}
 	for n, ask := range asks {
 		m.Asks[n] = &relay.HoldAsk{Id: ask.id, Replaced: ask.replaced}
 		if ask.passedOn || !ask.by.Same(c.self()) {
 			m.Asks[n].Holder = link.HolderToWire(ask.by)
 		}
-	}
-	return m
-}
-
-// sendAsksOnce makes one call. reused is set if it went over a connection that was open before.
-func (c *Coordinator) sendAsksOnce(peer *link.Peer, asks []*holdAsk, m *relay.HoldRequest) (reused bool, err error) {
-	timeout := holdTimeout
-	for _, ask := range asks {
 		if ask.again {
 			timeout = relayTimeout
 		}
@@ -283,19 +222,17 @@
 	return false, nil
 }
 
-// recordHome records whether a home has answered a call, and reports whether it has not.
-func (c *Coordinator) recordHome(home string, began time.Time, err error, asks int) (failed bool) {
+// recordHome records whether a home has answered, and reports whether it is passed over now.
+func (c *Coordinator) recordHome(home string, err error, asks int) (down bool) {
 	c.lock()
 	defer c.mu.Unlock()
 	c.cfg.Meter.Add("hold_calls", 1)
 	if err == nil {
-		c.holdings.homes.Heard(c.now, home)
+		c.holdings.homes.Answered(home)
 		c.cfg.Meter.Add(meter.Name("holds", "granted"), int64(asks))
 		return false
 	}
-	if !c.holdings.homes.HeardSince(home, began) {
-		c.holdings.homes.Failed(c.now, home)
-	}
+	c.holdings.homes.Failed(c.now, home)
 	c.cfg.Meter.Add(meter.Name("holds", "unanswered"), int64(asks))
 	c.log.Warn().Err(err).Str("coordinator", home).Int("asks", asks).Msg("hold not answered")
 	return true
@@ -310,13 +247,6 @@
 	}
 	c := s.c
 	c.lock()
-	if len(c.holdings.members) == 0 {
-		c.mu.Unlock()
-		return nil, connect.NewError(connect.CodeUnavailable, errNoMembers)
-	}
-	if r.Msg.GetPassedOver() {
-		c.holdings.memory.PassedOver(c.now, c.now.Add(-time.Duration(r.Msg.GetPassedOverMs())*time.Millisecond))
-	}
 	for _, ask := range asks {
 		c.passOn(ask)
 	}
@@ -326,12 +256,9 @@
 			return nil, err
 		}
 	}
-	c.lock()
-	defer c.mu.Unlock()
-	now := c.now
+	now := c.clock.Now()
 	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(asks))}
 	for n, ask := range asks {
-		c.holdings.table.Note(now, ask.id, ask.hold)
 		reply.Holds[n] = link.HoldToWire(now, ask.by, ask.hold)
 	}
 	return connect.NewResponse(reply), nil
--- a/coord/join.go
+++ b/coord/join.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
 	}
-	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false, 0))), nil
+	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false))), nil
 }
 
 // awaitJob waits while an id is asked for and reports whether the job is in the table then.
--- a/holds/homes.go
+++ b/holds/homes.go
@@ -29,23 +29,15 @@
 // Homes chooses the homes of ids. It remembers the coordinators that did not answer.
 type Homes struct {
 	down map[string]outage
-	// heard holds the times of the latest signs of life.
-	heard map[string]time.Time
 }
 
 type outage struct {
-	// since is the time of the first failure.
-	since time.Time
 	until time.Time
 	pause time.Duration
-	// replacedAt is the time at which another process was known to stand in for the coordinator; zero if none was.
-	replacedAt time.Time
 }
 
 // NewHomes returns Homes without known outages.
-func NewHomes() *Homes {
-	return &Homes{down: make(map[string]outage), heard: make(map[string]time.Time)}
-}
+func NewHomes() *Homes { return &Homes{down: make(map[string]outage)} }
 
 // Of returns the home of an id among the members that are not passed over; empty if there is none. It
 // chooses by weighted rendezvous hashing, so that a member that joins or leaves moves its own ids only.
@@ -53,20 +45,10 @@
 	return best(id, members, func(name string) bool { return !h.Down(now, name) })
 }
 
-// First returns the home of an id if no member is passed over; empty if there is none.
-func First(id string, members []Member) string {
-	return best(id, members, func(string) bool { return true })
-}
-
-// FirstAnswering returns the home of an id among the members that have answered or were not asked lately.
-func (h *Homes) FirstAnswering(id string, members []Member) string {
-	return best(id, members, func(name string) bool { _, out := h.down[name]; return !out })
-}
-
 // Ask returns the member to ask for an id: its home, or else the next member other than the one that asks.
 // That one may reach the home, and others may not have passed it over. It is empty if none is left.
 func (h *Homes) Ask(now time.Time, id, self string, members []Member) string {
-	first := First(id, members)
+	first := best(id, members, func(string) bool { return true })
 	o, out := h.down[first]
 	if first == self || !out {
 		return first
@@ -109,48 +91,12 @@
 
 // Failed records that a coordinator did not answer, once for the calls that were under way at a time.
 func (h *Homes) Failed(now time.Time, name string) {
-	o, out := h.down[name]
-	if !out {
-		o = outage{since: now, pause: downTime / 2}
-	}
-	o.pause = min(2*o.pause, maxDownTime)
-	o.until = now.Add(o.pause)
-	h.down[name] = o
-}
-
-// StoodIn records that a process stands in for a coordinator. It is passed over for a while also by those
-// that reach it, so that all ask the same process.
-func (h *Homes) StoodIn(now time.Time, name string) {
-	o, out := h.down[name]
-	if !out {
-		o = outage{since: now, pause: downTime, until: now.Add(downTime)}
+	pause := min(2*h.down[name].pause, maxDownTime)
+	if pause == 0 {
+		pause = downTime
 	}
-	o.replacedAt = now
-	h.down[name] = o
-}
-
-// Out returns the time since which a coordinator has not answered.
-func (h *Homes) Out(name string) (since time.Time, is bool) {
-	o, is := h.down[name]
-	return o.since, is
-}
-
-// Replaced returns the time at which another process was known to stand in for a coordinator that has not
-// answered since.
-func (h *Homes) Replaced(name string) (at time.Time, is bool) {
-	at = h.down[name].replacedAt
-	return at, !at.IsZero()
+	h.down[name] = outage{until: now.Add(pause), pause: pause}
 }
 
 // Answered records that a coordinator answered.
 func (h *Homes) Answered(name string) { delete(h.down, name) }
-
-// Heard records a sign of life of a coordinator.
-func (h *Homes) Heard(now time.Time, name string) {
-	h.heard[name] = now
-	h.Answered(name)
-}
-
-// HeardSince reports whether a coordinator gave a sign of life after a time: a call from before that it did not
-// answer tells nothing.
-func (h *Homes) HeardSince(name string, at time.Time) bool { return h.heard[name].After(at) }
--- a/holds/table.go
+++ b/holds/table.go
@@ -32,8 +32,6 @@
 	At     time.Time
 	// Seen is the time of the latest sign of life of the holder.
 	Seen time.Time
-	// pending is set for a holder that was found to ask for the id, and that nobody has granted it.
-	pending bool
 }
 
 // Table holds what the home of some ids knows. The zero value is not usable; see New.
@@ -69,58 +67,17 @@
 		t.seen[by.Coordinator] = sign{by.Incarnation, now}
 	}
 	if h, held := t.holds[id]; held && !h.Holder.Same(by) && h.Number != replaced && replaced != AnyHold {
-		h.Seen = t.lastSeen(h)
+		if s := t.seen[h.Holder.Coordinator]; s.incarnation == h.Holder.Incarnation && s.at.After(h.Seen) {
+			h.Seen = s.at
+		}
 		return h
 	}
-	h := Hold{Holder: by, Number: t.next(now), At: now, Seen: now}
-	t.put(now, id, h)
-	return h
-}
-
-// Assume records a hold that may be in force, and reports whether it has: no grant of the id is known.
-func (t *Table) Assume(now time.Time, id string, h Hold) bool {
-	t.expire(now)
-	if old, held := t.holds[id]; held && !old.pending {
-		return false
-	}
-	h.Number = t.next(now)
-	t.put(now, id, h)
-	return true
-}
-
-// Yield records the hold that another home has granted in place of a holder's, if that is in force.
-func (t *Table) Yield(now time.Time, id string, by Holder, h Hold) {
-	if t.holds[id].Holder.Same(by) {
-		t.last = max(t.last, h.Number)
-		t.put(now, id, h)
-	}
-}
-
-// Note records a hold that another home has granted, unless a newer one is known.
-func (t *Table) Note(now time.Time, id string, h Hold) {
-	if old, held := t.holds[id]; !held || old.Number < h.Number {
-		t.last = max(t.last, h.Number)
-		t.put(now, id, h)
-	}
-}
-
-// next returns the number of a new grant. Numbers of an earlier process of the home are smaller.
-func (t *Table) next(now time.Time) uint64 {
+	// Numbers of an earlier process of the home are smaller.
 	t.last = max(t.last+1, uint64(now.UnixNano()))
-	return t.last
-}
-
-func (t *Table) put(now time.Time, id string, h Hold) {
+	h := Hold{Holder: by, Number: t.last, At: now, Seen: now}
 	t.holds[id] = h
-	t.order = append(t.order, grant{id, h.Number, now})
-}
-
-// lastSeen returns the time of the latest sign of life of a holder.
-func (t *Table) lastSeen(h Hold) time.Time {
-	if s := t.seen[h.Holder.Coordinator]; s.incarnation == h.Holder.Incarnation {
-		return later(h.Seen, s.at)
-	}
-	return h.Seen
+	t.order = append(t.order, grant{id, t.last, now})
+	return h
 }
 
 // Len returns the number of ids that are held.
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -233,17 +233,6 @@
 // HasJob reports whether a job is in the table.
 func (t *Table) HasJob(id string) bool { return t.jobs[id] != nil }
 
-// BestEffortIDs returns the ids of all best-effort jobs in the table.
-func (t *Table) BestEffortIDs() []string {
-	var ids []string
-	for id, j := range t.jobs {
-		if !j.durable() {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // BeingStopped reports whether a best-effort job was given up and its runs are not known to have ended.
 func (t *Table) BeingStopped(id string) bool {
 	j := t.jobs[id]
--- a/link/holder.go
+++ b/link/holder.go
@@ -7,7 +7,6 @@
 	"carobpulley"
 	"carobpulley/holds"
 	"carobpulley/wire/relay"
-	"carobpulley/work"
 )
 
 // maxHoldAge bounds the age of a hold that a peer tells; holds are kept for a shorter time.
@@ -47,41 +46,6 @@
 	return h, err
 }
 
-// HeldToWire converts what a process knows of holds.
-func HeldToWire(now time.Time, self holds.Holder, reports []holds.Report) *relay.HeldReply {
-	m := &relay.HeldReply{Held: make([]*relay.Held, len(reports))}
-	for n, r := range reports {
-		m.Held[n] = &relay.Held{Id: r.ID, Present: r.Evidence == holds.Present}
-		if r.Evidence == holds.Granted {
-			m.Held[n].Hold = HoldToWire(now, self, r.Hold)
-		}
-	}
-	return m
-}
-
-// HeldFromWire converts what a peer knows of holds. It returns an error for an id or a holder that can't be.
-func HeldFromWire(now time.Time, peer holds.Holder, m *relay.HeldReply) ([]holds.Report, error) {
-	reports := make([]holds.Report, len(m.GetHeld()))
-	for n, held := range m.GetHeld() {
-		if err := work.CheckID(held.GetId()); err != nil {
-			return nil, err
-		}
-		r := holds.Report{ID: held.GetId(), Hold: holds.Hold{Holder: peer, At: now, Seen: now}, Evidence: holds.Pending}
-		switch {
-		case held.GetPresent():
-			r.Evidence = holds.Present
-		case held.GetHold() != nil:
-			r.Evidence = holds.Granted
-			var err error
-			if r.Hold, err = HoldFromWire(now, peer, held.GetHold()); err != nil {
-				return nil, err
-			}
-		}
-		reports[n] = r
-	}
-	return reports, nil
-}
-
 func holdAge(ms int64) time.Duration {
 	return time.Duration(min(max(ms, 0), maxHoldAge.Milliseconds())) * time.Millisecond
 }
--- a/wire/relay/relay.connect.go
+++ b/wire/relay/relay.connect.go
@@ -60,8 +60,6 @@
 	CoordinatorServiceReportProcedure = "/carob.relay.v1.CoordinatorService/Report"
 	// CoordinatorServiceHoldProcedure is the fully-qualified name of the CoordinatorService's Hold RPC.
 	CoordinatorServiceHoldProcedure = "/carob.relay.v1.CoordinatorService/Hold"
-	// CoordinatorServiceHeldProcedure is the fully-qualified name of the CoordinatorService's Held RPC.
-	CoordinatorServiceHeldProcedure = "/carob.relay.v1.CoordinatorService/Held"
 	// CoordinatorServiceJoinProcedure is the fully-qualified name of the CoordinatorService's Join RPC.
 	CoordinatorServiceJoinProcedure = "/carob.relay.v1.CoordinatorService/Join"
 	// AgentServiceAttachProcedure is the fully-qualified name of the AgentService's Attach RPC.
@@ -91,9 +89,6 @@
 	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error)
 	// Hold asks the home of the ids of best-effort jobs to let the sender alone start them.
 	Hold(context.Context, *connect.Request[HoldRequest]) (*connect.Response[HoldReply], error)
-	// Held returns what the peer knows of the ids of a home, for a process that answers for that
-	// home and may not know of all holds.
-	Held(context.Context, *connect.Request[HeldRequest]) (*connect.Response[HeldReply], error)
 	// Join adds a submission to a best-effort job that the peer has, and returns the job's
 	// result.
 	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JobReply], error)
@@ -164,12 +159,6 @@
 			connect.WithSchema(coordinatorServiceMethods.ByName("Hold")),
 			connect.WithClientOptions(opts...),
 		),
-		held: connect.NewClient[HeldRequest, HeldReply](
-			httpClient,
-			baseURL+CoordinatorServiceHeldProcedure,
-			connect.WithSchema(coordinatorServiceMethods.ByName("Held")),
-			connect.WithClientOptions(opts...),
-		),
 		join: connect.NewClient[JoinRequest, JobReply](
 			httpClient,
 			baseURL+CoordinatorServiceJoinProcedure,
@@ -190,7 +179,6 @@
 	config   *connect.Client[ConfigRequest, ConfigReply]
 	report   *connect.Client[ReportRequest, ReportReply]
 	hold     *connect.Client[HoldRequest, HoldReply]
-	held     *connect.Client[HeldRequest, HeldReply]
 	join     *connect.Client[JoinRequest, JobReply]
 }
 
@@ -239,11 +227,6 @@
 	return c.hold.CallUnary(ctx, req)
 }
 
-// Held calls carob.relay.v1.CoordinatorService.Held.
-func (c *coordinatorServiceClient) Held(ctx context.Context, req *connect.Request[HeldRequest]) (*connect.Response[HeldReply], error) {
-	return c.held.CallUnary(ctx, req)
-}
-
 // Join calls carob.relay.v1.CoordinatorService.Join.
 func (c *coordinatorServiceClient) Join(ctx context.Context, req *connect.Request[JoinRequest]) (*connect.Response[JobReply], error) {
 	return c.join.CallUnary(ctx, req)
@@ -270,9 +253,6 @@
 	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error)
 	// Hold asks the home of the ids of best-effort jobs to let the sender alone start them.
 	Hold(context.Context, *connect.Request[HoldRequest]) (*connect.Response[HoldReply], error)
-	// Held returns what the peer knows of the ids of a home, for a process that answers for that
-	// home and may not know of all holds.
-	Held(context.Context, *connect.Request[HeldRequest]) (*connect.Response[HeldReply], error)
 	// Join adds a submission to a best-effort job that the peer has, and returns the job's
 	// result.
 	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JobReply], error)
@@ -339,12 +319,6 @@
 		connect.WithSchema(coordinatorServiceMethods.ByName("Hold")),
 		connect.WithHandlerOptions(opts...),
 	)
-	coordinatorServiceHeldHandler := connect.NewUnaryHandler(
-		CoordinatorServiceHeldProcedure,
-		svc.Held,
-		connect.WithSchema(coordinatorServiceMethods.ByName("Held")),
-		connect.WithHandlerOptions(opts...),
-	)
 	coordinatorServiceJoinHandler := connect.NewUnaryHandler(
 		CoordinatorServiceJoinProcedure,
 		svc.Join,
@@ -371,8 +345,6 @@
 			coordinatorServiceReportHandler.ServeHTTP(w, r)
 		case CoordinatorServiceHoldProcedure:
 			coordinatorServiceHoldHandler.ServeHTTP(w, r)
-		case CoordinatorServiceHeldProcedure:
-			coordinatorServiceHeldHandler.ServeHTTP(w, r)
 		case CoordinatorServiceJoinProcedure:
 			coordinatorServiceJoinHandler.ServeHTTP(w, r)
 		default:
@@ -420,10 +392,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.CoordinatorService.Hold is not implemented"))
 }
 
-func (UnimplementedCoordinatorServiceHandler) Held(context.Context, *connect.Request[HeldRequest]) (*connect.Response[HeldReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.CoordinatorService.Held is not implemented"))
-}
-
 func (UnimplementedCoordinatorServiceHandler) Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JobReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.CoordinatorService.Join is not implemented"))
 }
