coord, holds: answers of best-effort jobs name the home that granted them

The logs of two coordinators that both start a job can't tell whether they know different members, pass over different homes, or got the id from one home twice. `answered` now names the home, the number of the hold, the members before the home that were passed over, and the number and digest of the members that it was chosen among. No decision changes. TestDigest is new.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -15,20 +15,20 @@
 // before the caller submits the job again elsewhere.
 func (c *Coordinator) runBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
 	began := time.Now()
-	a := c.awaitBestEffort(ctx, j)
+	s := &submission{job: j, arrivedAt: c.clock.Now()}
+	a := c.awaitBestEffort(ctx, s)
 	took := time.Since(began)
 	c.recordAnswer(j, a, took)
 	c.log.Info().Str("job", j.ID).Int64("took_ms", took.Milliseconds()).Int64("objective_ms", j.Objective().Milliseconds()).Str("queue", j.Queue.Name).Int("tasks", j.Tasks()).
-		Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Msg("answered")
+		Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Func(s.grant.fields).Msg("answered")
 	return a
 }
 
-func (c *Coordinator) awaitBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
-	s := &submission{job: j, arrivedAt: c.clock.Now()}
+func (c *Coordinator) awaitBestEffort(ctx context.Context, s *submission) carobpulley.JobAnswer {
 	for {
 		own, answered, a := c.acquire(ctx, s)
 		if !answered {
-			a = c.runHere(ctx, j, own)
+			a = c.runHere(ctx, s.job, own)
 		}
 		if a.Code != notOwner {
 			return correctRefusal(a, s.uncertain, true)
@@ -104,7 +104,7 @@
 
 // renewHold asks for the hold of a job again, and tells who has it instead.
 func (c *Coordinator) renewHold(ctx context.Context, id string, lost chan<- string) {
-	h, held := c.askHome(ctx, id, 0)
+	h, _, held := c.askHome(ctx, id, 0)
 	if !held || h.Holder.Same(c.self()) {
 		return
 	}
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -40,6 +40,8 @@
 	// joined is set once a holder was given the submission: it may wait for the result there, although
 	// the call has broken.
 	joined bool
+	// grant tells who let this process start the job.
+	grant grant
 }
 
 // acquire makes this process the only one that may start a best-effort job: own is set, and the id is
@@ -48,8 +50,9 @@
 func (c *Coordinator) acquire(ctx context.Context, s *submission) (own, answered bool, a carobpulley.JobAnswer) {
 	id := s.job.ID
 	for n := 0; c.beginPending(ctx, id); n++ {
-		h, held := c.askHome(ctx, id, s.replaced)
+		h, g, held := c.askHome(ctx, id, s.replaced)
 		if !held || h.Holder.Same(c.self()) {
+			s.grant = g
 			return true, false, carobpulley.JobAnswer{}
 		}
 		if n == 0 {
--- a/coord/homes.go
+++ b/coord/homes.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
 
 	"carobpulley/holds"
 	"carobpulley/link"
@@ -31,8 +33,10 @@
 	// table has the ids whose home this process is.
 	table *holds.Table
 	homes *holds.Homes
-	// members are the coordinators among which homes are chosen.
+	// members are the coordinators among which homes are chosen, and view is the digest of their names and
+	// weights, by which logs show whether two processes know the same.
 	members []holds.Member
+	view    uint64
 	// pending holds the ids that this process asks for; the channels are closed when the
 	// job is in the table, or at another process.
 	pending map[string]chan struct{}
@@ -68,33 +72,65 @@
 	for name, a := range c.coordinators {
 		c.holdings.members = append(c.holdings.members, holds.Member{Name: name, Weight: a.Share})
 	}
+	c.holdings.view = holds.Digest(c.holdings.members)
+}
+
+// grant tells by which home and which view of the members a process was let start a job.
+type grant struct {
+	home string
+	// passedOver are the members before the home in the order for the id.
+	passedOver []string
+	number     uint64
+	members    int
+	view       uint64
+}
+
+// newGrant returns the grant of an id by a home. The caller holds the lock.
+func (c *Coordinator) newGrant(id, home string) grant {
+	return grant{
+		home: home, passedOver: holds.Before(id, home, c.holdings.members),
+		members: len(c.holdings.members), view: c.holdings.view,
+	}
+}
+
+// fields adds the grant to a log line.
+func (g grant) fields(e *zerolog.Event) {
+	if g.home == "" {
+		return
+	}
+	e.Str("home", g.home).Uint64("hold", g.number).Int("members", g.members).Str("view", strconv.FormatUint(g.view, 16))
+	if len(g.passedOver) > 0 {
+		e.Strs("passed_over", g.passedOver)
+	}
 }
 
 // askHome asks the home of an id to let this process hold it in place of a replaced hold; 0 if there is
 // none. It returns the hold in force. held is not set if no home answers: the job then runs unguarded.
-func (c *Coordinator) askHome(ctx context.Context, id string, replaced uint64) (h holds.Hold, held bool) {
+func (c *Coordinator) askHome(ctx context.Context, id string, replaced uint64) (h holds.Hold, g grant, held bool) {
 	for n := range maxHoldTries {
 		ask := &holdAsk{id: id, by: c.self(), replaced: replaced, again: n > 0, done: make(chan struct{})}
 		c.lock()
 		now := c.now
 		home := c.holdings.homes.Ask(now, id, c.cfg.Self.Name, c.holdings.members)
 		c.submitAsk(now, ask, home)
+		g = c.newGrant(id, home)
 		c.mu.Unlock()
 		select {
 		case <-ask.done:
 		case <-ctx.Done():
-			return holds.Hold{}, false
+			return holds.Hold{}, grant{}, false
 		}
 		if ask.answered {
 			if home == c.cfg.Self.Name && ask.hold.Holder.Same(c.self()) {
 				c.copyHold(ctx, id)
 			}
-			return ask.hold, true
+			g.number = ask.hold.Number
+			return ask.hold, g, true
 		}
 	}
 	c.cfg.Meter.Add(meter.Name("holds", "unguarded"), 1)
 	c.log.Warn().Str("job", id).Msg("no home answers, the job is not guarded against another start")
-	return holds.Hold{}, false
+	return holds.Hold{}, grant{}, false
 }
 
 // copyHold gives the hold of a job whose home is this process to the home after it, which has to know of
--- a/coord/homes_test.go
+++ b/coord/homes_test.go
@@ -87,7 +87,7 @@
 		var wg sync.WaitGroup
 		for n := range jobs {
 			wg.Go(func() {
-				if hold, held := c.askHome(t.Context(), fmt.Sprintf("%016x", n), 0); !held || !hold.Holder.Same(c.self()) {
+				if hold, _, held := c.askHome(t.Context(), fmt.Sprintf("%016x", n), 0); !held || !hold.Holder.Same(c.self()) {
 					t.Errorf("job %d: held by %+v", n, hold.Holder)
 				}
 			})
@@ -120,7 +120,7 @@
 			withHome(t, h, func(t *testing.T, c *Coordinator) {
 				began := time.Now()
 				// Without another coordinator this process becomes the home.
-				if hold, held := c.askHome(t.Context(), "0000000000000001", 0); held && !hold.Holder.Same(c.self()) {
+				if hold, _, held := c.askHome(t.Context(), "0000000000000001", 0); held && !hold.Holder.Same(c.self()) {
 					t.Errorf("held by %+v", hold.Holder)
 				}
 				if took := time.Since(began); took > 2*holdTimeout {
--- a/holds/homes.go
+++ b/holds/homes.go
@@ -1,7 +1,10 @@
 package holds
 
 import (
+	"cmp"
 	"math"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,6 +82,31 @@
 	return name
 }
 
+// Before returns the members that come before another one in the order for an id.
+func Before(id, name string, members []Member) []string {
+	n := slices.IndexFunc(members, func(m Member) bool { return m.Name == name })
+	if n < 0 {
+		return nil
+	}
+	var before []string
+	for _, m := range members {
+		if score(id, m) > score(id, members[n]) {
+			before = append(before, m.Name)
+		}
+	}
+	return before
+}
+
+// Digest returns a digest of the members' names and weights, in whichever order they are.
+func Digest(members []Member) uint64 {
+	sorted := slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	d := xxhash.New()
+	for _, m := range sorted {
+		_, _ = d.WriteString(m.Name + "=" + strconv.FormatFloat(m.Weight, 'g', -1, 64) + ";")
+	}
+	return d.Sum64()
+}
+
 // score is a draw from a distribution whose maximum over the members falls on each with a probability
 // in proportion to its weight.
 func score(id string, m Member) float64 {
--- a/holds/table_test.go
+++ b/holds/table_test.go
@@ -152,3 +152,18 @@
 		t.Errorf("seen at %s after a restart, want 0s", got.Sub(start))
 	}
 }
+
+// Guards against a digest of the members that differs with their order, or that hides a difference.
+func TestDigest(t *testing.T) {
+	a, b := Member{"a", 1}, Member{"b", 0.5}
+	if Digest([]Member{a, b}) != Digest([]Member{b, a}) {
+		t.Error("the digest differs with the order of the members")
+	}
+	seen := make(map[uint64][]Member)
+	for _, members := range [][]Member{nil, {a}, {b}, {a, b}, {a, {"b", 0.25}}} {
+		if same, known := seen[Digest(members)]; known {
+			t.Errorf("%v and %v have one digest", members, same)
+		}
+		seen[Digest(members)] = members
+	}
+}
