coord, holds: most of three replicas grant a job's id, whoever is passed over

Callers saw two runs of one task at a time, of two coordinators that reach each other. An id had one home, chosen by each coordinator among those that it had not passed over, by its own record of 1 to 32 s. A coordinator that was cut off and is back, or only slow, was passed over by one and asked by the other; a coordinator that was its own home gave a copy to the next one and did not look whether it arrived; a home that ended took its holds along.

Now up to three replicas keep an id, the same ones for all that know the same members. A process starts a job once most of them have granted it, and tells the third one too, with the next call. A replica that does not answer stays one for 1.3 s, after which no run that only it knows of is on; until then two processes that each miss one replica share another. One that has begun or returned less than 1.3 s ago doesn't count, unless all have. If only one answers, it decides, since it is told of every grant; if none does, the start waits until 1.3 s after the submission came. Asks are not passed on between coordinators any more, so one that can't be answered no longer holds up the others of its call.

TestOddHomes wanted a job to start at once if its only home answers nonsense; it now has to wait (TestOddReplicas).

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/holds"
 	"carobpulley/jobs"
 	"carobpulley/meter"
 	"carobpulley/work"
@@ -104,8 +105,8 @@
 
 // renewHold asks for the hold of a job again, and tells who has it instead.
 func (c *Coordinator) renewHold(ctx context.Context, id string, lost chan<- string) {
-	h, _, held := c.askHome(ctx, id, 0)
-	if !held || h.Holder.Same(c.self()) {
+	outcome, h, _ := c.askReplicas(ctx, id, 0)
+	if outcome != holds.Elsewhere {
 		return
 	}
 	select {
--- a/coord/control.go
+++ b/coord/control.go
@@ -175,11 +175,11 @@
 
 func (c *Coordinator) handleCoordinatorAddress(a work.Address) {
 	if c.coordinators[a.Name].Incarnation != a.Incarnation {
-		c.holdings.homes.Answered(a.Name) // its host is back
+		c.holdings.members.Called(c.now, a.Name) // its host is back
 	}
 	c.coordinators[a.Name] = a
 	c.membersChanged = true
-	c.updateHomes()
+	c.updateMembers()
 }
 
 func (c *Coordinator) handleAgentAddress(a work.Address) {
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -150,7 +150,7 @@
 		health:           make(map[int]*ownerHealth),
 		journals:         make(map[int]*journal),
 		waiters:          make(map[string][]chan waitResult),
-		holdings:         newHoldings(),
+		holdings:         newHoldings(clock.Now()),
 		unanswered:       make(map[string]map[*jobs.Dispatch]bool),
 		nextAttachAt:     make(map[string]time.Time),
 		ownershipChanged: make(chan struct{}),
@@ -197,6 +197,8 @@
 		c.followConfig(now)
 		c.updateShare(now)
 		c.attachDetached(now)
+		c.probeReplicas()
+		c.sendCopies()
 		c.flush()
 		c.confirmOwnership()
 		c.mu.Unlock()
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -13,8 +13,8 @@
 const (
 	// holderRetryInterval is the pause between two questions to a holder that does not answer.
 	holderRetryInterval = 50 * time.Millisecond
-	// holdRenewInterval is the time between two asks for the hold of a job that is here, by which the home
-	// learns that this process goes on.
+	// holdRenewInterval is the time between two asks for the hold of a job that is here, by which the replicas
+	// learn that this process goes on.
 	holdRenewInterval = 500 * time.Millisecond
 	// holderGoneAfter is the time without a sign of life of a holder after which its runs are over: they
 	// outlast their coordinator by less than agentTimeout.
@@ -22,6 +22,9 @@
 	// callerGoneAfter is the time after which the runs for a caller who has left are over, also if their
 	// coordinator can't be asked. Callers leave it before they send the job to another one.
 	callerGoneAfter = agentTimeout
+	// replicaPatience is how long a submission waits for a replica if its caller will not wait until the job
+	// may start without one.
+	replicaPatience = 2*holdTimeout + holderRetryInterval
 )
 
 // self returns this process as a holder.
@@ -49,40 +52,32 @@
 // and returns it: answered is set. Otherwise the job is in the table here.
 func (c *Coordinator) acquire(ctx context.Context, s *submission) (own, answered bool, a carobpulley.JobAnswer) {
 	id := s.job.ID
-	for n := 0; c.beginPending(ctx, id); n++ {
-		h, g, held := c.askHome(ctx, id, s.replaced)
-		if !held || h.Holder.Same(c.self()) {
+	elsewhere := false
+	for c.beginPending(ctx, id) {
+		outcome, h, g := c.askReplicas(ctx, id, s.replaced)
+		s.replaced = 0
+		if outcome == holds.Granted || outcome == holds.GrantedByFew ||
+			outcome == holds.NoAnswer && !c.clock.Now().Before(s.arrivedAt.Add(callerGoneAfter)) {
 			s.grant = g
+			c.recordGrant(id, outcome, g)
 			return true, false, carobpulley.JobAnswer{}
 		}
-		if n == 0 {
-			now := c.clock.Now()
-			c.cfg.Meter.Add(meter.Name("holds", "elsewhere"), 1)
-			c.log.Info().Str("job", id).Str("coordinator", h.Holder.Coordinator).Uint64("incarnation", h.Holder.Incarnation).
-				Int64("age_ms", now.Sub(h.At).Milliseconds()).Int64("seen_ms", now.Sub(h.Seen).Milliseconds()).Msg("held elsewhere")
-		}
 		c.endPending(id)
-		s.replaced = 0
-		a, result := c.join(ctx, h, s)
-		switch result {
-		case joinAnswered:
-			return false, true, a
-		case joinAbsent:
-			s.replaced, s.uncertain = h.Number, true
-			continue
-		case joinUnanswered:
-		}
-		goneAt := s.holderGoneAt(h)
-		now := c.clock.Now()
-		if !now.Before(goneAt) {
-			s.replaced, s.uncertain = h.Number, true
-			continue
-		}
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < goneAt.Sub(now) {
-			c.cfg.Meter.Add("joins_unanswered", 1)
-			return false, true, unknownAnswer("another coordinator has the job and does not answer")
+		switch outcome {
+		case holds.NoAnswer:
+			if !c.awaitReplicas(ctx, s) {
+				return false, true, unknownAnswer("no coordinator answers that would know of another start")
+			}
+		case holds.Elsewhere, holds.Contested:
+			if !elsewhere {
+				elsewhere = true
+				c.logElsewhere(id, outcome, h)
+			}
+			if answered, a := c.joinHolder(ctx, s, h); answered {
+				return false, true, a
+			}
+		case holds.Granted, holds.GrantedByFew, holds.Pending:
 		}
-		sleep(ctx, min(holderRetryInterval, goneAt.Sub(now)))
 	}
 	if err := ctx.Err(); err != nil {
 		return false, true, refusedAnswer("the caller has left: " + err.Error())
@@ -90,6 +85,70 @@
 	return false, false, carobpulley.JobAnswer{}
 }
 
+// recordGrant counts how a job that may start here is guarded against another start.
+func (c *Coordinator) recordGrant(id string, outcome holds.Outcome, g grant) {
+	result := "granted"
+	switch {
+	case outcome == holds.NoAnswer:
+		result = "late"
+		c.log.Warn().Str("job", id).Strs("suspected", g.suspected).Msg("no replica answers, the job starts as runs elsewhere are over")
+	case outcome == holds.GrantedByFew:
+		result = "by_few"
+	case len(g.replicas) == 0:
+		result = "unguarded"
+	}
+	c.cfg.Meter.Add(meter.Name("holds", result), 1)
+}
+
+func (c *Coordinator) logElsewhere(id string, outcome holds.Outcome, h holds.Hold) {
+	now := c.clock.Now()
+	c.cfg.Meter.Add(meter.Name("holds", "elsewhere"), 1)
+	c.log.Info().Str("job", id).Str("coordinator", h.Holder.Coordinator).Uint64("incarnation", h.Holder.Incarnation).Uint64("hold", h.Number).
+		Bool("contested", outcome == holds.Contested).Int64("age_ms", now.Sub(h.At).Milliseconds()).Int64("seen_ms", now.Sub(h.Seen).Milliseconds()).Msg("held elsewhere")
+}
+
+// awaitReplicas waits before the replicas are asked again. It reports false if the caller does not wait until
+// the job may start without their answer.
+func (c *Coordinator) awaitReplicas(ctx context.Context, s *submission) bool {
+	if !s.uncertain {
+		c.cfg.Meter.Add(meter.Name("holds", "no_answer"), 1)
+	}
+	s.uncertain = true // another process may run the job
+	now := c.clock.Now()
+	left := s.arrivedAt.Add(callerGoneAfter).Sub(now)
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < left && now.Sub(s.arrivedAt) >= replicaPatience {
+		return false
+	}
+	sleep(ctx, min(holderRetryInterval, left))
+	return true
+}
+
+// joinHolder adds a submission to the job of a holder and waits for its result, or until the holder may be
+// replaced.
+func (c *Coordinator) joinHolder(ctx context.Context, s *submission, h holds.Hold) (answered bool, a carobpulley.JobAnswer) {
+	a, result := c.join(ctx, h, s)
+	switch result {
+	case joinAnswered:
+		return true, a
+	case joinAbsent:
+		s.replaced, s.uncertain = h.Number, true
+		return false, a
+	case joinUnanswered:
+	}
+	goneAt := s.holderGoneAt(h)
+	now := c.clock.Now()
+	if !now.Before(goneAt) {
+		s.replaced, s.uncertain = h.Number, true
+		return false, a
+	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < goneAt.Sub(now) {
+		c.cfg.Meter.Add("joins_unanswered", 1)
+		return true, unknownAnswer("another coordinator has the job and does not answer")
+	}
+	sleep(ctx, min(holderRetryInterval, goneAt.Sub(now)))
+	return false, a
+}
+
 // holderGoneAt returns the time from which no run of a holder that does not answer is on.
 func (s *submission) holderGoneAt(h holds.Hold) time.Time {
 	gone := h.Seen.Add(holderGoneAfter)
--- a/coord/hold_test.go
+++ b/coord/hold_test.go
@@ -9,8 +9,8 @@
 	"carobpulley/work"
 )
 
-// Guards against a caller that left while the home was asked, and against a process that knows no
-// coordinators yet, that count as guarded, or as homes without an answer.
+// Guards against a caller that left while the replicas were asked, and against a process that knows no
+// coordinators yet, that count as guarded, or as replicas without an answer.
 func TestUnguardedStartsAreCounted(t *testing.T) {
 	const unguarded = `unguarded`
 	count := func(c *Coordinator) string {
@@ -36,7 +36,7 @@
 		c.mu.Unlock()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Microsecond)
 		defer cancel()
-		c.askHome(ctx, j.ID, 0)
+		c.acquire(ctx, &submission{job: j})
 		if got := count(c); strings.Contains(got, unguarded) {
 			t.Errorf("counted %q, but nothing starts", got)
 		}
@@ -54,6 +54,6 @@
 	cancel()
 	c.runBestEffort(left, j)
 	if c.holdings.pending[j.ID] == nil {
-		t.Error("the id is no longer asked for, although its first caller waits for the home")
+		t.Error("the id is no longer asked for, although its first caller waits for the replicas")
 	}
 }
--- a/coord/homes_test.go
+++ b/coord/replicas_test.go
@@ -12,14 +12,15 @@
 
 	"connectrpc.com/connect"
 
+	"carobpulley/holds"
 	"carobpulley/link"
 	"carobpulley/memnet"
 	"carobpulley/wire/relay"
 	"carobpulley/work"
 )
 
-// fakeHome answers asks after a time, as reply says.
-type fakeHome struct {
+// fakeReplica answers asks after a time, as reply says.
+type fakeReplica struct {
 	relay.UnimplementedCoordinatorServiceHandler
 	takes time.Duration
 	reply func(m *relay.HoldRequest) *relay.HoldReply
@@ -29,7 +30,7 @@
 	open, most  int
 }
 
-func (h *fakeHome) Hold(ctx context.Context, r *connect.Request[relay.HoldRequest]) (*connect.Response[relay.HoldReply], error) {
+func (h *fakeReplica) Hold(ctx context.Context, r *connect.Request[relay.HoldRequest]) (*connect.Response[relay.HoldReply], error) {
 	h.mu.Lock()
 	h.calls++
 	h.asks += len(r.Msg.GetAsks())
@@ -46,8 +47,8 @@
 	return connect.NewResponse(h.reply(r.Msg)), nil
 }
 
-// withHome runs a test with a coordinator whose only home is h.
-func withHome(t *testing.T, h *fakeHome, test func(t *testing.T, c *Coordinator)) {
+// withReplica runs a test with a coordinator whose only replica is h.
+func withReplica(t *testing.T, h *fakeReplica, test func(t *testing.T, c *Coordinator)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		net := memnet.New(time.Millisecond)
@@ -61,7 +62,7 @@
 		c.baseCtx = t.Context()
 		c.peers = link.NewPeersWithDial(net.Dialer(netip.MustParseAddr("10.0.0.1")))
 		c.lock()
-		c.handleCoordinatorAddress(work.Address{Name: "home", Addr: addr, Incarnation: 1, Share: 1})
+		c.handleCoordinatorAddress(work.Address{Name: "replica", Addr: addr, Incarnation: 1, Share: 1})
 		c.mu.Unlock()
 		test(t, c)
 		c.peers.Close()
@@ -78,17 +79,17 @@
 	return r
 }
 
-// Answers the load pattern of a burst at a coordinator, or at the home: there must be one call at a time with
+// Answers the load pattern of a burst at a coordinator, or at a replica: there must be one call at a time with
 // all asks that wait, not a call and a connection for each job.
-func TestOneCallToAHomeCarriesAllThatWait(t *testing.T) {
+func TestOneCallToAReplicaCarriesAllThatWait(t *testing.T) {
 	const jobs = 400
-	h := &fakeHome{takes: 20 * time.Millisecond, reply: grantAll}
-	withHome(t, h, func(t *testing.T, c *Coordinator) {
+	h := &fakeReplica{takes: 20 * time.Millisecond, reply: grantAll}
+	withReplica(t, h, func(t *testing.T, c *Coordinator) {
 		var wg sync.WaitGroup
 		for n := range jobs {
 			wg.Go(func() {
-				if hold, _, held := c.askHome(t.Context(), fmt.Sprintf("%016x", n), 0); !held || !hold.Holder.Same(c.self()) {
-					t.Errorf("job %d: held by %+v", n, hold.Holder)
+				if outcome, hold, _ := c.askReplicas(t.Context(), fmt.Sprintf("%016x", n), 0); outcome != holds.Granted {
+					t.Errorf("job %d: outcome %d, held by %+v", n, outcome, hold.Holder)
 				}
 			})
 			time.Sleep(time.Millisecond)
@@ -100,9 +101,9 @@
 	})
 }
 
-// Guards against a job that waits for good, or that another process seems to have, because of a home that
+// Guards against a job that waits for good, or that another process seems to have, because of a replica that
 // answers less than it was asked, with a holder that can't be called, or not at all.
-func TestOddHomes(t *testing.T) {
+func TestOddReplicas(t *testing.T) {
 	none := func(*relay.HoldRequest) *relay.HoldReply { return &relay.HoldReply{} }
 	unknown := func(m *relay.HoldRequest) *relay.HoldReply {
 		r := grantAll(m)
@@ -111,17 +112,16 @@
 		}
 		return r
 	}
-	for name, h := range map[string]*fakeHome{
+	for name, h := range map[string]*fakeReplica{
 		"nothing":    {reply: none},
 		"no address": {reply: unknown},
 		"too late":   {reply: grantAll, takes: 10 * holdTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
-			withHome(t, h, func(t *testing.T, c *Coordinator) {
+			withReplica(t, h, func(t *testing.T, c *Coordinator) {
 				began := time.Now()
-				// Without another coordinator this process becomes the home.
-				if hold, _, held := c.askHome(t.Context(), "0000000000000001", 0); held && !hold.Holder.Same(c.self()) {
-					t.Errorf("held by %+v", hold.Holder)
+				if outcome, hold, _ := c.askReplicas(t.Context(), "0000000000000001", 0); outcome != holds.NoAnswer {
+					t.Errorf("outcome %d, held by %+v; want no answer", outcome, hold.Holder)
 				}
 				if took := time.Since(began); took > 2*holdTimeout {
 					t.Errorf("took %s, want %s at most", took, 2*holdTimeout)
--- a/coord/stall.go
+++ b/coord/stall.go
@@ -21,6 +21,9 @@
 		return
 	}
 	c.table.HoldBestEffort(now.Add(wakeAllowance))
+	if pause >= agentTimeout { // others may have left this process out meanwhile
+		c.holdings.youngUntil = now.Add(agentTimeout)
+	}
 	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, best-effort jobs wait")
 	c.cfg.Meter.Add("pauses", 1)
 	c.lastTick = now
--- a/emul/differing_homes_test.go
+++ b/emul/differing_homes_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"carobpulley"
+	"carobpulley/work"
 )
 
 // sendToTwo submits jobs to coordinator 0, whose callers leave after a while, and 10 ms later to another one.
@@ -66,3 +70,68 @@
 		f.sendToTwo(0, 24, 1, 500*time.Millisecond)
 	})
 }
+
+// isolate starts or ends the loss of all messages between a coordinator and the other ones.
+func (f *Fleet) isolate(at int, on bool) {
+	for n := range f.Coordinators {
+		if n != at {
+			f.cutCoordinators(at, n, on)
+		}
+	}
+}
+
+// Guards against two runs of a task at a time if a coordinator that does not reach the others, but the agents,
+// starts a job whose caller then comes to another one.
+func TestCoordinatorThatReachesAgentsOnly(t *testing.T) {
+	for name, after := range map[string]time.Duration{"at once": 0, "after 1 s": time.Second, "after 4 s": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, homesSpec(700*time.Millisecond), func(_ *testing.T, f *Fleet) {
+				f.askAll(100, 0, 1, 2, 3)
+				f.isolate(0, true)
+				f.askAll(1000, 0)
+				time.Sleep(after)
+				f.sendToTwo(0, 24, 1, 400*time.Millisecond)
+			})
+		})
+	}
+}
+
+// Guards against a start, or the answer that a job never runs, while no coordinator answers that would know of
+// an earlier start; and against a job that never starts because of it.
+func TestStartWaitsWhileNoReplicaAnswers(t *testing.T) {
+	runFleet(t, homesSpec(100*time.Millisecond), func(t *testing.T, f *Fleet) {
+		f.askAll(100, 0, 1, 2, 3)
+		for n := 1; n < len(f.Coordinators); n++ {
+			f.coordinator(n).Kill()
+		}
+		var wg sync.WaitGroup
+		var atOnce, unknown atomic.Int64
+		for n := range 16 {
+			wg.Go(func() {
+				began := time.Now()
+				if a := f.submitUntil(0, testJob(n, true, 1), 3*time.Second); a.State != work.StateCompleted {
+					t.Errorf("job %d: answer %+v, want it completed", n, a)
+				}
+				switch took := time.Since(began); {
+				case took < 200*time.Millisecond:
+					atOnce.Add(1) // coordinator 0 is a replica
+				case took < time.Second || took > 1600*time.Millisecond:
+					t.Errorf("job %d took %s, want about 1.4 s", n, took)
+				}
+			})
+			wg.Go(func() {
+				switch a := f.submitUntil(0, testJob(1000+n, true, 1), 500*time.Millisecond); a.Code {
+				case carobpulley.AnswerRefused:
+					t.Errorf("job %d: answer %+v, want it unknown", 1000+n, a)
+				case carobpulley.AnswerUnknown:
+					unknown.Add(1)
+				default:
+				}
+			})
+		}
+		wg.Wait()
+		if atOnce.Load() == 0 || atOnce.Load() == 16 || unknown.Load() == 0 {
+			t.Errorf("%d of 16 jobs started at once, %d had no answer", atOnce.Load(), unknown.Load())
+		}
+	})
+}
--- a/holds/doc.go
+++ b/holds/doc.go
@@ -1,6 +1,7 @@
-// Package holds decides which coordinator has a best-effort job. Each job id has a home, a coordinator
-// that every other one computes from the members it knows, and the home lets one coordinator at a time
-// hold the id. The package holds no clock, does no I/O and starts no goroutines.
+// Package holds decides which coordinator has a best-effort job. Each job id has up to three replicas among
+// the coordinators, which every process computes from the members that it knows. A process may start a job
+// once most of the replicas have granted it the id; each of them grants it to one process at a time. The
+// package holds no clock, does no I/O and starts no goroutines.
 //
 // Answers the pattern of a caller whose connection breaks as it sends a job, and that sends the job
 // again at once to another coordinator, while the first one has it too.
--- /dev/null
+++ b/holds/members.go
@@ -0,0 +1,201 @@
+package holds
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// ReplicaCount is the number of members that keep the hold of an id, if there are as many. All are told of
+	// a grant, and a process holds the id once most of them have granted it, so two processes that each miss one
+	// replica still share one, and one that misses two learns of earlier grants from the third.
+	ReplicaCount = 3
+	// probeInterval is the time between two probes of a member that does not answer. It doubles once the
+	// member is left out, up to maxProbeInterval: the record of a host that is gone for good stays.
+	probeInterval    = 250 * time.Millisecond
+	maxProbeInterval = 32 * time.Second
+	// minWeight bounds the weight of a coordinator from below, in CPU cores.
+	minWeight = 0.01
+)
+
+// Member is a coordinator.
+type Member struct {
+	Name string
+	// Weight is its share of the ids relative to the others: the CPU cores that it may use.
+	Weight float64
+}
+
+// Timing holds the times after which a member that does not answer is no longer one of the replicas of any id.
+// No run that it, or a holder that only it knows of, has placed may be on by then.
+type Timing struct {
+	// Silent counts from the first call without an answer, Ended from a refused connection.
+	Silent, Ended time.Duration
+	// Forgotten is the time after which a member that may have missed grants knows all that are in force again.
+	Forgotten time.Duration
+}
+
+// Members chooses the replicas of ids among the coordinators, and remembers which of them do not answer.
+type Members struct {
+	timing Timing
+	// began is the time at which this process began.
+	began   time.Time
+	list    []Member
+	hashes  []uint64
+	outages map[string]outage
+	// heard holds the members that have ever answered this process.
+	heard map[string]bool
+	// returned holds the times at which members that had been left out answered again.
+	returned map[string]time.Time
+}
+
+type outage struct {
+	// outAt is the time from which the member is left out.
+	outAt   time.Time
+	probeAt time.Time
+	pause   time.Duration
+}
+
+// NewMembers returns Members without a coordinator, of a process that begins now.
+func NewMembers(now time.Time, timing Timing) *Members {
+	return &Members{timing: timing, began: now, outages: make(map[string]outage), heard: make(map[string]bool), returned: make(map[string]time.Time)}
+}
+
+// Set replaces the coordinators.
+func (m *Members) Set(list []Member) {
+	m.list = slices.Clone(list)
+	m.hashes = make([]uint64, len(list))
+	for n := range list {
+		m.hashes[n] = xxhash.Sum64String(list[n].Name)
+	}
+}
+
+// Len returns the number of coordinators.
+func (m *Members) Len() int { return len(m.list) }
+
+// Digest returns a digest of the members' names and weights, in whichever order they are.
+func (m *Members) Digest() uint64 {
+	sorted := slices.SortedFunc(slices.Values(m.list), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	d := xxhash.New()
+	for _, member := range sorted {
+		_, _ = d.WriteString(member.Name + "=" + strconv.FormatFloat(member.Weight, 'g', -1, 64) + ";")
+	}
+	return d.Sum64()
+}
+
+// Replicas returns the members that keep the hold of an id, the first ones by weighted rendezvous hashing among
+// those that are not left out. A member that joins or leaves changes the replicas of its own ids only.
+func (m *Members) Replicas(now time.Time, id string) []string {
+	var names [ReplicaCount]string
+	var scores [ReplicaCount]float64
+	count := 0
+	hash := xxhash.Sum64String(id)
+	for n, member := range m.list {
+		if m.leftOut(now, member.Name) {
+			continue
+		}
+		s := score(hash^m.hashes[n], member.Weight)
+		at := count
+		for at > 0 && (s > scores[at-1] || s == scores[at-1] && member.Name < names[at-1]) {
+			at--
+		}
+		if at == ReplicaCount {
+			continue
+		}
+		count = min(count+1, ReplicaCount)
+		copy(names[at+1:count], names[at:])
+		copy(scores[at+1:count], scores[at:])
+		names[at], scores[at] = member.Name, s
+	}
+	return slices.Clone(names[:count])
+}
+
+// score is a draw from a distribution whose maximum over the members falls on each with a probability
+// in proportion to its weight.
+func score(hash uint64, weight float64) float64 {
+	// The finalizer of MurmurHash3: the hash is the exclusive or of two others.
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+	hash *= 0xc4ceb9fe1a85ec53
+	hash ^= hash >> 33
+	u := (float64(hash>>11) + 0.5) / (1 << 53)
+	return math.Log(u) / max(weight, minWeight)
+}
+
+func (m *Members) leftOut(now time.Time, name string) bool {
+	o, out := m.outages[name]
+	return out && !now.Before(o.outAt)
+}
+
+// Suspected reports whether the last call to a member had no answer.
+func (m *Members) Suspected(name string) bool {
+	_, out := m.outages[name]
+	return out
+}
+
+// mayHaveMissed reports whether a member may not know of holds that are in force, since it was left out.
+func (m *Members) mayHaveMissed(now time.Time, name string) bool {
+	at, known := m.returned[name]
+	return known && now.Sub(at) < m.timing.Forgotten
+}
+
+// Failed records that a member did not answer; ended is set if nothing listens at its address.
+func (m *Members) Failed(now time.Time, name string, ended bool) {
+	limit := m.timing.Silent
+	if ended {
+		limit = m.timing.Ended
+	}
+	o, out := m.outages[name]
+	switch {
+	case !out && !m.heard[name] && now.Sub(m.began) < m.timing.Forgotten:
+		o = outage{outAt: now} // gone before this process began
+	case !out:
+		o = outage{outAt: now.Add(limit)}
+	case now.Add(limit).Before(o.outAt):
+		o.outAt = now.Add(limit)
+	}
+	if o.pause == 0 || now.Before(o.outAt) {
+		o.pause = probeInterval
+	} else {
+		o.pause = min(2*o.pause, maxProbeInterval)
+	}
+	o.probeAt = now.Add(o.pause)
+	m.outages[name] = o
+}
+
+// Answered records that a member answered.
+func (m *Members) Answered(now time.Time, name string) {
+	if m.leftOut(now, name) && m.heard[name] {
+		m.returned[name] = now
+	}
+	m.heard[name] = true
+	delete(m.outages, name)
+}
+
+// Called records a call from a member: if it does not answer, it is to be probed at once.
+func (m *Members) Called(now time.Time, name string) {
+	if o, out := m.outages[name]; out && now.Before(o.probeAt) {
+		o.probeAt, o.pause = now, probeInterval
+		m.outages[name] = o
+	}
+}
+
+// Probes returns the members without an answer that are to be probed now.
+func (m *Members) Probes(now time.Time) []string {
+	var names []string
+	for _, member := range m.list {
+		o, out := m.outages[member.Name]
+		if !out || now.Before(o.probeAt) {
+			continue
+		}
+		o.probeAt = now.Add(max(o.pause, probeInterval))
+		m.outages[member.Name] = o
+		names = append(names, member.Name)
+	}
+	return names
+}
--- a/holds/table.go
+++ b/holds/table.go
@@ -1,14 +1,10 @@
 package holds
 
 import (
-	"math"
 	"net/netip"
 	"time"
 )
 
-// AnyHold as the replaced hold stands for whichever is in force.
-const AnyHold = math.MaxUint64
-
 // retention is how long a hold is kept: as long as a coordinator keeps the outcome of a best-effort job.
 const retention = 12 * time.Second
 
@@ -27,18 +23,16 @@
 // Hold is the grant of an id to a holder.
 type Hold struct {
 	Holder Holder
-	// Number tells the grants of an id apart, also those of one holder.
+	// Number tells the grants of an id apart, also those of one holder, who chooses it.
 	Number uint64
 	At     time.Time
 	// Seen is the time of the latest sign of life of the holder.
 	Seen time.Time
 }
 
-// Table holds what the home of some ids knows. The zero value is not usable; see New.
+// Table holds what a replica knows. The zero value is not usable; see New.
 type Table struct {
 	holds map[string]Hold
-	// last is the number of the latest grant.
-	last uint64
 	// seen holds, by the names of coordinators, the latest processes that have asked, and when.
 	seen map[string]sign
 	// order holds the grants from the oldest on. An id that was granted again has several.
@@ -51,42 +45,48 @@
 }
 
 type grant struct {
-	id     string
-	number uint64
-	at     time.Time
+	id string
+	at time.Time
 }
 
 // New returns an empty table.
 func New() *Table { return &Table{holds: make(map[string]Hold), seen: make(map[string]sign)} }
 
-// Take gives the id to a holder, unless another one has it by another grant than the replaced one: a grant
-// whose holder was found not to have the job. It returns the grant in force.
-func (t *Table) Take(now time.Time, id string, by Holder, replaced uint64) Hold {
+// Take gives the id to a holder under a number, unless another one has it by another grant than the replaced
+// one: a grant whose holder was found not to have the job. It returns the grant in force.
+func (t *Table) Take(now time.Time, id string, by Holder, number, replaced uint64) Hold {
 	t.expire(now)
-	if by.Incarnation >= t.seen[by.Coordinator].incarnation {
-		t.seen[by.Coordinator] = sign{by.Incarnation, now}
-	}
-	if h, held := t.holds[id]; held && !h.Holder.Same(by) && h.Number != replaced && replaced != AnyHold {
-		if s := t.seen[h.Holder.Coordinator]; s.incarnation == h.Holder.Incarnation && s.at.After(h.Seen) {
-			h.Seen = s.at
+	t.Heard(now, by)
+	old, held := t.holds[id]
+	if held && !old.Holder.Same(by) && old.Number != replaced {
+		if s := t.seen[old.Holder.Coordinator]; s.incarnation == old.Holder.Incarnation && s.at.After(old.Seen) {
+			old.Seen = s.at
 		}
-		return h
+		return old
+	}
+	if held && old.Holder.Same(by) {
+		number = max(number, old.Number) // an earlier ask may come later
 	}
-	// Numbers of an earlier process of the home are smaller.
-	t.last = max(t.last+1, uint64(now.UnixNano()))
-	h := Hold{Holder: by, Number: t.last, At: now, Seen: now}
+	h := Hold{Holder: by, Number: number, At: now, Seen: now}
 	t.holds[id] = h
-	t.order = append(t.order, grant{id, t.last, now})
+	t.order = append(t.order, grant{id, now})
 	return h
 }
 
+// Heard records a sign of life of a process.
+func (t *Table) Heard(now time.Time, h Holder) {
+	if h.Incarnation >= t.seen[h.Coordinator].incarnation {
+		t.seen[h.Coordinator] = sign{h.Incarnation, now}
+	}
+}
+
 // Len returns the number of ids that are held.
 func (t *Table) Len() int { return len(t.holds) }
 
 func (t *Table) expire(now time.Time) {
 	n := 0
 	for ; n < len(t.order) && now.Sub(t.order[n].at) > retention; n++ {
-		if g := t.order[n]; t.holds[g.id].Number == g.number {
+		if g := t.order[n]; t.holds[g.id].At.Equal(g.at) {
 			delete(t.holds, g.id)
 		}
 	}
--- a/wire/relay/relay.connect.go
+++ b/wire/relay/relay.connect.go
@@ -87,7 +87,8 @@
 	// Report carries the ends of runs and the state of an endpoint, and returns an
 	// ownership proof.
 	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error)
-	// Hold asks the home of the ids of best-effort jobs to let the sender alone start them.
+	// Hold asks a replica of the ids of best-effort jobs to let the sender alone start them. Without
+	// ids it asks for a sign of life.
 	Hold(context.Context, *connect.Request[HoldRequest]) (*connect.Response[HoldReply], error)
 	// Join adds a submission to a best-effort job that the peer has, and returns the job's
 	// result.
@@ -251,7 +252,8 @@
 	// Report carries the ends of runs and the state of an endpoint, and returns an
 	// ownership proof.
 	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportReply], error)
-	// Hold asks the home of the ids of best-effort jobs to let the sender alone start them.
+	// Hold asks a replica of the ids of best-effort jobs to let the sender alone start them. Without
+	// ids it asks for a sign of life.
 	Hold(context.Context, *connect.Request[HoldRequest]) (*connect.Response[HoldReply], error)
 	// Join adds a submission to a best-effort job that the peer has, and returns the job's
 	// result.
