coord, guard: coordinators that are cut off from each other are called over agents

A coordinator that reaches no other one, but the agents, left the others out after 1.3 s and started jobs on its own word, or by its own vote alone before that; if the connection of a caller broke, its job ran at another coordinator too.

A call to a replica that fails is passed on by an agent (call Forward), and so are later ones until a direct call, tried once a second, works again. Only coordinators that agents don't reach either are without answer now; they can't start or go on with runs, so leaving them out after 1.3 s is safe.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -199,6 +199,7 @@
 		c.attachDetached(now)
 		c.probeReplicas()
 		c.sendCopies()
+		c.probeDirectly()
 		c.flush()
 		c.confirmOwnership()
 		c.mu.Unlock()
--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -46,6 +46,8 @@
 	// copies holds, by replica, the asks whose answers nobody waits for. They go with the next call, at the
 	// next tick at the latest.
 	copies map[string][]*holdAsk
+	// forwarded holds the coordinators that are reached over agents, and when each is tried directly again.
+	forwarded map[string]time.Time
 }
 
 func newHoldings(now time.Time) holdings {
@@ -53,6 +55,7 @@
 		table: holds.New(), youngUntil: now.Add(agentTimeout),
 		members: holds.NewMembers(now, holds.Timing{Silent: agentTimeout, Ended: agentTimeout, Forgotten: agentTimeout}),
 		pending: make(map[string]chan struct{}), asks: make(map[string][]*holdAsk), copies: make(map[string][]*holdAsk),
+		forwarded: make(map[string]time.Time),
 	}
 }
 
@@ -217,15 +220,31 @@
 	return asks
 }
 
-// sendAsks calls a replica, and sets the answers of the asks.
+// sendAsks calls a replica, directly or over an agent, and sets the answers of the asks.
 func (c *Coordinator) sendAsks(name string, asks []*holdAsk) error {
 	c.lock()
 	addr := c.coordinators[name].Addr
 	c.mu.Unlock()
-	reply, err := c.callHold(c.baseCtx, addr, c.holdRequest(asks))
+	m := c.holdRequest(asks)
+	forwarded := c.isForwarded(name)
+	var reply *relay.HoldReply
+	var err error
+	if forwarded {
+		reply, err = c.forwardHold(addr, m)
+	}
+	if !forwarded || err != nil {
+		forwarded = false
+		if reply, err = c.callHold(c.baseCtx, addr, m); err != nil && !link.ConnectionRefused(err) {
+			forwarded = true
+			if r, forwardErr := c.forwardHold(addr, m); forwardErr == nil {
+				reply, err = r, nil
+			}
+		}
+	}
 	if err != nil {
 		return err
 	}
+	c.recordRoute(name, forwarded)
 	now := c.clock.Now()
 	for n, m := range reply.GetHolds()[:min(len(asks), len(reply.GetHolds()))] {
 		h, err := link.HoldFromWire(now, c.self(), m)
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -350,6 +350,17 @@
 	}
 }
 
+// ResponsiveAgents returns the names of the attached agents that have reported within a timeout.
+func (t *Table) ResponsiveAgents(now time.Time, timeout time.Duration) []string {
+	var names []string
+	for _, a := range t.active {
+		if a.attached && now.Sub(a.lastReportAt) <= timeout {
+			names = append(names, a.name)
+		}
+	}
+	return names
+}
+
 // HasPlacedTasks reports whether tasks are placed at an agent.
 func (t *Table) HasPlacedTasks(name string) bool {
 	a := t.agents[name]
--- a/wire/relay/relay.connect.go
+++ b/wire/relay/relay.connect.go
@@ -66,6 +66,8 @@
 	AgentServiceAttachProcedure = "/carob.relay.v1.AgentService/Attach"
 	// AgentServiceOrderProcedure is the fully-qualified name of the AgentService's Order RPC.
 	AgentServiceOrderProcedure = "/carob.relay.v1.AgentService/Order"
+	// AgentServiceForwardProcedure is the fully-qualified name of the AgentService's Forward RPC.
+	AgentServiceForwardProcedure = "/carob.relay.v1.AgentService/Forward"
 )
 
 // CoordinatorServiceClient is a client for the carob.relay.v1.CoordinatorService service.
@@ -405,6 +407,8 @@
 	Attach(context.Context, *connect.Request[AttachRequest]) (*connect.Response[ReportRequest], error)
 	// Order carries a dispatch, which starts and stops runs.
 	Order(context.Context, *connect.Request[OrderRequest]) (*connect.Response[OrderReply], error)
+	// Forward passes a Hold call on to a coordinator that the sender does not reach.
+	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[HoldReply], error)
 }
 
 // NewAgentServiceClient constructs a client for the carob.relay.v1.AgentService service. By
@@ -430,13 +434,20 @@
 			connect.WithSchema(agentServiceMethods.ByName("Order")),
 			connect.WithClientOptions(opts...),
 		),
+		forward: connect.NewClient[ForwardRequest, HoldReply](
+			httpClient,
+			baseURL+AgentServiceForwardProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Forward")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // agentServiceClient implements AgentServiceClient.
 type agentServiceClient struct {
-	attach *connect.Client[AttachRequest, ReportRequest]
-	order  *connect.Client[OrderRequest, OrderReply]
+	attach  *connect.Client[AttachRequest, ReportRequest]
+	order   *connect.Client[OrderRequest, OrderReply]
+	forward *connect.Client[ForwardRequest, HoldReply]
 }
 
 // Attach calls carob.relay.v1.AgentService.Attach.
@@ -449,6 +460,11 @@
 	return c.order.CallUnary(ctx, req)
 }
 
+// Forward calls carob.relay.v1.AgentService.Forward.
+func (c *agentServiceClient) Forward(ctx context.Context, req *connect.Request[ForwardRequest]) (*connect.Response[HoldReply], error) {
+	return c.forward.CallUnary(ctx, req)
+}
+
 // AgentServiceHandler is an implementation of the carob.relay.v1.AgentService service.
 type AgentServiceHandler interface {
 	// Attach registers a coordinator with its shards and returns the runs and unstored
@@ -456,6 +472,8 @@
 	Attach(context.Context, *connect.Request[AttachRequest]) (*connect.Response[ReportRequest], error)
 	// Order carries a dispatch, which starts and stops runs.
 	Order(context.Context, *connect.Request[OrderRequest]) (*connect.Response[OrderReply], error)
+	// Forward passes a Hold call on to a coordinator that the sender does not reach.
+	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[HoldReply], error)
 }
 
 // NewAgentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -477,12 +495,20 @@
 		connect.WithSchema(agentServiceMethods.ByName("Order")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceForwardHandler := connect.NewUnaryHandler(
+		AgentServiceForwardProcedure,
+		svc.Forward,
+		connect.WithSchema(agentServiceMethods.ByName("Forward")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/carob.relay.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AgentServiceAttachProcedure:
 			agentServiceAttachHandler.ServeHTTP(w, r)
 		case AgentServiceOrderProcedure:
 			agentServiceOrderHandler.ServeHTTP(w, r)
+		case AgentServiceForwardProcedure:
+			agentServiceForwardHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -499,3 +525,7 @@
 func (UnimplementedAgentServiceHandler) Order(context.Context, *connect.Request[OrderRequest]) (*connect.Response[OrderReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.AgentService.Order is not implemented"))
 }
+
+func (UnimplementedAgentServiceHandler) Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[HoldReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carob.relay.v1.AgentService.Forward is not implemented"))
+}
