coord, holds: coordinators are probed once at the begin, and one probe at a time

Found by reading: after a loss of power a coordinator that is back first learned of each one that is not by a job that waited up to 480 ms for it, and probes of a silent coordinator, which take as long, were sent every 250 ms beside each other. Each member is now probed once as it becomes known, before jobs need it, and a probe takes the place of the call to that replica.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -306,13 +306,16 @@
 	return true
 }
 
-// probeReplicas calls the replicas without an answer that are due for it. The caller holds the lock.
+// probeReplicas calls the coordinators that are due for a probe. The caller holds the lock.
 func (c *Coordinator) probeReplicas() {
 	for _, name := range c.holdings.members.Probes(c.now) {
-		if _, calling := c.holdings.asks[name]; calling || name == c.cfg.Self.Name {
-			continue
+		if _, calling := c.holdings.asks[name]; !calling && name != c.cfg.Self.Name {
+			c.holdings.asks[name] = nil
+			go func() {
+				c.recordReplica(name, c.sendAsks(name, nil), 0)
+				c.callReplica(name)
+			}()
 		}
-		go func() { c.recordReplica(name, c.sendAsks(name, nil), 0) }()
 	}
 }
 
--- a/holds/members.go
+++ b/holds/members.go
@@ -49,6 +49,8 @@
 	outages map[string]outage
 	// heard holds the members that have ever answered this process.
 	heard map[string]bool
+	// probed holds the members that were probed once.
+	probed map[string]bool
 	// returned holds the times at which members that had been left out answered again.
 	returned map[string]time.Time
 }
@@ -62,7 +64,7 @@
 
 // NewMembers returns Members without a coordinator, of a process that begins now.
 func NewMembers(now time.Time, timing Timing) *Members {
-	return &Members{timing: timing, began: now, outages: make(map[string]outage), heard: make(map[string]bool), returned: make(map[string]time.Time)}
+	return &Members{timing: timing, began: now, outages: make(map[string]outage), heard: make(map[string]bool), probed: make(map[string]bool), returned: make(map[string]time.Time)}
 }
 
 // Set replaces the coordinators.
@@ -185,10 +187,16 @@
 	}
 }
 
-// Probes returns the members without an answer that are to be probed now.
+// Probes returns the members that are to be probed now: those without an answer, and once those that have not
+// been called yet, so that a process that begins soon knows which of them are gone.
 func (m *Members) Probes(now time.Time) []string {
 	var names []string
 	for _, member := range m.list {
+		if !m.probed[member.Name] {
+			m.probed[member.Name] = true
+			names = append(names, member.Name)
+			continue
+		}
 		o, out := m.outages[member.Name]
 		if !out || now.Before(o.probeAt) {
 			continue
--- a/holds/members_test.go
+++ b/holds/members_test.go
@@ -20,6 +20,7 @@
 		m.Answered(start, name)
 	}
 	m.Set(list)
+	m.Probes(start)
 	return m
 }
 
@@ -105,6 +106,23 @@
 	}
 }
 
+// Guards against a process that finds out only job by job which members were gone before it began.
+func TestMembersAreProbedAtTheBegin(t *testing.T) {
+	m := NewMembers(start, testTiming)
+	m.Set([]Member{{"a", 1}, {"b", 1}, {"c", 1}})
+	if diff := cmp.Diff([]string{"a", "b", "c"}, m.Probes(start)); diff != "" {
+		t.Errorf("probed at first (-want +got):\n%s", diff)
+	}
+	m.Failed(start, "a", false)
+	m.Answered(start, "b")
+	if got := m.Probes(start.Add(time.Millisecond)); len(got) > 0 {
+		t.Errorf("%v probed again, want none", got)
+	}
+	if slices.Contains(m.Replicas(start, "x"), "a") {
+		t.Error("a, which was gone at the begin, is a replica")
+	}
+}
+
 // Answers the pattern of a host that is gone for good, whose record stays: probes of it get rarer, and a call
 // from it has it probed at once.
 func TestProbesOfSilentMembersGetRarer(t *testing.T) {
