coord, holds: one replica that knows of another holder is enough, and who is cut off doesn't start

Callers could still see two runs of a task at a time.

- Two replicas that had the hold were left out or ended while the holder went on; the third one, which knew, was outvoted by the two that took their place, or by two that were back and had missed the grant.
- A coordinator that began or returned while it was cut off from all hosts left the others out, and granted ids to itself; its jobs started as it reached agents again.
- If all replicas restarted within a second, none knew of a holder that went on.
- Two coordinators that contested an id took turns without an end.

Now all replicas are asked, and the submission joins the holder that any of them knows. Replicas that have all begun anew grant an id only if no other coordinator is older. Of two that contest an id the one with the lower name goes first.

Copies to the third replica are gone, since it is asked like the others; an answer that is not needed is waited for 40 ms at most.

TestAllReplicasAreToldOfAGrant tested copies; TestReplicasThatAreAsked now wants all replicas asked.

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -71,6 +71,7 @@
 		return
 	}
 	delete(c.nextAttachAt, agent.Name)
+	c.reachedAgent()
 	c.mergeDomains(link.DomainsFromWire(reply.Msg.GetDomains(), time.Time{}), agent.Name)
 	report := link.ReportFromWire(reply.Msg)
 	c.log.Info().Str("host", agent.Name).Uint64("attachment", attachment).Int("running", len(report.Running)).
@@ -171,6 +172,7 @@
 func (c *Coordinator) handleDispatchReply(d *jobs.Dispatch, reply *relay.OrderReply) {
 	c.lock()
 	defer c.mu.Unlock()
+	c.reachedAgent()
 	c.mergeDomains(link.DomainsFromWire(reply.GetDomains(), time.Time{}), d.Agent)
 	if reply.GetStale() {
 		c.table.Detach(d.Agent, d.Attachment)
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -56,7 +56,7 @@
 	for c.beginPending(ctx, id) {
 		outcome, h, g := c.askReplicas(ctx, id, s.replaced)
 		s.replaced = 0
-		if outcome == holds.Granted || outcome == holds.GrantedByFew ||
+		if outcome == holds.Granted || outcome == holds.GrantedByOne ||
 			outcome == holds.NoAnswer && !c.clock.Now().Before(s.arrivedAt.Add(callerGoneAfter)) {
 			s.grant = g
 			c.recordGrant(id, outcome, g)
@@ -73,10 +73,10 @@
 				elsewhere = true
 				c.logElsewhere(id, outcome, h)
 			}
-			if answered, a := c.joinHolder(ctx, s, h); answered {
+			if answered, a := c.joinHolder(ctx, s, outcome, h); answered {
 				return false, true, a
 			}
-		case holds.Granted, holds.GrantedByFew, holds.Pending:
+		case holds.Granted, holds.GrantedByOne, holds.Pending:
 		}
 	}
 	if err := ctx.Err(); err != nil {
@@ -89,13 +89,13 @@
 func (c *Coordinator) recordGrant(id string, outcome holds.Outcome, g grant) {
 	result := "granted"
 	switch {
+	case g.members == 0:
+		result = "unguarded"
 	case outcome == holds.NoAnswer:
 		result = "late"
-		c.log.Warn().Str("job", id).Strs("suspected", g.suspected).Msg("no replica answers, the job starts as runs elsewhere are over")
-	case outcome == holds.GrantedByFew:
-		result = "by_few"
-	case len(g.replicas) == 0:
-		result = "unguarded"
+		c.log.Warn().Str("job", id).Strs("silent", g.silent).Msg("no replica answers, the job starts as runs elsewhere are over")
+	case outcome == holds.GrantedByOne:
+		result = "by_one"
 	}
 	c.cfg.Meter.Add(meter.Name("holds", result), 1)
 }
@@ -108,15 +108,18 @@
 }
 
 // awaitReplicas waits before the replicas are asked again. It reports false if the caller does not wait until
-// the job may start without their answer.
+// the job may start without their answer, or if this process is cut off.
 func (c *Coordinator) awaitReplicas(ctx context.Context, s *submission) bool {
 	if !s.uncertain {
 		c.cfg.Meter.Add(meter.Name("holds", "no_answer"), 1)
 	}
 	s.uncertain = true // another process may run the job
-	now := c.clock.Now()
+	c.lock()
+	now, apart := c.now, c.holdings.apart(c.now, apartAfter)
+	c.mu.Unlock()
 	left := s.arrivedAt.Add(callerGoneAfter).Sub(now)
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < left && now.Sub(s.arrivedAt) >= replicaPatience {
+	deadline, limited := ctx.Deadline()
+	if now.Sub(s.arrivedAt) >= replicaPatience && (apart || limited && time.Until(deadline) < left) {
 		return false
 	}
 	sleep(ctx, min(holderRetryInterval, left))
@@ -125,13 +128,16 @@
 
 // joinHolder adds a submission to the job of a holder and waits for its result, or until the holder may be
 // replaced.
-func (c *Coordinator) joinHolder(ctx context.Context, s *submission, h holds.Hold) (answered bool, a carobpulley.JobAnswer) {
+func (c *Coordinator) joinHolder(ctx context.Context, s *submission, outcome holds.Outcome, h holds.Hold) (answered bool, a carobpulley.JobAnswer) {
 	a, result := c.join(ctx, h, s)
 	switch result {
 	case joinAnswered:
 		return true, a
 	case joinAbsent:
 		s.replaced, s.uncertain = h.Number, true
+		if outcome == holds.Contested && h.Holder.Coordinator < c.cfg.Self.Name {
+			sleep(ctx, holderRetryInterval) // of two that contest an id, the other one goes first
+		}
 		return false, a
 	case joinUnanswered:
 	}
--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -21,8 +20,8 @@
 	// holdTimeout bounds one call to a replica: a host that has used up its share of the processor runs
 	// again within 100 ms.
 	holdTimeout = 120 * time.Millisecond
-	// hedgeAfter is the time after which another replica is asked beside those that have not answered.
-	hedgeAfter = 40 * time.Millisecond
+	// lateAfter is the time after which answers are not waited for that are not needed.
+	lateAfter = 40 * time.Millisecond
 	// maxHoldBatch bounds the ids of one call.
 	maxHoldBatch = 256
 )
@@ -32,6 +31,9 @@
 	// table has the ids of which this process is a replica. Until youngUntil it may lack holds in force.
 	table      *holds.Table
 	youngUntil time.Time
+	// reachedAt is the time at which this process last reached an agent, and reaching is set while it tries to.
+	reachedAt time.Time
+	reaching  bool
 	// members are the coordinators among which replicas are chosen, and view is their digest, by which logs
 	// show whether two processes know the same.
 	members *holds.Members
@@ -43,18 +45,15 @@
 	pending map[string]chan struct{}
 	// asks holds, by replica, the asks that wait for the call under way; a replica without a call has none.
 	asks map[string][]*holdAsk
-	// copies holds, by replica, the asks whose answers nobody waits for. They go with the next call, at the
-	// next tick at the latest.
-	copies map[string][]*holdAsk
 	// forwarded holds the coordinators that are reached over agents, and when each is tried directly again.
 	forwarded map[string]time.Time
 }
 
 func newHoldings(now time.Time) holdings {
 	return holdings{
-		table: holds.New(), youngUntil: now.Add(agentTimeout),
+		table: holds.New(), youngUntil: now.Add(agentTimeout), reachedAt: now,
 		members: holds.NewMembers(now, holds.Timing{Silent: agentTimeout, Ended: agentTimeout, Forgotten: agentTimeout}),
-		pending: make(map[string]chan struct{}), asks: make(map[string][]*holdAsk), copies: make(map[string][]*holdAsk),
+		pending: make(map[string]chan struct{}), asks: make(map[string][]*holdAsk),
 		forwarded: make(map[string]time.Time),
 	}
 }
@@ -64,9 +63,10 @@
 	id               string
 	number, replaced uint64
 	replica          string
-	// vote is the answer; nil if there was none.
+	// vote is the answer; nil if there was none, by the word of another host too if told is set.
 	vote *holds.Vote
-	// done gets the ask when the replica has answered or the call has failed; nil if nobody waits for it.
+	told bool
+	// done gets the ask when the replica has answered or the call has failed.
 	done chan<- *holdAsk
 }
 
@@ -82,10 +82,10 @@
 
 // grant tells by which replicas and which view of the members a process was let start a job.
 type grant struct {
-	replicas, suspected []string
-	number              uint64
-	members             int
-	view                uint64
+	replicas, silent []string
+	number           uint64
+	members          int
+	view             uint64
 }
 
 // fields adds the grant to a log line.
@@ -94,78 +94,57 @@
 		return
 	}
 	e.Strs("replicas", g.replicas).Uint64("hold", g.number).Int("members", g.members).Str("view", strconv.FormatUint(g.view, 16))
-	if len(g.suspected) > 0 {
-		e.Strs("suspected", g.suspected)
+	if len(g.silent) > 0 {
+		e.Strs("silent", g.silent)
 	}
 }
 
 // askReplicas asks the replicas of an id to let this process hold it in place of a replaced hold; 0 if there
 // is none. It returns the hold in force with its outcome, Pending if ctx ends before.
 func (c *Coordinator) askReplicas(ctx context.Context, id string, replaced uint64) (holds.Outcome, holds.Hold, grant) {
+	for {
+		outcome, hold, g := c.holdBallot(ctx, id, replaced)
+		c.lock()
+		changed := c.holdings.view != g.view
+		c.mu.Unlock()
+		if outcome == holds.Pending || !changed {
+			return outcome, hold, g
+		}
+	}
+}
+
+// holdBallot asks the replicas of an id by the members that are known now.
+func (c *Coordinator) holdBallot(ctx context.Context, id string, replaced uint64) (holds.Outcome, holds.Hold, grant) {
 	answers := make(chan *holdAsk, holds.ReplicaCount)
 	c.lock()
 	now := c.now
 	ballot := c.holdings.members.Ballot(now, id, c.self())
 	c.holdings.lastNumber = max(c.holdings.lastNumber+1, uint64(now.UnixNano()))
 	g := grant{number: c.holdings.lastNumber, members: c.holdings.members.Len(), view: c.holdings.view}
-	send := func(replicas []string) {
-		for _, name := range replicas {
-			c.submitAsk(now, &holdAsk{id: id, number: g.number, replaced: replaced, replica: name, done: answers})
-		}
+	if c.holdings.apart(now, apartAfter) {
+		c.mu.Unlock()
+		return holds.NoAnswer, holds.Hold{}, g
+	}
+	for _, name := range ballot.Open() {
+		c.submitAsk(now, &holdAsk{id: id, number: g.number, replaced: replaced, replica: name, done: answers})
 	}
-	send(ballot.Ask())
 	c.mu.Unlock()
-	hedge := time.NewTimer(hedgeAfter)
-	defer hedge.Stop()
+	late := time.NewTimer(lateAfter)
+	defer late.Stop()
 	for {
 		outcome, hold := ballot.Outcome()
 		if outcome != holds.Pending {
-			g.replicas, g.suspected = ballot.Granting(), ballot.Suspected()
-			if outcome == holds.Granted {
-				c.copyHold(id, g.number, ballot.Copies())
-			}
+			g.replicas, g.silent = ballot.Granting(), ballot.Silent()
 			return outcome, hold, g
 		}
-		var more []string
 		select {
 		case ask := <-answers:
-			ballot.Record(ask.replica, ask.vote)
-			more = ballot.Ask()
-		case <-hedge.C:
-			if name := ballot.AskAnother(); name != "" {
-				more = append(more, name)
-			}
+			ballot.Record(ask.replica, ask.vote, ask.told)
+		case <-late.C:
+			ballot.Late()
 		case <-ctx.Done():
 			return holds.Pending, holds.Hold{}, grant{}
 		}
-		if len(more) > 0 {
-			c.lock()
-			now = c.now
-			send(more)
-			c.mu.Unlock()
-		}
-	}
-}
-
-// copyHold tells replicas of a grant with the next calls to them.
-func (c *Coordinator) copyHold(id string, number uint64, replicas []string) {
-	if len(replicas) == 0 {
-		return
-	}
-	c.lock()
-	defer c.mu.Unlock()
-	for _, name := range replicas {
-		c.holdings.copies[name] = append(c.holdings.copies[name], &holdAsk{id: id, number: number, replica: name})
-	}
-}
-
-// sendCopies calls the replicas for which copies of holds wait. The caller holds the lock.
-func (c *Coordinator) sendCopies() {
-	for name := range c.holdings.copies {
-		if _, calling := c.holdings.asks[name]; !calling {
-			c.holdings.asks[name] = nil
-			go c.callReplica(name)
-		}
 	}
 }
 
@@ -174,7 +153,7 @@
 func (c *Coordinator) submitAsk(now time.Time, ask *holdAsk) {
 	if ask.replica == c.cfg.Self.Name {
 		h := c.holdings.table.Take(now, ask.id, c.self(), ask.number, ask.replaced)
-		ask.vote = &holds.Vote{Hold: h, Young: now.Before(c.holdings.youngUntil)}
+		ask.vote = &holds.Vote{Hold: h, Young: c.holdings.young(now)}
 		ask.done <- ask
 		return
 	}
@@ -190,8 +169,7 @@
 func (c *Coordinator) callReplica(name string) {
 	for {
 		c.lock()
-		asks := slices.Concat(c.holdings.asks[name], c.holdings.copies[name])
-		delete(c.holdings.copies, name)
+		asks := c.holdings.asks[name]
 		if len(asks) == 0 {
 			delete(c.holdings.asks, name)
 			c.mu.Unlock()
@@ -200,13 +178,13 @@
 		n := min(len(asks), maxHoldBatch)
 		asks, c.holdings.asks[name] = asks[:n:n], asks[n:]
 		c.mu.Unlock()
-		if c.recordReplica(name, c.sendAsks(name, asks), len(asks)) {
+		told, err := c.callAndRecord(name, asks)
+		if err != nil {
 			asks = append(asks, c.takeWaiting(name)...)
 		}
 		for _, ask := range asks {
-			if ask.done != nil {
-				ask.done <- ask
-			}
+			ask.told = told
+			ask.done <- ask
 		}
 	}
 }
@@ -220,34 +198,31 @@
 	return asks
 }
 
-// sendAsks calls a replica, directly or over an agent, and sets the answers of the asks.
-func (c *Coordinator) sendAsks(name string, asks []*holdAsk) error {
+// callAndRecord calls a replica, sets the answers of the asks, and records whether it has answered. If it has not,
+// told reports whether another host has found the same.
+func (c *Coordinator) callAndRecord(name string, asks []*holdAsk) (told bool, err error) {
+	reply, told, err := c.callReplicaOver(name, asks)
 	c.lock()
-	addr := c.coordinators[name].Addr
-	c.mu.Unlock()
-	m := c.holdRequest(asks)
-	forwarded := c.isForwarded(name)
-	var reply *relay.HoldReply
-	var err error
-	if forwarded {
-		reply, err = c.forwardHold(addr, m)
-	}
-	if !forwarded || err != nil {
-		forwarded = false
-		if reply, err = c.callHold(c.baseCtx, addr, m); err != nil && !link.ConnectionRefused(err) {
-			forwarded = true
-			if r, forwardErr := c.forwardHold(addr, m); forwardErr == nil {
-				reply, err = r, nil
-			}
-		}
-	}
-	if err != nil {
-		return err
+	defer c.mu.Unlock()
+	c.cfg.Meter.Add("hold_calls", 1)
+	switch {
+	case err == nil:
+		c.holdings.members.Answered(c.now, name, reply.GetYoung())
+		return false, c.setVotes(asks, reply)
+	case told:
+		c.holdings.members.Failed(c.now, name, link.ConnectionRefused(err))
+	default:
+		c.holdings.members.Unreached(c.now, name)
 	}
-	c.recordRoute(name, forwarded)
-	now := c.clock.Now()
+	c.cfg.Meter.Add(meter.Name("holds", "unanswered"), int64(len(asks)))
+	c.log.Warn().Err(err).Str("coordinator", name).Int("asks", len(asks)).Bool("told", told).Msg("hold not answered")
+	return told, err
+}
+
+// setVotes sets the answers of the asks. The caller holds the lock.
+func (c *Coordinator) setVotes(asks []*holdAsk, reply *relay.HoldReply) error {
 	for n, m := range reply.GetHolds()[:min(len(asks), len(reply.GetHolds()))] {
-		h, err := link.HoldFromWire(now, c.self(), m)
+		h, err := link.HoldFromWire(c.now, c.self(), m)
 		if err != nil {
 			return err
 		}
@@ -256,6 +231,34 @@
 	return nil
 }
 
+// callReplicaOver calls a replica, directly or over an agent.
+func (c *Coordinator) callReplicaOver(name string, asks []*holdAsk) (reply *relay.HoldReply, told bool, err error) {
+	c.lock()
+	addr := c.coordinators[name].Addr
+	_, forwarded := c.holdings.forwarded[name]
+	m := c.holdRequest(asks)
+	c.mu.Unlock()
+	if forwarded {
+		if reply, err = c.forwardHold(addr, m); err == nil {
+			return reply, false, nil
+		}
+	}
+	if reply, err = c.callHold(c.baseCtx, addr, m); err == nil {
+		c.recordRoute(name, false)
+		return reply, false, nil
+	}
+	if link.ConnectionRefused(err) || connect.IsWireError(err) {
+		return nil, true, err
+	}
+	reply, forwardErr := c.forwardHold(addr, m)
+	if forwardErr != nil {
+		return nil, connect.IsWireError(forwardErr), err
+	}
+	c.recordRoute(name, true)
+	return reply, false, nil
+}
+
+// holdRequest returns a call with asks. The caller holds the lock.
 func (c *Coordinator) holdRequest(asks []*holdAsk) *relay.HoldRequest {
 	m := &relay.HoldRequest{Holder: link.HolderToWire(c.self()), Asks: make([]*relay.HoldAsk, len(asks))}
 	for n, ask := range asks {
@@ -291,28 +294,13 @@
 	return reply.Msg, false, nil
 }
 
-// recordReplica records whether a replica has answered, and reports whether it is suspected now.
-func (c *Coordinator) recordReplica(name string, err error, asks int) (suspected bool) {
-	c.lock()
-	defer c.mu.Unlock()
-	c.cfg.Meter.Add("hold_calls", 1)
-	if err == nil {
-		c.holdings.members.Answered(c.now, name)
-		return false
-	}
-	c.holdings.members.Failed(c.now, name, link.ConnectionRefused(err))
-	c.cfg.Meter.Add(meter.Name("holds", "unanswered"), int64(asks))
-	c.log.Warn().Err(err).Str("coordinator", name).Int("asks", asks).Msg("hold not answered")
-	return true
-}
-
 // probeReplicas calls the coordinators that are due for a probe. The caller holds the lock.
 func (c *Coordinator) probeReplicas() {
 	for _, name := range c.holdings.members.Probes(c.now) {
 		if _, calling := c.holdings.asks[name]; !calling && name != c.cfg.Self.Name {
 			c.holdings.asks[name] = nil
 			go func() {
-				c.recordReplica(name, c.sendAsks(name, nil), 0)
+				_, _ = c.callAndRecord(name, nil)
 				c.callReplica(name)
 			}()
 		}
@@ -337,7 +325,7 @@
 	now := c.now
 	c.holdings.table.Heard(now, sender)
 	c.holdings.members.Called(now, sender.Coordinator)
-	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(holders)), Young: now.Before(c.holdings.youngUntil)}
+	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(holders)), Young: c.holdings.young(now)}
 	for n, ask := range r.Msg.GetAsks() {
 		number := ask.GetNumber()
 		if number == 0 {
--- a/coord/stall.go
+++ b/coord/stall.go
@@ -23,6 +23,7 @@
 	c.table.HoldBestEffort(now.Add(wakeAllowance))
 	if pause >= agentTimeout { // others may have left this process out meanwhile
 		c.holdings.youngUntil = now.Add(agentTimeout)
+		c.holdings.members.Recheck(now)
 	}
 	c.log.Warn().Int64("pause_ms", pause.Milliseconds()).Msg("process was paused, best-effort jobs wait")
 	c.cfg.Meter.Add("pauses", 1)
--- a/holds/ballot.go
+++ b/holds/ballot.go
@@ -14,12 +14,12 @@
 	Pending Outcome = iota
 	// Granted means that the process holds the id: most replicas have granted it.
 	Granted
-	// GrantedByFew means that a replica has granted the id that is told of all grants, and the others, which
-	// are told of them too, don't answer or may have forgotten them.
-	GrantedByFew
+	// GrantedByOne means that the process holds the id by the word of one replica that knows all grants. The
+	// others don't answer, by the word of another host too, or may have forgotten grants.
+	GrantedByOne
 	// Elsewhere means that another process holds the id.
 	Elsewhere
-	// Contested means that a replica has granted the id to another process, and no majority can be asked.
+	// Contested means that a replica has granted the id to another process, and most of them to none.
 	Contested
 	// NoAnswer means that no replica answers that knows all grants. Another process may hold the id.
 	NoAnswer
@@ -37,29 +37,30 @@
 type Ballot struct {
 	by       Holder
 	replicas []replica
+	// late is set once the answers that are still missing are not waited for.
+	late bool
+	// allBegun is set if no process holds an id from before the replicas began.
+	allBegun bool
 }
 
 type replica struct {
-	name      string
-	suspected bool
+	name string
+	// told is set if a replica that has no vote does not answer by the word of another host too.
+	told bool
 	// missed is set if the replica may not know of holds that are in force.
 	missed bool
-	asked  bool
-	closed bool
+	open   bool
 	vote   *Vote
 }
 
-// Ballot returns a ballot on an id among its replicas, none of which has been asked.
+// Ballot returns a ballot on an id among its replicas.
 func (m *Members) Ballot(now time.Time, id string, by Holder) *Ballot {
-	b := &Ballot{by: by}
+	b := &Ballot{by: by, allBegun: m.allBegun(now, by.Coordinator)}
+	before := m.Replicas(now.Add(-m.timing.Forgotten), id)
 	for _, name := range m.Replicas(now, id) {
-		b.replicas = append(b.replicas, replica{name: name, suspected: m.Suspected(name), missed: m.mayHaveMissed(now, name)})
-	}
-	// A process that is a replica itself saves a call.
-	if self := slices.IndexFunc(b.replicas, func(r replica) bool { return r.name == by.Coordinator }); self > 0 {
-		own := b.replicas[self]
-		copy(b.replicas[1:self+1], b.replicas[:self])
-		b.replicas[0] = own
+		o, out := m.outages[name]
+		missed := m.mayHaveMissed(now, name) || !slices.Contains(before, name)
+		b.replicas = append(b.replicas, replica{name: name, open: !out, told: o.told, missed: missed})
 	}
 	return b
 }
@@ -67,112 +68,72 @@
 // quorum is the number of replicas that have to grant the id.
 func (b *Ballot) quorum() int { return len(b.replicas)/2 + 1 }
 
-// Ask returns the replicas that are to be asked now. They count as asked.
-func (b *Ballot) Ask() []string {
-	var names []string
-	for b.open()+b.grants() < b.quorum() {
-		name := b.AskAnother()
-		if name == "" {
-			break
-		}
-		names = append(names, name)
-	}
-	return names
-}
+// Open returns the replicas whose answers are missing, at first those that are to be asked: all that are not
+// known not to answer.
+func (b *Ballot) Open() []string { return b.names(func(r replica) bool { return r.open }) }
 
-// AskAnother returns a replica that has not been asked yet and is not known to be out; empty if there is none.
-// It counts as asked.
-func (b *Ballot) AskAnother() string {
-	for n := range b.replicas {
-		if r := &b.replicas[n]; !r.asked && !r.suspected {
-			r.asked = true
-			return r.name
-		}
-	}
-	return ""
-}
+// Silent returns the replicas that have not answered.
+func (b *Ballot) Silent() []string { return b.names(func(r replica) bool { return r.vote == nil }) }
 
-// Copies returns the replicas that are to be told of a grant although their answers don't count any more. They
-// count as asked.
-func (b *Ballot) Copies() []string {
+func (b *Ballot) names(matches func(r replica) bool) []string {
 	var names []string
-	for name := b.AskAnother(); name != ""; name = b.AskAnother() {
-		names = append(names, name)
+	for _, r := range b.replicas {
+		if matches(r) {
+			names = append(names, r.name)
+		}
 	}
 	return names
 }
 
-// Record adds the answer of a replica; nil if it gave none.
-func (b *Ballot) Record(name string, v *Vote) {
+// Record adds the answer of a replica; nil if it gave none, by the word of another host too if told is set.
+func (b *Ballot) Record(name string, v *Vote, told bool) {
 	for n := range b.replicas {
 		if r := &b.replicas[n]; r.name == name {
-			r.closed, r.vote = true, v
+			r.open, r.vote, r.told = false, v, told
 		}
 	}
 }
 
+// Late ends the wait for answers that are not needed.
+func (b *Ballot) Late() { b.late = true }
+
 // Outcome returns what the answers so far come to, with the hold in force: that of the process itself, or
 // that of another one.
 func (b *Ballot) Outcome() (Outcome, Hold) {
-	if len(b.replicas) == 0 {
-		return Granted, Hold{Holder: b.by}
-	}
-	if b.grants() >= b.quorum() {
-		return Granted, b.holdOf(b.by)
-	}
+	var dissent *Hold
 	for _, r := range b.replicas {
-		if other := r.other(b.by); other != nil && b.votesFor(other.Holder) >= b.quorum() {
+		other := r.other(b.by)
+		if other != nil && b.votesFor(other.Holder) >= b.quorum() {
 			return Elsewhere, b.holdOf(other.Holder)
 		}
-	}
-	if b.open() > 0 || slices.ContainsFunc(b.replicas, func(r replica) bool { return !r.asked && !r.suspected }) {
-		return Pending, Hold{}
-	}
-	for _, r := range b.replicas {
-		if other := r.other(b.by); other != nil {
-			return Contested, b.holdOf(other.Holder)
+		if dissent == nil {
+			dissent = other
 		}
 	}
+	missing := len(b.Open()) > 0
 	switch {
-	case b.grants() > 0:
-		return GrantedByFew, b.holdOf(b.by)
-	case b.votesFor(b.by) >= b.quorum():
-		return Granted, b.holdOf(b.by) // all have begun anew, and with them the holders
+	case len(b.replicas) == 0:
+		return NoAnswer, Hold{} // the members are not known yet
+	case missing && (!b.late || dissent == nil && b.grants() < b.quorum()):
+		return Pending, Hold{}
+	case dissent != nil:
+		return Contested, b.holdOf(dissent.Holder)
+	case b.grants() >= b.quorum(), b.allBegun && b.votesFor(b.by) >= b.quorum():
+		return Granted, b.holdOf(b.by)
+	case b.grants() > 0 && b.othersTold():
+		return GrantedByOne, b.holdOf(b.by)
 	}
 	return NoAnswer, Hold{}
 }
 
-// Granting returns the replicas that have granted the id to the process.
-func (b *Ballot) Granting() []string {
-	var names []string
-	for _, r := range b.replicas {
-		if r.vote != nil && r.vote.Hold.Holder.Same(b.by) {
-			names = append(names, r.name)
-		}
-	}
-	return names
+// othersTold reports whether each replica without a vote is out by the word of another host too.
+func (b *Ballot) othersTold() bool {
+	return !slices.ContainsFunc(b.replicas, func(r replica) bool { return r.vote == nil && !r.told })
 }
 
-// Suspected returns the replicas that were not asked since they are known not to answer.
-func (b *Ballot) Suspected() []string {
-	var names []string
-	for _, r := range b.replicas {
-		if r.suspected {
-			names = append(names, r.name)
-		}
-	}
-	return names
-}
-
-// open returns the number of replicas whose answers are missing.
-func (b *Ballot) open() int {
-	n := 0
-	for _, r := range b.replicas {
-		if r.asked && !r.closed {
-			n++
-		}
-	}
-	return n
+// Granting returns the replicas that have granted the id to the process.
+func (b *Ballot) Granting() []string {
+	return b.names(func(r replica) bool { return r.vote != nil && r.vote.Hold.Holder.Same(b.by) })
 }
 
 // grants returns the number of replicas that have granted the id and know of all holds in force.
--- a/holds/ballot_test.go
+++ b/holds/ballot_test.go
@@ -16,98 +16,114 @@
 }
 
 // Guards against a process that starts a job on the word of too few replicas, of replicas that have forgotten
-// what they granted, or against that of one that knows better.
+// what they granted, against that of one that knows better, or on its own word while it is cut off.
 func TestOutcome(t *testing.T) {
-	const none = "none"
-	mine, other, third := voteOf{"self", false}, voteOf{"y", false}, voteOf{"z", false}
-	young := voteOf{"self", true}
-	silent := voteOf{none, false}
+	mine, other, third, young := voteOf{"self", false}, voteOf{"y", false}, voteOf{"z", false}, voteOf{"self", true}
+	// By the word of another host too a replica is out; one that is unreached may be up.
+	out, unreached := voteOf{"out", false}, voteOf{"unreached", false}
 	for _, c := range []struct {
 		votes []voteOf
+		late  bool
 		want  Outcome
 		by    string
 	}{
-		{[]voteOf{mine, mine}, Granted, "self"},
-		{[]voteOf{mine}, Pending, ""},
-		{[]voteOf{mine, silent}, Pending, ""},
-		{[]voteOf{mine, silent, mine}, Granted, "self"},
-		{[]voteOf{mine, silent, silent}, GrantedByFew, "self"},
-		{[]voteOf{mine, silent, other}, Contested, "y"},
-		{[]voteOf{mine, other}, Pending, ""},
-		{[]voteOf{mine, other, mine}, Granted, "self"},
-		{[]voteOf{mine, other, other}, Elsewhere, "y"},
-		{[]voteOf{other, other}, Elsewhere, "y"},
-		{[]voteOf{other, third, mine}, Contested, "y"},
-		{[]voteOf{silent, silent, silent}, NoAnswer, ""},
-		{[]voteOf{young, mine, silent}, GrantedByFew, "self"},
-		{[]voteOf{young, mine, mine}, Granted, "self"},
-		{[]voteOf{young, young, mine}, GrantedByFew, "self"},
-		{[]voteOf{young, other, mine}, Contested, "y"},
-		{[]voteOf{young, young, young}, Granted, "self"},
-		{[]voteOf{young, young, silent}, Granted, "self"},
-		{[]voteOf{young, silent, silent}, NoAnswer, ""},
-		{[]voteOf{young, other, silent}, Contested, "y"},
+		{[]voteOf{mine, mine, mine}, false, Granted, "self"},
+		{[]voteOf{mine, mine}, false, Pending, ""},
+		{[]voteOf{mine, mine}, true, Granted, "self"},
+		{[]voteOf{mine}, true, Pending, ""},
+		{[]voteOf{mine, out}, true, Pending, ""},
+		{[]voteOf{mine, out, mine}, false, Granted, "self"},
+		{[]voteOf{mine, unreached, mine}, false, Granted, "self"},
+		{[]voteOf{mine, out, out}, false, GrantedByOne, "self"},
+		{[]voteOf{mine, out, unreached}, false, NoAnswer, ""},
+		{[]voteOf{mine, out, other}, false, Contested, "y"},
+		{[]voteOf{mine, other}, false, Pending, ""},
+		{[]voteOf{mine, other}, true, Contested, "y"},
+		{[]voteOf{mine, other, mine}, false, Contested, "y"},
+		{[]voteOf{mine, other, other}, false, Elsewhere, "y"},
+		{[]voteOf{other, other}, false, Elsewhere, "y"},
+		{[]voteOf{other, third, mine}, false, Contested, "y"},
+		{[]voteOf{out, out, out}, false, NoAnswer, ""},
+		{[]voteOf{young, mine, out}, false, GrantedByOne, "self"},
+		{[]voteOf{young, mine, mine}, false, Granted, "self"},
+		{[]voteOf{young, young, mine}, false, GrantedByOne, "self"},
+		{[]voteOf{young, other, mine}, false, Contested, "y"},
+		{[]voteOf{young, young, young}, false, NoAnswer, ""},
+		{[]voteOf{young, other, out}, false, Contested, "y"},
 	} {
-		m := newMembers("a", "b", "c", "d", "e")
-		b := m.Ballot(start, "x", holder("self", 1))
+		b := newMembers("a", "b", "c", "d", "e").Ballot(start, "x", holder("self", 1))
 		for n, v := range c.votes {
-			for !b.replicas[n].asked {
-				if b.AskAnother() == "" {
-					t.Fatal("no replica is left to ask")
-				}
-			}
-			if v.holder == none {
-				b.Record(b.replicas[n].name, nil)
-				continue
+			switch name := b.replicas[n].name; v {
+			case out, unreached:
+				b.Record(name, nil, v == out)
+			default:
+				b.Record(name, &Vote{Hold: Hold{Holder: holder(v.holder, 1)}, Young: v.young}, false)
 			}
-			b.Record(b.replicas[n].name, &Vote{Hold: Hold{Holder: holder(v.holder, 1)}, Young: v.young})
+		}
+		if c.late {
+			b.Late()
 		}
 		got, hold := b.Outcome()
 		if got != c.want || hold.Holder.Coordinator != c.by {
-			t.Errorf("%+v: outcome %d of %q, want %d of %q", c.votes, got, hold.Holder.Coordinator, c.want, c.by)
+			t.Errorf("%+v: outcome %d of %q, want %d of %q", c, got, hold.Holder.Coordinator, c.want, c.by)
 		}
 	}
 }
 
-// Guards against calls to more replicas than needed, to those that are known not to answer, and against a
-// process that asks others although it is a replica itself.
-func TestReplicasThatAreAsked(t *testing.T) {
-	m := newMembers("a", "b", "c", "d", "e")
-	id := "x"
-	replicas := m.Replicas(start, id)
-	if diff := cmp.Diff(replicas[:2], m.Ballot(start, id, holder("other", 1)).Ask()); diff != "" {
-		t.Errorf("asked at first (-want +got):\n%s", diff)
+// grantAll has all replicas of a ballot grant the id, and say that they may have forgotten holds if young is set.
+func grantAll(b *Ballot, young bool) Outcome {
+	for _, name := range b.Open() {
+		b.Record(name, &Vote{Hold: Hold{Holder: b.by}, Young: young}, false)
 	}
-	if diff := cmp.Diff([]string{replicas[2], replicas[0]}, m.Ballot(start, id, holder(replicas[2], 1)).Ask()); diff != "" {
-		t.Errorf("asked by a replica (-want +got):\n%s", diff)
+	outcome, _ := b.Outcome()
+	return outcome
+}
+
+// Guards against jobs that wait after a loss of all coordinators, and against a start while a coordinator that has
+// not begun anew may hold the id.
+func TestAllHaveBegunAnew(t *testing.T) {
+	m := NewMembers(start, testTiming)
+	m.Set([]Member{{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}, {"e", 1}})
+	for _, name := range []string{"a", "b", "c"} {
+		m.Answered(start, name, true)
 	}
-	m.Failed(start, replicas[0], false)
-	b := m.Ballot(start, id, holder("other", 1))
-	if diff := cmp.Diff(replicas[1:], b.Ask()); diff != "" {
-		t.Errorf("asked beside a silent replica (-want +got):\n%s", diff)
+	m.Failed(start, "d", false)
+	if got := grantAll(m.Ballot(start, "x", holder("a", 1)), true); got != NoAnswer {
+		t.Errorf("outcome %d before all are known, want %d", got, NoAnswer)
 	}
-	b.Record(replicas[1], nil)
-	if got := b.Ask(); len(got) > 0 {
-		t.Errorf("%v asked, want none: all others have been", got)
+	m.Failed(start, "e", true)
+	if got := grantAll(m.Ballot(start, "x", holder("a", 1)), true); got != Granted {
+		t.Errorf("outcome %d, want %d", got, Granted)
 	}
-	m.Failed(start.Add(time.Minute), replicas[0], false)
-	b = m.Ballot(start.Add(time.Minute), id, holder("other", 1))
-	if asked := b.Ask(); len(asked) != 2 || slices.Contains(asked, replicas[0]) {
-		t.Errorf("%v asked once %s is left out", asked, replicas[0])
+	m.Answered(start, "d", false)
+	if got := grantAll(m.Ballot(start, "x", holder("a", 1)), true); got != NoAnswer {
+		t.Errorf("outcome %d beside one that has not begun anew, want %d", got, NoAnswer)
 	}
 }
 
-// Guards against a grant that only the replicas know which were needed for it: once they end, the third one is
-// asked.
-func TestAllReplicasAreToldOfAGrant(t *testing.T) {
+// Guards against calls to replicas that are known not to answer, and against the word of a member that takes the
+// place of one, and was told of no grant.
+func TestReplicasThatAreAsked(t *testing.T) {
 	m := newMembers("a", "b", "c", "d", "e")
-	b := m.Ballot(start, "x", holder("other", 1))
-	told := b.Ask()
-	for _, name := range told {
-		b.Record(name, &Vote{Hold: Hold{Holder: holder("other", 1)}})
+	id := "x"
+	replicas := m.Replicas(start, id)
+	if diff := cmp.Diff(replicas, m.Ballot(start, id, holder("other", 1)).Open()); diff != "" {
+		t.Errorf("asked at first (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(m.Replicas(start, "x"), append(told, b.Copies()...)); diff != "" {
-		t.Errorf("replicas that are told (-want +got):\n%s", diff)
+	m.Failed(start, replicas[0], false)
+	m.Failed(start, replicas[1], false)
+	if diff := cmp.Diff(replicas[2:], m.Ballot(start, id, holder("other", 1)).Open()); diff != "" {
+		t.Errorf("asked beside two silent replicas (-want +got):\n%s", diff)
+	}
+	out := start.Add(testTiming.Silent)
+	for after, want := range map[time.Duration]Outcome{0: GrantedByOne, testTiming.Forgotten: Granted} {
+		b := m.Ballot(out.Add(after), id, holder("other", 1))
+		if asked := b.Open(); len(asked) != 3 || slices.Contains(asked, replicas[0]) || slices.Contains(asked, replicas[1]) {
+			t.Errorf("%v asked once %v are left out", asked, replicas[:2])
+		}
+		if got := grantAll(b, false); got != want {
+			t.Errorf("%s after two were left out: outcome %d, want %d", after, got, want)
+		}
 	}
 }
 
@@ -121,21 +137,18 @@
 		granted := 0
 		for k, by := range []string{"a", "b"} {
 			b := m.Ballot(start, id, holder(by, 1))
-			for names := b.Ask(); len(names) > 0; names = b.Ask() {
-				for i, name := range names {
-					if tables[name] == nil {
-						tables[name] = New()
-					}
-					if n>>(2*k+i)&1 == 1 && n%3 == k { // this one gets the ask, and the answer is lost
-						tables[name].Take(start, id, holder(by, 1), uint64(k+1), 0)
-						b.Record(name, nil)
-						continue
-					}
-					h := tables[name].Take(start, id, holder(by, 1), uint64(k+1), 0)
-					b.Record(name, &Vote{Hold: h})
+			for i, name := range b.Open() {
+				if tables[name] == nil {
+					tables[name] = New()
 				}
+				h := tables[name].Take(start, id, holder(by, 1), uint64(k+1), 0)
+				if n>>(3*k+i)&1 == 1 { // the answer is lost
+					b.Record(name, nil, n%2 == 0)
+					continue
+				}
+				b.Record(name, &Vote{Hold: h}, false)
 			}
-			if outcome, _ := b.Outcome(); outcome == Granted {
+			if outcome, _ := b.Outcome(); outcome == Granted || outcome == GrantedByOne {
 				granted++
 			}
 		}
@@ -151,15 +164,17 @@
 	id := "x"
 	back := m.Replicas(start, id)[0]
 	m.Failed(start, back, false)
-	returned := start.Add(3 * time.Second)
-	m.Answered(returned, back)
+	returned := start.Add(5 * time.Second)
+	m.Answered(returned, back, false)
 	for after, counts := range map[time.Duration]bool{0: false, testTiming.Forgotten: true} {
 		b := m.Ballot(returned.Add(after), id, holder("other", 1))
-		for _, name := range b.Ask() {
-			b.Record(name, &Vote{Hold: Hold{Holder: holder("other", 1)}})
+		for _, name := range b.Open() {
+			if name != back {
+				b.Record(name, nil, true)
+			}
 		}
-		if outcome, _ := b.Outcome(); (outcome == Granted) != counts {
-			t.Errorf("%s after its return: outcome %d, want it to count: %t", after, outcome, counts)
+		if outcome := grantAll(b, false); (outcome == GrantedByOne) != counts {
+			t.Errorf("%s after its return: outcome %d, want its word to count: %t", after, outcome, counts)
 		}
 	}
 }
--- a/holds/members.go
+++ b/holds/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -11,9 +12,9 @@
 )
 
 const (
-	// ReplicaCount is the number of members that keep the hold of an id, if there are as many. All are told of
-	// a grant, and a process holds the id once most of them have granted it, so two processes that each miss one
-	// replica still share one, and one that misses two learns of earlier grants from the third.
+	// ReplicaCount is the number of members that keep the hold of an id, if there are as many. All are asked, and
+	// a process holds the id once most of them have granted it and none knows of another one, so two processes that
+	// each miss one replica still share one, and one that misses two learns of earlier grants from the third.
 	ReplicaCount = 3
 	// probeInterval is the time between two probes of a member that does not answer. It doubles once the
 	// member is left out, up to maxProbeInterval: the record of a host that is gone for good stays.
@@ -31,15 +32,17 @@
 }
 
 // Timing holds the times after which a member that does not answer is no longer one of the replicas of any id.
-// No run that it, or a holder that only it knows of, has placed may be on by then.
+// No run of its own is on by then.
 type Timing struct {
 	// Silent counts from the first call without an answer, Ended from a refused connection.
 	Silent, Ended time.Duration
-	// Forgotten is the time after which a member that may have missed grants knows all that are in force again.
+	// Forgotten is the time after which a member that may lack grants in force has been told of all of them.
 	Forgotten time.Duration
 }
 
-// Members chooses the replicas of ids among the coordinators, and remembers which of them do not answer.
+// Members chooses the replicas of ids among the coordinators, and remembers which of them do not answer. Such a
+// member is suspected at first: it stays a replica, but is probed instead of asked. After some time it is left out,
+// and the next member takes its place.
 type Members struct {
 	timing Timing
 	// began is the time at which this process began.
@@ -47,24 +50,34 @@
 	list    []Member
 	hashes  []uint64
 	outages map[string]outage
-	// heard holds the members that have ever answered this process.
-	heard map[string]bool
+	// heard holds the members that have ever answered this process, youngAt when each last said that it may lack
+	// grants, if that was its latest answer.
+	heard   map[string]bool
+	youngAt map[string]time.Time
 	// probed holds the members that were probed once.
 	probed map[string]bool
 	// returned holds the times at which members that had been left out answered again.
 	returned map[string]time.Time
 }
 
+// outage is the time since which a member does not answer.
 type outage struct {
 	// outAt is the time from which the member is left out.
 	outAt   time.Time
 	probeAt time.Time
 	pause   time.Duration
+	// told is set if the last failure was not only seen by this process, which may be cut off itself.
+	told bool
+	// wasOut is set if the member was left out until Recheck.
+	wasOut bool
 }
 
 // NewMembers returns Members without a coordinator, of a process that begins now.
 func NewMembers(now time.Time, timing Timing) *Members {
-	return &Members{timing: timing, began: now, outages: make(map[string]outage), heard: make(map[string]bool), probed: make(map[string]bool), returned: make(map[string]time.Time)}
+	return &Members{
+		timing: timing, began: now, outages: make(map[string]outage), heard: make(map[string]bool), youngAt: make(map[string]time.Time),
+		probed: make(map[string]bool), returned: make(map[string]time.Time),
+	}
 }
 
 // Set replaces the coordinators.
@@ -146,7 +159,21 @@
 	return known && now.Sub(at) < m.timing.Forgotten
 }
 
-// Failed records that a member did not answer; ended is set if nothing listens at its address.
+// allBegun reports whether every member but one has begun a moment ago or is gone, so that none holds an id from
+// before.
+func (m *Members) allBegun(now time.Time, self string) bool {
+	for _, member := range m.list {
+		at, young := m.youngAt[member.Name]
+		young = young && now.Sub(at) < m.timing.Forgotten
+		if member.Name != self && !young && !m.leftOut(now, member.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// Failed records that a member did not answer, as this process and another host have found; ended is set if
+// nothing listens at its address.
 func (m *Members) Failed(now time.Time, name string, ended bool) {
 	limit := m.timing.Silent
 	if ended {
@@ -154,11 +181,9 @@
 	}
 	o, out := m.outages[name]
 	switch {
-	case !out && !m.heard[name] && now.Sub(m.began) < m.timing.Forgotten:
-		o = outage{outAt: now} // gone before this process began
-	case !out:
-		o = outage{outAt: now.Add(limit)}
-	case now.Add(limit).Before(o.outAt):
+	case !m.heard[name] && m.began.Add(m.timing.Forgotten).After(now):
+		o.outAt = time.Time{} // gone before this process began
+	case !out || now.Add(limit).Before(o.outAt):
 		o.outAt = now.Add(limit)
 	}
 	if o.pause == 0 || now.Before(o.outAt) {
@@ -166,17 +191,56 @@
 	} else {
 		o.pause = min(2*o.pause, maxProbeInterval)
 	}
+	o.probeAt, o.told = now.Add(o.pause), true
+	m.outages[name] = o
+}
+
+// Unreached records that a call to a member failed while this process may be cut off itself: the member isn't
+// left out for that.
+func (m *Members) Unreached(now time.Time, name string) {
+	o, out := m.outages[name]
+	if !out || now.Before(o.outAt) {
+		o.outAt = now.Add(m.timing.Silent)
+	}
+	o.pause, o.told = probeInterval, false
 	o.probeAt = now.Add(o.pause)
 	m.outages[name] = o
 }
 
-// Answered records that a member answered.
-func (m *Members) Answered(now time.Time, name string) {
-	if m.leftOut(now, name) && m.heard[name] {
+// Answered records that a member answered, and whether it said that it may lack grants in force.
+func (m *Members) Answered(now time.Time, name string, young bool) {
+	if (m.leftOut(now, name) || m.outages[name].wasOut) && m.heard[name] {
 		m.returned[name] = now
 	}
 	m.heard[name] = true
 	delete(m.outages, name)
+	delete(m.youngAt, name)
+	if young {
+		m.youngAt[name] = now
+	}
+}
+
+// Recheck makes the members that are left out replicas again until they have been found not to answer: they may
+// have returned while this process was paused or cut off itself.
+func (m *Members) Recheck(now time.Time) {
+	for name, o := range m.outages {
+		if m.leftOut(now, name) {
+			o.outAt, o.wasOut = now.Add(m.timing.Silent), true
+		}
+		o.pause, o.probeAt = probeInterval, now
+		m.outages[name] = o
+	}
+}
+
+// Other returns a random member but for one, if possible one that answers; empty if there is none.
+func (m *Members) Other(than string) string {
+	other := ""
+	for _, n := range rand.Perm(len(m.list)) {
+		if name := m.list[n].Name; name != than && (other == "" || !m.Suspected(name)) {
+			other = name
+		}
+	}
+	return other
 }
 
 // Called records a call from a member: if it does not answer, it is to be probed at once.
--- a/holds/members_test.go
+++ b/holds/members_test.go
@@ -17,7 +17,7 @@
 	list := make([]Member, 0, len(names))
 	for _, name := range names {
 		list = append(list, Member{name, 1})
-		m.Answered(start, name)
+		m.Answered(start, name, false)
 	}
 	m.Set(list)
 	m.Probes(start)
@@ -114,7 +114,7 @@
 		t.Errorf("probed at first (-want +got):\n%s", diff)
 	}
 	m.Failed(start, "a", false)
-	m.Answered(start, "b")
+	m.Answered(start, "b", false)
 	if got := m.Probes(start.Add(time.Millisecond)); len(got) > 0 {
 		t.Errorf("%v probed again, want none", got)
 	}
@@ -141,8 +141,31 @@
 	if got := m.Probes(now); !slices.Contains(got, "a") {
 		t.Errorf("probes of %v after a call from a, want it probed", got)
 	}
-	m.Answered(now, "a")
+	m.Answered(now, "a", false)
 	if m.Suspected("a") {
 		t.Error("a is suspected after an answer")
 	}
 }
+
+// Guards against a member that is left out by a process that was cut off itself, and against one that stays left
+// out although the process was paused.
+func TestOwnOutageLeavesNobodyOut(t *testing.T) {
+	m := newMembers("a", "b", "c", "d")
+	gone := m.Replicas(start, "x")[0]
+	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		m.Unreached(now, gone)
+		if !slices.Contains(m.Replicas(now, "x"), gone) {
+			t.Fatalf("%s after the first failure: left out", now.Sub(start))
+		}
+	}
+	m = newMembers("a", "b", "c", "d")
+	m.Failed(start, gone, false)
+	woke := start.Add(time.Minute)
+	if slices.Contains(m.Replicas(woke, "x"), gone) {
+		t.Error("a replica after a minute without an answer")
+	}
+	m.Recheck(woke)
+	if !slices.Contains(m.Replicas(woke, "x"), gone) || !slices.Contains(m.Probes(woke), gone) {
+		t.Error("neither a replica nor probed after a pause")
+	}
+}
