coord, link: a replica tells the coordinators that it knows to one that knows others

A coordinator that does not hear the store for a time, or hears it late, does not know new coordinators.

A Hold call carries the digest of the members by which its sender chose the replicas; a peer with another digest answers with the coordinators that it knows, and the sender takes over those that are new, or newer, and asks again by them. Records of coordinators are never dropped, so views grow alike.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -208,6 +208,7 @@
 	switch {
 	case err == nil:
 		c.holdings.members.Answered(c.now, name, reply.GetYoung())
+		c.learnMembers(reply.GetMembers())
 		return false, c.setVotes(asks, reply)
 	case told:
 		c.holdings.members.Failed(c.now, name, link.ConnectionRefused(err))
@@ -260,7 +261,7 @@
 
 // holdRequest returns a call with asks. The caller holds the lock.
 func (c *Coordinator) holdRequest(asks []*holdAsk) *relay.HoldRequest {
-	m := &relay.HoldRequest{Holder: link.HolderToWire(c.self()), Asks: make([]*relay.HoldAsk, len(asks))}
+	m := &relay.HoldRequest{Holder: link.HolderToWire(c.self()), View: c.holdings.view, Asks: make([]*relay.HoldAsk, len(asks))}
 	for n, ask := range asks {
 		m.Asks[n] = &relay.HoldAsk{Id: ask.id, Number: ask.number, Replaced: ask.replaced}
 	}
@@ -326,6 +327,9 @@
 	c.holdings.table.Heard(now, sender)
 	c.holdings.members.Called(now, sender.Coordinator)
 	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(holders)), Young: c.holdings.young(now)}
+	if r.Msg.GetView() != c.holdings.view {
+		reply.Members = link.CoordinatorsToWire(c.coordinators)
+	}
 	for n, ask := range r.Msg.GetAsks() {
 		number := ask.GetNumber()
 		if number == 0 {
@@ -336,6 +340,16 @@
 	return connect.NewResponse(reply), nil
 }
 
+// learnMembers takes over the coordinators of a peer that knows others. The caller holds the lock.
+func (c *Coordinator) learnMembers(members []*relay.Member) {
+	for _, a := range link.CoordinatorsFromWire(members) {
+		if known, ok := c.coordinators[a.Name]; !ok || known.Incarnation < a.Incarnation {
+			c.log.Info().Str("coordinator", a.Name).Uint64("incarnation", a.Incarnation).Msg("coordinator told by a peer")
+			c.handleCoordinatorAddress(a)
+		}
+	}
+}
+
 // askedFor returns the process that an ask is for.
 func askedFor(sender holds.Holder, ask *relay.HoldAsk) (holds.Holder, error) {
 	if err := work.CheckID(ask.GetId()); err != nil {
--- a/link/holder.go
+++ b/link/holder.go
@@ -7,6 +7,7 @@
 	"carobpulley"
 	"carobpulley/holds"
 	"carobpulley/wire/relay"
+	"carobpulley/work"
 )
 
 // maxHoldAge bounds the age of a hold that a peer tells; holds are kept for a shorter time.
@@ -49,3 +50,25 @@
 func holdAge(ms int64) time.Duration {
 	return time.Duration(min(max(ms, 0), maxHoldAge.Milliseconds())) * time.Millisecond
 }
+
+// CoordinatorsToWire converts the addresses of coordinators.
+func CoordinatorsToWire(coordinators map[string]work.Address) []*relay.Member {
+	members := make([]*relay.Member, 0, len(coordinators))
+	for _, a := range coordinators {
+		members = append(members, &relay.Member{Name: a.Name, Addr: a.Addr.String(), Incarnation: a.Incarnation, Domain: a.Domain, Share: a.Share})
+	}
+	return members
+}
+
+// CoordinatorsFromWire converts the addresses of coordinators. It leaves out those that can't be called.
+func CoordinatorsFromWire(members []*relay.Member) []work.Address {
+	var coordinators []work.Address
+	for _, m := range members {
+		addr, err := netip.ParseAddrPort(m.GetAddr())
+		if err != nil || addr.Port() == 0 || m.GetName() == "" {
+			continue
+		}
+		coordinators = append(coordinators, work.Address{Name: m.GetName(), Addr: addr, Incarnation: m.GetIncarnation(), Domain: m.GetDomain(), Share: m.GetShare()})
+	}
+	return coordinators
+}
