holds: two replicas an id; a coordinator that is back calls all others

Each that answers has to grant the id, so a second one that is out, or has begun anew, leaves the word of the other, which knows all grants; if both are out the start waits as before.

With two, TestTwoReplicasAreBack failed in one case: 1.6 s after a cut of 12 s one coordinator still left both out, as it probes members that are gone for long more rarely, and another one asked them alone. A process that was cut off or paused now calls all others once as it is back; they probe it at once and it is a replica again for all. Its word counts 1.3 s later, as before.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -20,8 +20,6 @@
 	// holdTimeout bounds one call to a replica: a host that has used up its share of the processor runs
 	// again within 100 ms.
 	holdTimeout = 120 * time.Millisecond
-	// lateAfter is the time after which answers are not waited for that are not needed.
-	lateAfter = 40 * time.Millisecond
 	// maxHoldBatch bounds the ids of one call.
 	maxHoldBatch = 256
 )
@@ -129,8 +127,6 @@
 		c.submitAsk(now, &holdAsk{id: id, number: g.number, replaced: replaced, replica: name, done: answers})
 	}
 	c.mu.Unlock()
-	late := time.NewTimer(lateAfter)
-	defer late.Stop()
 	for {
 		outcome, hold := ballot.Outcome()
 		if outcome != holds.Pending {
@@ -140,8 +136,6 @@
 		select {
 		case ask := <-answers:
 			ballot.Record(ask.replica, ask.vote, ask.told)
-		case <-late.C:
-			ballot.Late()
 		case <-ctx.Done():
 			return holds.Pending, holds.Hold{}, grant{}
 		}
--- a/holds/ballot.go
+++ b/holds/ballot.go
@@ -12,14 +12,14 @@
 const (
 	// Pending means that answers are missing.
 	Pending Outcome = iota
-	// Granted means that the process holds the id: most replicas have granted it.
+	// Granted means that the process holds the id: all replicas have granted it.
 	Granted
 	// GrantedByOne means that the process holds the id by the word of one replica that knows all grants. The
-	// others don't answer, by the word of another host too, or may have forgotten grants.
+	// other one doesn't answer, by the word of another host too, or may have forgotten grants.
 	GrantedByOne
-	// Elsewhere means that another process holds the id.
+	// Elsewhere means that another process holds the id: no replica has granted it to this one.
 	Elsewhere
-	// Contested means that a replica has granted the id to another process, and most of them to none.
+	// Contested means that replicas have granted the id to different processes.
 	Contested
 	// NoAnswer means that no replica answers that knows all grants. Another process may hold the id.
 	NoAnswer
@@ -37,8 +37,6 @@
 type Ballot struct {
 	by       Holder
 	replicas []replica
-	// late is set once the answers that are still missing are not waited for.
-	late bool
 	// allBegun is set if no process holds an id from before the replicas began.
 	allBegun bool
 }
@@ -65,9 +63,6 @@
 	return b
 }
 
-// quorum is the number of replicas that have to grant the id.
-func (b *Ballot) quorum() int { return len(b.replicas)/2 + 1 }
-
 // Open returns the replicas whose answers are missing, at first those that are to be asked: all that are not
 // known not to answer.
 func (b *Ballot) Open() []string { return b.names(func(r replica) bool { return r.open }) }
@@ -94,33 +89,28 @@
 	}
 }
 
-// Late ends the wait for answers that are not needed.
-func (b *Ballot) Late() { b.late = true }
-
 // Outcome returns what the answers so far come to, with the hold in force: that of the process itself, or
 // that of another one.
 func (b *Ballot) Outcome() (Outcome, Hold) {
-	var dissent *Hold
-	for _, r := range b.replicas {
-		other := r.other(b.by)
-		if other != nil && b.votesFor(other.Holder) >= b.quorum() {
-			return Elsewhere, b.holdOf(other.Holder)
-		}
-		if dissent == nil {
-			dissent = other
-		}
-	}
-	missing := len(b.Open()) > 0
+	own := b.votesFor(b.by)
 	switch {
 	case len(b.replicas) == 0:
 		return NoAnswer, Hold{} // the members are not known yet
-	case missing && (!b.late || dissent == nil && b.grants() < b.quorum()):
+	case len(b.Open()) > 0:
 		return Pending, Hold{}
-	case dissent != nil:
-		return Contested, b.holdOf(dissent.Holder)
-	case b.grants() >= b.quorum(), b.allBegun && b.votesFor(b.by) >= b.quorum():
+	case b.grants() == len(b.replicas), b.allBegun && own == len(b.replicas):
 		return Granted, b.holdOf(b.by)
-	case b.grants() > 0 && b.othersTold():
+	}
+	for _, r := range b.replicas {
+		switch other := r.other(b.by); {
+		case other == nil:
+		case own == 0 && b.votesFor(other.Holder) == len(b.replicas)-len(b.Silent()):
+			return Elsewhere, b.holdOf(other.Holder)
+		default:
+			return Contested, b.holdOf(other.Holder)
+		}
+	}
+	if b.grants() > 0 && b.othersTold() {
 		return GrantedByOne, b.holdOf(b.by)
 	}
 	return NoAnswer, Hold{}
--- a/holds/members.go
+++ b/holds/members.go
@@ -13,9 +13,9 @@
 
 const (
 	// ReplicaCount is the number of members that keep the hold of an id, if there are as many. All are asked, and
-	// a process holds the id once most of them have granted it and none knows of another one, so two processes that
-	// each miss one replica still share one, and one that misses two learns of earlier grants from the third.
-	ReplicaCount = 3
+	// each that answers has to grant the id: one that is out leaves the other one's word, which knows all grants.
+	// Every further replica costs a call a job; three were too much for hosts with an eighth of a core.
+	ReplicaCount = 2
 	// probeInterval is the time between two probes of a member that does not answer. It doubles once the
 	// member is left out, up to maxProbeInterval: the record of a host that is gone for good stays.
 	probeInterval    = 250 * time.Millisecond
@@ -221,8 +221,10 @@
 }
 
 // Recheck makes the members that are left out replicas again until they have been found not to answer: they may
-// have returned while this process was paused or cut off itself.
+// have returned while this process was paused or cut off itself. All others are called once, so that those that
+// have left this process out find it back.
 func (m *Members) Recheck(now time.Time) {
+	clear(m.probed)
 	for name, o := range m.outages {
 		if m.leftOut(now, name) {
 			o.outAt, o.wasOut = now.Add(m.timing.Silent), true
