coord: a holder knows its own hold, also if it is no replica of the id

A process that ran a job granted the job's id to another one that took it for a replica, since the two had left out different members, and it kept only what it was asked for as a replica. It now keeps its own grants in its table.

--- a/coord/hold.go
+++ b/coord/hold.go
@@ -85,8 +85,12 @@
 	return false, false, carobpulley.JobAnswer{}
 }
 
-// recordGrant counts how a job that may start here is guarded against another start.
+// recordGrant counts how a job that may start here is guarded against another start, and keeps the hold: others
+// that know other members may take this process for a replica of the id.
 func (c *Coordinator) recordGrant(id string, outcome holds.Outcome, g grant) {
+	c.lock()
+	c.holdings.table.Take(c.now, id, c.self(), g.number, 0)
+	c.mu.Unlock()
 	result := "granted"
 	switch {
 	case g.members == 0:
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -57,6 +57,8 @@
 	Log    zerolog.Logger
 	// SteadyAges makes the processes judge ages by the clock that doesn't count suspensions.
 	SteadyAges bool
+	// Late is the number of coordinators, the last ones, that don't start with the fleet.
+	Late int
 }
 
 // Process is one coordinator or agent of a fleet: one of Coordinator and Agent is nil.
@@ -118,7 +120,7 @@
 		f.targetLocks[n] = make(chan struct{}, 1)
 	}
 	f.Coordinators = make([]*Process, spec.Coordinators)
-	for n := range spec.Coordinators {
+	for n := range spec.Coordinators - spec.Late {
 		f.StartCoordinator(n)
 	}
 	f.Agents = make([]*Process, spec.Endpoints)
--- /dev/null
+++ b/emul/two_coordinators_days_test.go
@@ -0,0 +1,565 @@
+package emul
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"carobpulley"
+	"carobpulley/work"
+)
+
+const (
+	// twoCoordinatorsDays is the number of seeds of TestTwoCoordinatorsDays in a test run without EMUL_DAYS.
+	twoCoordinatorsDays = 4
+	// twoCoordinatorsInterval is the mean time between two callers.
+	twoCoordinatorsInterval = 40 * time.Millisecond
+	// maxApart bounds the time between two submissions of a caller whose connection breaks as it sends a job.
+	maxApart = 90 * time.Millisecond
+	// maxBreakSeen bounds the time from the break of a connection until the coordinator sees it, and
+	// maxBreakSeenBack that from the time on at which a coordinator that was paused or cut off is back.
+	maxBreakSeen     = 300 * time.Millisecond
+	maxBreakSeenBack = 200 * time.Millisecond
+	// answeredWithin is the time after the last fault within which every caller has an answer.
+	answeredWithin = 25 * time.Second
+	// reachPoll is the time between two looks at whether a coordinator is reached.
+	reachPoll = 5 * time.Millisecond
+)
+
+// twoDay is a random day whose callers send their jobs to two coordinators.
+type twoDay struct {
+	*Fleet
+	seed uint64
+	// busy excludes simultaneous faults of a coordinator's process.
+	busy []chan struct{}
+
+	mu sync.Mutex
+	// begun is the number of coordinators that have ever started.
+	begun int
+	// cuts counts the faults that cut one host off from another one, and unheard those that cut a coordinator
+	// off from callers.
+	cuts    map[[2]netip.Addr]int
+	unheard []int
+	// calmAt is the end of the last fault; zero until then.
+	calmAt time.Time
+	// calls holds the submissions of each job, for the text of a failure.
+	calls map[string][]string
+
+	// again counts the submissions that followed another one at once, answers the jobs with a result.
+	again, answers atomic.Int64
+}
+
+func newTwoDay(f *Fleet, seed uint64) *twoDay {
+	d := &twoDay{
+		Fleet: f, seed: seed, begun: f.spec.Coordinators - f.spec.Late,
+		cuts: make(map[[2]netip.Addr]int), unheard: make([]int, f.spec.Coordinators), calls: make(map[string][]string),
+	}
+	for range f.spec.Coordinators {
+		d.busy = append(d.busy, make(chan struct{}, 1))
+	}
+	return d
+}
+
+// draw returns a coordinator that has ever started.
+func (d *twoDay) draw(rng *rand.Rand) int { return rng.IntN(d.count()) }
+
+func (d *twoDay) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.begun
+}
+
+// others returns the coordinators but for one.
+func (d *twoDay) others(n int) []int {
+	var all []int
+	for k := range d.spec.Coordinators {
+		if k != n {
+			all = append(all, k)
+		}
+	}
+	return all
+}
+
+// cut begins or ends the loss of what one host sends to another one.
+func (d *twoDay) cut(from, to netip.Addr, on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := [2]netip.Addr{from, to}
+	if on {
+		d.cuts[key]++
+	} else {
+		d.cuts[key]--
+	}
+	d.Net.SetBlocked(from, to, d.cuts[key] > 0)
+}
+
+// way is the directions of a fault between hosts.
+type way struct{ there, back bool }
+
+func drawWay(rng *rand.Rand) way {
+	there := rng.IntN(4) != 0
+	return way{there, !there || rng.IntN(2) == 0}
+}
+
+// cutCoordinators begins or ends the loss of what coordinators send to others (there), or get from them (back).
+func (d *twoDay) cutCoordinators(from, to []int, w way, on bool) {
+	for _, a := range from {
+		for _, b := range to {
+			if w.there {
+				d.cut(CoordinatorAddr(a), CoordinatorAddr(b), on)
+			}
+			if w.back {
+				d.cut(CoordinatorAddr(b), CoordinatorAddr(a), on)
+			}
+		}
+	}
+}
+
+// cutAgents begins or ends the loss of what a coordinator sends to agents (there), or gets from them (back).
+func (d *twoDay) cutAgents(n int, w way, on bool) {
+	for agent := range d.spec.Endpoints {
+		if w.there {
+			d.cut(CoordinatorAddr(n), AgentAddr(agent), on)
+		}
+		if w.back {
+			d.cut(AgentAddr(agent), CoordinatorAddr(n), on)
+		}
+	}
+}
+
+// cutAll begins or ends the loss of what a coordinator sends to all hosts, callers among them, or gets from them.
+func (d *twoDay) cutAll(n int, w way, on bool) {
+	d.cutCoordinators([]int{n}, d.others(n), w, on)
+	d.cutAgents(n, w, on)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if on {
+		d.unheard[n]++
+	} else {
+		d.unheard[n]--
+	}
+}
+
+// awaitReached waits until a process runs and callers reach it, or it has ended. It reports whether it waited.
+func (d *twoDay) awaitReached(n int, p *Process) (waited bool) {
+	for !p.hasEnded() {
+		waited = p.suspension.wait() || waited
+		d.mu.Lock()
+		reached := d.unheard[n] == 0
+		d.mu.Unlock()
+		if reached {
+			break
+		}
+		waited = true
+		time.Sleep(reachPoll)
+	}
+	return waited
+}
+
+func (p *Process) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// twoCall is one submission.
+type twoCall struct {
+	at int
+	// late is the time from the sending to the arrival.
+	late time.Duration
+	// breakAfter is the time from the sending until the connection breaks, if it does before the caller's
+	// patience is over.
+	breakAfter time.Duration
+	// seen is the time from the break until the coordinator sees it, and seenBack that from the time on at which
+	// the coordinator is back.
+	seen, seenBack time.Duration
+}
+
+// submit makes a call. It reports false if the connection has broken before the answer.
+func (d *twoDay) submit(c twoCall, j *work.Job) (a carobpulley.JobAnswer, answered bool) {
+	p := d.coordinator(c.at)
+	ctx, cancel := context.WithCancel(d.ctx)
+	arrived, answers := make(chan struct{}), make(chan carobpulley.JobAnswer, 1)
+	go func() {
+		time.Sleep(c.late)
+		d.awaitReached(c.at, p)
+		close(arrived)
+		if p.hasEnded() {
+			return
+		}
+		limited, cancel := context.WithTimeout(ctx, callerTimeout)
+		defer cancel()
+		a := p.Coordinator.Submit(limited, j)
+		d.awaitReached(c.at, p)
+		answers <- a
+	}()
+	select {
+	case a = <-answers:
+		cancel()
+		return a, true
+	case <-p.done:
+		cancel()
+		return a, false
+	case <-time.After(c.breakAfter):
+	}
+	go func() {
+		time.Sleep(c.seen)
+		<-arrived // a process reads a job before it sees that its sender has left
+		if d.awaitReached(c.at, p) {
+			time.Sleep(c.seenBack)
+			d.awaitReached(c.at, p)
+		}
+		cancel()
+	}()
+	return a, false
+}
+
+// isOver reports whether callers should have had their answers by now.
+func (d *twoDay) isOver() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.calmAt.IsZero() && time.Since(d.calmAt) > answeredWithin
+}
+
+func (d *twoDay) record(id, format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls[id] = append(d.calls[id], fmt.Sprintf(format, args...))
+}
+
+// logCalls logs the submissions of the jobs that violations name.
+func (d *twoDay) logCalls(t *testing.T) {
+	for _, v := range d.Checker.Violations() {
+		for id, calls := range d.calls {
+			if strings.Contains(v, id) {
+				t.Logf("job %s: %s", id, strings.Join(calls, "; "))
+				delete(d.calls, id)
+			}
+		}
+	}
+}
+
+// play submits a job until it is answered, each time at another coordinator: at once if the connection has
+// broken soon after the job was sent, and otherwise resubmitAfter later.
+func (d *twoDay) play(rng *rand.Rand, j *work.Job) {
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(limit))) }
+	at := d.draw(rng)
+	for !d.isOver() {
+		c := twoCall{at: at, breakAfter: callerTimeout + 500*time.Millisecond, seen: upTo(1 + upTo(maxBreakSeen)), seenBack: upTo(maxBreakSeenBack)}
+		pause := resubmitAfter
+		switch rng.IntN(6) {
+		case 0, 1:
+			apart := upTo(maxApart)
+			c.breakAfter = upTo(apart + 1)
+			pause = apart - c.breakAfter
+			if rng.IntN(3) == 0 {
+				c.late = upTo(2 * maxApart) // it may arrive after the second submission
+			}
+			d.again.Add(1)
+		case 2:
+			c.breakAfter = upTo(time.Second)
+		}
+		began, again := time.Now(), *j
+		a, answered := d.submit(c, &again)
+		d.record(j.ID, "%s to coordinator %d, late by %s, %s later answered %t %d %q; seen after %s and %s", began.Format("15:04:05.000"), at, c.late, time.Since(began), answered, a.Code, a.Reason, c.seen, c.seenBack)
+		if answered {
+			switch {
+			case a.Code == carobpulley.AnswerOK && a.State == work.StateCompleted:
+				d.Checker.CheckCompleted(j)
+				d.answers.Add(1)
+				return
+			case a.Code == carobpulley.AnswerOK && a.State == work.StateFailed:
+				return
+			case a.Code == carobpulley.AnswerOK:
+				d.Checker.AddViolation(fmt.Sprintf("job %s was answered as %q", j.ID, a.State))
+				return
+			case a.Code == carobpulley.AnswerRefused:
+				pause = 100 * time.Millisecond
+			default:
+				pause = resubmitAfter
+			}
+		} else if time.Since(began) < maxApart && d.coordinator(at).hasEnded() {
+			pause = upTo(maxApart) // nothing listens there
+		}
+		time.Sleep(pause)
+		at = (at + 1 + rng.IntN(d.count()-1)) % d.count()
+	}
+	d.Checker.AddViolation("job " + j.ID + " got no answer")
+}
+
+// callers lets callers play for elsewhereLoad, and waits for them.
+func (d *twoDay) callers() {
+	var wg sync.WaitGroup
+	rng := rand.New(rand.NewPCG(d.seed, 5))
+	began := time.Now()
+	for n := 0; time.Since(began) < elsewhereLoad; n++ {
+		time.Sleep(time.Duration(rng.Int64N(int64(2 * twoCoordinatorsInterval))))
+		j, own := testJob(n, true, 1+rng.IntN(3)), rand.New(rand.NewPCG(d.seed, uint64(n)))
+		j.Steps[0].Resources.CPU = 2000
+		wg.Go(func() { d.play(own, j) })
+	}
+	wg.Wait()
+}
+
+// twoFault injects a fault and removes it again.
+type twoFault struct {
+	name   string
+	inject func(d *twoDay, rng *rand.Rand)
+}
+
+func lasting(rng *rand.Rand) time.Duration {
+	if rng.IntN(3) == 0 {
+		return time.Duration(20+rng.IntN(380)) * time.Millisecond
+	}
+	return time.Duration(300+rng.IntN(4000)) * time.Millisecond
+}
+
+// ofProcess returns a fault of a coordinator's process, which is left out if there is another one already.
+func ofProcess(name string, inject func(d *twoDay, rng *rand.Rand, n int)) twoFault {
+	return twoFault{name, func(d *twoDay, rng *rand.Rand) {
+		n := d.draw(rng)
+		select {
+		case d.busy[n] <- struct{}{}:
+			inject(d, rng, n)
+			<-d.busy[n]
+		default:
+		}
+	}}
+}
+
+// ofFleet returns a fault of the other days.
+func ofFleet(a faultAction) twoFault {
+	return twoFault{a.name, func(d *twoDay, rng *rand.Rand) {
+		d.targetLocks[a.target] <- struct{}{}
+		a.inject(d.Fleet, rng)
+		<-d.targetLocks[a.target]
+	}}
+}
+
+// processFaults returns faults of coordinators' processes.
+func processFaults() []twoFault {
+	return []twoFault{
+		ofProcess("kill", func(d *twoDay, rng *rand.Rand, n int) {
+			d.coordinator(n).Kill()
+			time.Sleep(lasting(rng))
+			d.StartCoordinator(n)
+		}),
+		ofProcess("restart", func(d *twoDay, _ *rand.Rand, n int) {
+			d.coordinator(n).Kill()
+			d.StartCoordinator(n)
+		}),
+		ofProcess("stop", func(d *twoDay, rng *rand.Rand, n int) {
+			d.coordinator(n).Stop()
+			if rng.IntN(2) == 0 {
+				time.Sleep(lasting(rng))
+			}
+			d.StartCoordinator(n)
+		}),
+		ofProcess("suspend", func(d *twoDay, rng *rand.Rand, n int) { d.coordinator(n).Suspend(lasting(rng)) }),
+		ofProcess("freeze", func(d *twoDay, rng *rand.Rand, n int) { d.coordinator(n).Freeze(lasting(rng)) }),
+		ofProcess("freeze often", func(d *twoDay, rng *rand.Rand, n int) {
+			for range 6 {
+				d.coordinator(n).Freeze(time.Duration(10+rng.IntN(390)) * time.Millisecond)
+				time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+			}
+		}),
+		{"join", func(d *twoDay, _ *rand.Rand) {
+			d.mu.Lock()
+			n := d.begun
+			d.mu.Unlock()
+			if n == d.spec.Coordinators {
+				return
+			}
+			select {
+			case d.busy[n] <- struct{}{}:
+			default:
+				return
+			}
+			d.StartCoordinator(n)
+			d.mu.Lock()
+			d.begun = n + 1
+			d.mu.Unlock()
+			<-d.busy[n]
+		}},
+	}
+}
+
+// networkFaults returns faults between coordinators, and between them and the other hosts.
+func networkFaults() []twoFault {
+	return []twoFault{
+		{"cut pair", func(d *twoDay, rng *rand.Rand) {
+			a, w := d.draw(rng), drawWay(rng)
+			to := d.others(a)
+			to = []int{to[rng.IntN(len(to))]}
+			d.cutCoordinators([]int{a}, to, w, true)
+			time.Sleep(lasting(rng))
+			d.cutCoordinators([]int{a}, to, w, false)
+		}},
+		{"cut from coordinators", func(d *twoDay, rng *rand.Rand) {
+			a, w := d.draw(rng), drawWay(rng)
+			d.cutCoordinators([]int{a}, d.others(a), w, true)
+			time.Sleep(lasting(rng))
+			d.cutCoordinators([]int{a}, d.others(a), w, false)
+		}},
+		{"cut groups", func(d *twoDay, rng *rand.Rand) {
+			var groups [2][]int
+			for n := range d.spec.Coordinators {
+				k := rng.IntN(2)
+				groups[k] = append(groups[k], n)
+			}
+			w := drawWay(rng)
+			d.cutCoordinators(groups[0], groups[1], w, true)
+			time.Sleep(lasting(rng))
+			d.cutCoordinators(groups[0], groups[1], w, false)
+		}},
+		{"cut from agents", func(d *twoDay, rng *rand.Rand) {
+			n, w := d.draw(rng), drawWay(rng)
+			d.cutAgents(n, w, true)
+			time.Sleep(lasting(rng))
+			d.cutAgents(n, w, false)
+		}},
+		{"cut from all", func(d *twoDay, rng *rand.Rand) {
+			n, w := d.draw(rng), drawWay(rng)
+			d.cutAll(n, w, true)
+			time.Sleep(lasting(rng))
+			d.cutAll(n, w, false)
+		}},
+		{"cut several from all", func(d *twoDay, rng *rand.Rand) {
+			cut, w, length := rng.Perm(d.count())[:2+rng.IntN(2)], drawWay(rng), lasting(rng)
+			for _, n := range cut {
+				d.cutAll(n, w, true)
+			}
+			time.Sleep(length)
+			for _, n := range cut {
+				d.cutAll(n, w, false)
+				time.Sleep(time.Duration(rng.IntN(50)) * time.Millisecond)
+			}
+		}},
+		{"delay", func(d *twoDay, rng *rand.Rand) {
+			a, w, added := d.draw(rng), drawWay(rng), time.Duration(rng.IntN(130))*time.Millisecond
+			set := func(added time.Duration) {
+				for _, b := range d.others(a) {
+					if w.there {
+						d.Net.SetDelay(CoordinatorAddr(a), CoordinatorAddr(b), added)
+					}
+					if w.back {
+						d.Net.SetDelay(CoordinatorAddr(b), CoordinatorAddr(a), added)
+					}
+				}
+			}
+			set(added)
+			time.Sleep(lasting(rng))
+			set(0)
+		}},
+		{"silence", func(d *twoDay, rng *rand.Rand) {
+			a, w := d.draw(rng), drawWay(rng)
+			to := d.others(a)
+			if rng.IntN(2) == 0 {
+				to = to[:1+rng.IntN(len(to))]
+			}
+			for _, b := range to {
+				d.SilenceBetween(CoordinatorAddr(a), CoordinatorAddr(b), w.there, w.back)
+			}
+			if rng.IntN(2) == 0 {
+				d.SilenceCoordinator(a, w.there, w.back)
+			}
+			time.Sleep(lasting(rng) / 4)
+		}},
+	}
+}
+
+// storeFaults returns faults by which the views of coordinators differ.
+func storeFaults() []twoFault {
+	return []twoFault{
+		{"store", func(d *twoDay, rng *rand.Rand) {
+			var views []*View
+			for n := range d.count() {
+				if rng.IntN(2) == 0 {
+					views = append(views, d.coordinator(n).Store)
+				}
+			}
+			fault := []Fault{FaultBusy, FaultUnresponsive}[rng.IntN(2)]
+			for _, v := range views {
+				v.SetFault(fault)
+			}
+			time.Sleep(2 * lasting(rng))
+			for _, v := range views {
+				v.SetFault(FaultNone)
+			}
+		}},
+	}
+}
+
+// twoFaults returns all faults of the days, those between coordinators more than once.
+func twoFaults() []twoFault {
+	faults := append(networkFaults(), networkFaults()...)
+	faults = append(append(faults, processFaults()...), storeFaults()...)
+	faults = append(faults, storeFaults()...)
+	for _, a := range append(faultActions()[2:5], suspendActions()[0]) {
+		faults = append(faults, ofFleet(a))
+	}
+	return faults
+}
+
+// injectFaults injects three faults at a time for elsewhereLoad.
+func (d *twoDay) injectFaults(t *testing.T) *sync.WaitGroup {
+	began, faults := time.Now(), twoFaults()
+	var wg sync.WaitGroup
+	for n := range uint64(3) {
+		rng := rand.New(rand.NewPCG(d.seed, 1000+n))
+		wg.Go(func() {
+			for time.Since(began) < elsewhereLoad {
+				time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+				fault, at := faults[rng.IntN(len(faults))], time.Now()
+				fault.inject(d, rng)
+				t.Logf("%s to %s %s", at.Format("15:04:05.000"), time.Now().Format("15:04:05.000"), fault.name)
+			}
+		})
+	}
+	return &wg
+}
+
+// Guards against two runs of a task at a time, and against callers without an answer, as they send their jobs
+// to two coordinators, at once or after a break, while coordinators are cut off from each other and from other
+// hosts, are paused, end and join, and know different members.
+func TestTwoCoordinatorsDays(t *testing.T) {
+	first, count := seedRange(t)
+	if count == defaultSeeds {
+		count = twoCoordinatorsDays
+	}
+	for seed := first; seed < first+count; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			spec := testSpec()
+			spec.Seed = seed * 100
+			spec.Coordinators = 4 + int(seed%3)
+			spec.Late = int(seed/3) % 2
+			spec.Behavior = longerBehavior(seed)
+			runFleet(t, spec, func(t *testing.T, f *Fleet) {
+				d := newTwoDay(f, seed)
+				faults := d.injectFaults(t)
+				var callers sync.WaitGroup
+				callers.Go(d.callers)
+				faults.Wait()
+				d.mu.Lock()
+				d.calmAt = time.Now()
+				d.mu.Unlock()
+				callers.Wait()
+				d.logCalls(t)
+				t.Logf("%d submissions at once after another one, %d jobs answered, %d runs", d.again.Load(), d.answers.Load(), f.Checker.RunCount())
+				if d.again.Load() == 0 || d.answers.Load() == 0 {
+					t.Error("no job was sent to two coordinators at once, or none was answered")
+				}
+			})
+		})
+	}
+}
