--- a/emul/differing_homes_test.go
+++ b/emul/differing_homes_test.go
@@ -59,7 +59,7 @@
 // one, which did not reach it a moment ago, passes it over.
 func TestHolderIsItsOwnHomeAndPassedOver(t *testing.T) {
 	runFleet(t, homesSpec(700*time.Millisecond), func(_ *testing.T, f *Fleet) {
-		// Neither 1 nor 2 reaches 0, and the copies of 0's own holds get lost on their way to 3.
+		// Neither 1 nor 2 reaches 0, and 0 does not reach 3 directly as the jobs come.
 		f.cutCoordinators(0, 1, true)
 		f.cutCoordinators(0, 2, true)
 		f.askAll(100, 0, 1, 2)
--- a/emul/replaced_test.go
+++ b/emul/replaced_test.go
@@ -8,9 +8,9 @@
 	"carobpulley/work"
 )
 
-// Guards against two runs of a task at a time because a replica keeps a hold that the others have replaced: it
-// decides alone once they have ended.
-func TestCopiesReplaceHolds(t *testing.T) {
+// Guards against two runs of a task at a time because a replica keeps a hold that the other one has replaced: it
+// decides alone once that one has ended.
+func TestReplacedHoldIsGoneAtAllReplicas(t *testing.T) {
 	spec := homesSpec(700 * time.Millisecond)
 	spec.Coordinators = 6
 	spec.Capacity = work.Resources{CPU: 640_000, MemMB: 1_000_000}
--- a/emul/views_test.go
+++ b/emul/views_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Guards against two runs of a task at a time if two of three replicas end while the job of a third coordinator,
+// Guards against two runs of a task at a time if two replicas end while the job of a third coordinator,
 // which goes on, runs: two members that know of no hold take their place.
 func TestTwoReplicasEndUnderARunningJob(t *testing.T) {
 	for _, after := range []time.Duration{700, 1300, 1400, 1600, 1800, 2200} {
@@ -165,7 +165,7 @@
 	})
 }
 
-// Guards against two runs of a task at a time if two of three replicas are cut off from all hosts while the job of
+// Guards against two runs of a task at a time if two replicas are cut off from all hosts while the job of
 // a third coordinator, which goes on, runs, also once they are back.
 func TestTwoReplicasAreCutOffUnderARunningJob(t *testing.T) {
 	for _, cut := range []time.Duration{2000, 5000} {
