holds: the two replicas of an id are in different failure domains

A failure domain that is cut off or without power took both replicas of a part of the ids along, whose starts then waited for 1.3 s: of nine coordinators in domains of 4, 2 and 3 both replicas of 28% of the ids were in one (by counting, equal weights). The second replica is now taken from another domain if there is one. TestReplicasAreInDifferentDomains is new; members have their domain in the digest of the view, too.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -72,7 +72,7 @@
 func (c *Coordinator) updateMembers() {
 	members := make([]holds.Member, 0, len(c.coordinators))
 	for name, a := range c.coordinators {
-		members = append(members, holds.Member{Name: name, Weight: a.Share})
+		members = append(members, holds.Member{Name: name, Weight: a.Share, Domain: a.Domain})
 	}
 	c.holdings.members.Set(members)
 	c.holdings.view = c.holdings.members.Digest()
--- a/holds/ballot_test.go
+++ b/holds/ballot_test.go
@@ -71,7 +71,7 @@
 // not begun anew may hold the id.
 func TestAllHaveBegunAnew(t *testing.T) {
 	m := NewMembers(start, testTiming)
-	m.Set([]Member{{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}, {"e", 1}})
+	m.Set([]Member{{"a", 1, ""}, {"b", 1, ""}, {"c", 1, ""}, {"d", 1, ""}, {"e", 1, ""}})
 	for _, name := range []string{"a", "b", "c"} {
 		m.Answered(start, name, true)
 	}
--- a/holds/members.go
+++ b/holds/members.go
@@ -29,6 +29,8 @@
 	Name string
 	// Weight is its share of the ids relative to the others: the CPU cores that it may use.
 	Weight float64
+	// Domain is its failure domain; empty if that is not known.
+	Domain string
 }
 
 // Timing holds the times after which a member that does not answer is no longer one of the replicas of any id.
@@ -92,41 +94,43 @@
 // Len returns the number of coordinators.
 func (m *Members) Len() int { return len(m.list) }
 
-// Digest returns a digest of the members' names and weights, in whichever order they are.
+// Digest returns a digest of the members' names, weights and failure domains, in whichever order they are.
 func (m *Members) Digest() uint64 {
 	sorted := slices.SortedFunc(slices.Values(m.list), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	d := xxhash.New()
 	for _, member := range sorted {
-		_, _ = d.WriteString(member.Name + "=" + strconv.FormatFloat(member.Weight, 'g', -1, 64) + ";")
+		_, _ = d.WriteString(member.Name + "=" + strconv.FormatFloat(member.Weight, 'g', -1, 64) + "/" + member.Domain + ";")
 	}
 	return d.Sum64()
 }
 
-// Replicas returns the members that keep the hold of an id, the first ones by weighted rendezvous hashing among
-// those that are not left out. A member that joins or leaves changes the replicas of its own ids only.
+// Replicas returns the members that keep the hold of an id, by weighted rendezvous hashing among those that are
+// not left out; each in another failure domain than the ones before it, if there is one. A member that joins or
+// leaves changes the replicas of its own ids only.
 func (m *Members) Replicas(now time.Time, id string) []string {
-	var names [ReplicaCount]string
-	var scores [ReplicaCount]float64
-	count := 0
 	hash := xxhash.Sum64String(id)
-	for n, member := range m.list {
-		if m.leftOut(now, member.Name) {
-			continue
-		}
-		s := score(hash^m.hashes[n], member.Weight)
-		at := count
-		for at > 0 && (s > scores[at-1] || s == scores[at-1] && member.Name < names[at-1]) {
-			at--
+	chosen := make([]int, 0, ReplicaCount)
+	for range ReplicaCount {
+		best, bestScore, bestApart := -1, 0.0, false
+		for n, member := range m.list {
+			if slices.Contains(chosen, n) || m.leftOut(now, member.Name) {
+				continue
+			}
+			apart := !slices.ContainsFunc(chosen, func(k int) bool { return m.list[k].Domain == member.Domain })
+			s := score(hash^m.hashes[n], member.Weight)
+			if best < 0 || apart && !bestApart || apart == bestApart && (s > bestScore || s == bestScore && member.Name < m.list[best].Name) {
+				best, bestScore, bestApart = n, s, apart
+			}
 		}
-		if at == ReplicaCount {
-			continue
+		if best >= 0 {
+			chosen = append(chosen, best)
 		}
-		count = min(count+1, ReplicaCount)
-		copy(names[at+1:count], names[at:])
-		copy(scores[at+1:count], scores[at:])
-		names[at], scores[at] = member.Name, s
 	}
-	return slices.Clone(names[:count])
+	names := make([]string, len(chosen))
+	for k, n := range chosen {
+		names[k] = m.list[n].Name
+	}
+	return names
 }
 
 // score is a draw from a distribution whose maximum over the members falls on each with a probability
--- a/holds/members_test.go
+++ b/holds/members_test.go
@@ -16,7 +16,7 @@
 	m := NewMembers(start, testTiming)
 	list := make([]Member, 0, len(names))
 	for _, name := range names {
-		list = append(list, Member{name, 1})
+		list = append(list, Member{name, 1, ""})
 		m.Answered(start, name, false)
 	}
 	m.Set(list)
@@ -31,12 +31,12 @@
 		m.Set(list)
 		return m.Digest()
 	}
-	a, b := Member{"a", 1}, Member{"b", 0.5}
+	a, b := Member{"a", 1, ""}, Member{"b", 0.5, ""}
 	if digest(a, b) != digest(b, a) {
 		t.Error("the digest differs with the order of the members")
 	}
 	seen := make(map[uint64][]Member)
-	for _, list := range [][]Member{nil, {a}, {b}, {a, b}, {a, {"b", 0.25}}} {
+	for _, list := range [][]Member{nil, {a}, {b}, {a, b}, {a, {"b", 0.25, ""}}, {a, {"b", 0.5, "z"}}} {
 		if same, known := seen[digest(list...)]; known {
 			t.Errorf("%v and %v have one digest", list, same)
 		}
@@ -48,7 +48,7 @@
 // and against ids whose replicas change although these stay.
 func TestReplicas(t *testing.T) {
 	const ids = 20_000
-	list := []Member{{"a", 0.1}, {"b", 0.2}, {"c", 0.7}, {"d", 0.2}, {"e", 0.1}}
+	list := []Member{{"a", 0.1, ""}, {"b", 0.2, ""}, {"c", 0.7, ""}, {"d", 0.2, ""}, {"e", 0.1, ""}}
 	m, reversed, fewer := NewMembers(start, testTiming), NewMembers(start, testTiming), NewMembers(start, testTiming)
 	m.Set(list)
 	other := slices.Clone(list)
@@ -82,6 +82,21 @@
 	}
 }
 
+// Guards against replicas that are lost with one failure domain.
+func TestReplicasAreInDifferentDomains(t *testing.T) {
+	m := NewMembers(start, testTiming)
+	m.Set([]Member{{"a", 1, "x"}, {"b", 1, "x"}, {"c", 1, "x"}, {"d", 0.1, "y"}})
+	for n := range 100 {
+		if got := m.Replicas(start, fmt.Sprint(n)); len(got) != ReplicaCount || !slices.Contains(got, "d") {
+			t.Fatalf("replicas %v, want d, the only one of its domain, among them", got)
+		}
+	}
+	m.Failed(start, "d", false)
+	if got := m.Replicas(start, "x"); len(got) != ReplicaCount || slices.Contains(got, "d") {
+		t.Errorf("replicas %v without d, want two of its remaining domain", got)
+	}
+}
+
 // Guards against a member that stays a replica although it is gone for good, and against one that is left out
 // while runs that only it knows of may be on.
 func TestMembersThatDoNotAnswerAreLeftOut(t *testing.T) {
@@ -109,7 +124,7 @@
 // Guards against a process that finds out only job by job which members were gone before it began.
 func TestMembersAreProbedAtTheBegin(t *testing.T) {
 	m := NewMembers(start, testTiming)
-	m.Set([]Member{{"a", 1}, {"b", 1}, {"c", 1}})
+	m.Set([]Member{{"a", 1, ""}, {"b", 1, ""}, {"c", 1, ""}})
 	if diff := cmp.Diff([]string{"a", "b", "c"}, m.Probes(start)); diff != "" {
 		t.Errorf("probed at first (-want +got):\n%s", diff)
 	}
