coord: silent connections to agents don't make a coordinator take itself for cut off

TestHomesAfterSilence failed once at a load of 30 ("job 1: answer ... no coordinator answers that would know of another start, want it completed"): all connections to agents had gone silent, a forwarded call that timed out left them open, and the process took itself for cut off after 0.76 s. Such a call now closes the idle connections, and two tries of two agents come before the time is over (1.03 s).

--- a/coord/forward.go
+++ b/coord/forward.go
@@ -21,7 +21,7 @@
 	// reachInterval is the time after which this process tries to reach an agent, if it has not, and apartAfter
 	// that after which it takes itself to be cut off.
 	reachInterval = 400 * time.Millisecond
-	apartAfter    = reachInterval + 3*holdTimeout
+	apartAfter    = reachInterval + 2*forwardTries*holdTimeout + proofMargin
 )
 
 // errNoAgent is the error of a call that no agent can pass on.
@@ -33,8 +33,9 @@
 	err := errNoAgent
 	for _, agent := range c.forwardingAgents() {
 		var reply *connect.Response[relay.HoldReply]
+		peer := c.peers.At(agent)
 		call, cancel := withTimeout(c.baseCtx, holdTimeout)
-		reply, err = c.peers.At(agent).Agent.Forward(call, connect.NewRequest(&relay.ForwardRequest{Addr: addr.String(), Hold: m}))
+		reply, err = peer.Agent.Forward(call, connect.NewRequest(&relay.ForwardRequest{Addr: addr.String(), Hold: m}))
 		cancel()
 		if err == nil || connect.IsWireError(err) {
 			c.lock()
@@ -45,6 +46,9 @@
 			c.cfg.Meter.Add(meter.Name("holds", "forwarded"), int64(len(m.GetAsks())))
 			return reply.Msg, nil
 		}
+		if !connect.IsWireError(err) {
+			peer.CloseIdleConnections() // they may have gone silent
+		}
 	}
 	return nil, err
 }
