coord: a submission that has joined a job starts no sooner than the holder's runs are over

A submission that had waited at a holder for more than 1.3 s started the job at once when the holder and the replicas ended together: without an answer of the replicas a start waited until 1.3 s after the submission came, in which a caller has left the one before, but a joined submission keeps the holder's runs on. Such a start now waits until 1.8 s after this process stopped to wait for the holder.

--- a/coord/hold.go
+++ b/coord/hold.go
@@ -41,8 +41,9 @@
 	// uncertain is set once a holder had to be replaced: it may have run the job.
 	uncertain bool
 	// joined is set once a holder was given the submission: it may wait for the result there, although
-	// the call has broken.
+	// the call has broken. leftAt is the time at which this process last stopped to wait for it.
 	joined bool
+	leftAt time.Time
 	// grant tells who let this process start the job.
 	grant grant
 }
@@ -57,7 +58,7 @@
 		outcome, h, g := c.askReplicas(ctx, id, s.replaced)
 		s.replaced = 0
 		if outcome == holds.Granted || outcome == holds.GrantedByOne ||
-			outcome == holds.NoAnswer && !c.clock.Now().Before(s.arrivedAt.Add(callerGoneAfter)) {
+			outcome == holds.NoAnswer && !c.clock.Now().Before(s.lateAt()) {
 			s.grant = g
 			c.recordGrant(id, outcome, g)
 			return true, false, carobpulley.JobAnswer{}
@@ -121,7 +122,7 @@
 	c.lock()
 	now, apart := c.now, c.holdings.apart(c.now, apartAfter)
 	c.mu.Unlock()
-	left := s.arrivedAt.Add(callerGoneAfter).Sub(now)
+	left := s.lateAt().Sub(now)
 	deadline, limited := ctx.Deadline()
 	if now.Sub(s.arrivedAt) >= replicaPatience && (apart || limited && time.Until(deadline) < left) {
 		return false
@@ -134,6 +135,7 @@
 // replaced.
 func (c *Coordinator) joinHolder(ctx context.Context, s *submission, outcome holds.Outcome, h holds.Hold) (answered bool, a carobpulley.JobAnswer) {
 	a, result := c.join(ctx, h, s)
+	s.leftAt = c.clock.Now()
 	switch result {
 	case joinAnswered:
 		return true, a
@@ -159,6 +161,14 @@
 	return false, a
 }
 
+// lateAt returns the time from which no run of another process is on, if no replica tells which one that is.
+func (s *submission) lateAt() time.Time {
+	if s.joined {
+		return s.leftAt.Add(holderGoneAfter)
+	}
+	return s.arrivedAt.Add(callerGoneAfter)
+}
+
 // holderGoneAt returns the time from which no run of a holder that does not answer is on.
 func (s *submission) holderGoneAt(h holds.Hold) time.Time {
 	gone := h.Seen.Add(holderGoneAfter)
--- a/emul/votes_test.go
+++ b/emul/votes_test.go
@@ -84,3 +84,24 @@
 		wg.Wait()
 	})
 }
+
+// Guards against two runs of a task at a time if a submission has joined a job for longer than a start without an
+// answer of the replicas waits, and then the holder and the replicas end together.
+func TestHolderAndReplicasEndUnderAJoinedJob(t *testing.T) {
+	runFleet(t, homesSpec(3*time.Second), func(_ *testing.T, f *Fleet) {
+		f.askAll(100, 0, 1, 2, 3)
+		var wg sync.WaitGroup
+		for n := range 16 {
+			wg.Go(func() { f.submitUntil(0, testJob(n, true, 1), 5*time.Second) })
+			wg.Go(func() {
+				time.Sleep(10 * time.Millisecond)
+				f.submitUntil(1, testJob(n, true, 1), 9*time.Second)
+			})
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, n := range []int{0, 2, 3} {
+			f.coordinator(n).Kill()
+		}
+		wg.Wait()
+	})
+}
