coord: a call that joins a job ends if no later one follows

A holder went on with a job for a coordinator that had joined it and left, as its departure got lost over a connection that had gone silent. A third coordinator that did not reach the holder's Join replaced the hold 1.3 s after its own caller had come, by which time no caller should have been left, and started the job beside it.

A coordinator that waits for a holder's result makes a call every 400 ms already; the holder now ends each one 1.2 s after it came, so that the job is given up unless a later one waits.

A holder that answers no question for 1.2 s now gives such a job up; not measured on a site.

--- a/coord/join.go
+++ b/coord/join.go
@@ -18,6 +18,9 @@
 	holderTimeout = 150 * time.Millisecond
 	// joinRepeatInterval is the time after which a call that waits for a holder's result is made again.
 	joinRepeatInterval = 400 * time.Millisecond
+	// joinLimit bounds one call that waits for a result: the departure of a process that has made no later one may
+	// have got lost, and its caller may have left.
+	joinLimit = 3 * joinRepeatInterval
 )
 
 // joinResult is what became of a submission that was to join a job of another process.
@@ -147,6 +150,8 @@
 	if err != nil {
 		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, joinLimit)
+	defer cancel()
 	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false))), nil
 }
 
