coord: a hold is not replaced at its holder while that one has the job

A process that has the job refuses that now, so the other one joins it or waits. TestHolderKnowsItsOwnHold asks again with the number of the hold, and failed before.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -325,11 +325,14 @@
 		reply.Members = link.CoordinatorsToWire(c.coordinators)
 	}
 	for n, ask := range r.Msg.GetAsks() {
-		number := ask.GetNumber()
+		id, number, replaced := ask.GetId(), ask.GetNumber(), ask.GetReplaced()
 		if number == 0 {
 			number = uint64(now.UnixNano())
 		}
-		reply.Holds[n] = link.HoldToWire(now, holders[n], c.holdings.table.Take(now, ask.GetId(), holders[n], number, ask.GetReplaced()))
+		if c.table.HasJob(id) && !c.table.BeingStopped(id) {
+			replaced = 0 // a process that does not reach this one takes it for gone
+		}
+		reply.Holds[n] = link.HoldToWire(now, holders[n], c.holdings.table.Take(now, id, holders[n], number, replaced))
 	}
 	return connect.NewResponse(reply), nil
 }
--- a/emul/votes_test.go
+++ b/emul/votes_test.go
@@ -56,7 +56,7 @@
 }
 
 // Guards against a holder that grants the id of its own job to another process: those that know other members may
-// take it for a replica.
+// take it for a replica, and one that doesn't reach it may take its hold for that of a process that is gone.
 func TestHolderKnowsItsOwnHold(t *testing.T) {
 	spec := homesSpec(700 * time.Millisecond)
 	spec.Coordinators = 6
@@ -72,13 +72,16 @@
 			asks[n] = &relay.HoldAsk{Id: jobID(n), Number: 1}
 		}
 		other := &relay.Holder{Coordinator: "coordinator-1", Incarnation: 2, Addr: "10.1.0.2:7000"}
-		reply, err := f.coordinator(0).Coordinator.Handler().Hold(context.Background(), connect.NewRequest(&relay.HoldRequest{Holder: other, Asks: asks}))
-		if err != nil {
-			t.Fatal(err)
-		}
-		for n, h := range reply.Msg.GetHolds() {
-			if got := h.GetHolder().GetCoordinator(); got != "coordinator-0" {
-				t.Errorf("job %d: coordinator 0, which runs it, grants its id to %q", n, got)
+		for range 2 {
+			reply, err := f.coordinator(0).Coordinator.Handler().Hold(context.Background(), connect.NewRequest(&relay.HoldRequest{Holder: other, Asks: asks}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for n, h := range reply.Msg.GetHolds() {
+				if got := h.GetHolder().GetCoordinator(); got != "coordinator-0" {
+					t.Errorf("job %d: coordinator 0, which runs it, grants its id to %q", n, got)
+				}
+				asks[n].Replaced = h.GetNumber()
 			}
 		}
 		wg.Wait()
