--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -119,7 +119,7 @@
 	ballot := c.holdings.members.Ballot(now, id, c.self())
 	c.holdings.lastNumber = max(c.holdings.lastNumber+1, uint64(now.UnixNano()))
 	g := grant{number: c.holdings.lastNumber, members: c.holdings.members.Len(), view: c.holdings.view}
-	if c.holdings.apart(now, apartAfter) {
+	if c.holdings.apart(now, apartAfter) { // others may have left this process out, and it can't tell
 		c.mu.Unlock()
 		return holds.NoAnswer, holds.Hold{}, g
 	}
--- a/holds/ballot.go
+++ b/holds/ballot.go
@@ -28,8 +28,8 @@
 // Vote is the answer of a replica.
 type Vote struct {
 	Hold Hold
-	// Young is set if the replica may have forgotten holds that are in force, since its process has begun
-	// after they were granted.
+	// Young is set if the replica may lack holds that are in force, since its process has begun, or was paused
+	// or cut off, after they were granted.
 	Young bool
 }
 
