coord: a submission that has joined a job starts later also if replicas grant it the id

Two runs of a task at a time: a submission waited at a holder, which was killed; the replicas by its view did not know of the holder, whose own view had others, and let the submission have the id at once, while the holder's runs were on. And a holder that was cut off counted as gone by the replicas' last sign of life, though the submission had waited there for longer.

TestSubmissionThatHasJoinedStartsLater checks the rule.

--- a/coord/hold.go
+++ b/coord/hold.go
@@ -57,15 +57,14 @@
 	for c.beginPending(ctx, id) {
 		outcome, h, g := c.askReplicas(ctx, id, s.replaced)
 		s.replaced = 0
-		if outcome == holds.Granted || outcome == holds.GrantedByOne ||
-			outcome == holds.NoAnswer && !c.clock.Now().Before(s.lateAt()) {
+		if s.mayStart(c.clock.Now(), outcome) {
 			s.grant = g
 			c.recordGrant(id, outcome, g)
 			return true, false, carobpulley.JobAnswer{}
 		}
 		c.endPending(id)
 		switch outcome {
-		case holds.NoAnswer:
+		case holds.NoAnswer, holds.Granted, holds.GrantedByOne:
 			if !c.awaitReplicas(ctx, s) {
 				return false, true, unknownAnswer("no coordinator answers that would know of another start")
 			}
@@ -77,7 +76,7 @@
 			if answered, a := c.joinHolder(ctx, s, outcome, h); answered {
 				return false, true, a
 			}
-		case holds.Granted, holds.GrantedByOne, holds.Pending:
+		case holds.Pending:
 		}
 	}
 	if err := ctx.Err(); err != nil {
@@ -135,12 +134,11 @@
 // replaced.
 func (c *Coordinator) joinHolder(ctx context.Context, s *submission, outcome holds.Outcome, h holds.Hold) (answered bool, a carobpulley.JobAnswer) {
 	a, result := c.join(ctx, h, s)
-	s.leftAt = c.clock.Now()
 	switch result {
 	case joinAnswered:
 		return true, a
 	case joinAbsent:
-		s.replaced, s.uncertain = h.Number, true
+		s.replaced, s.uncertain, s.joined = h.Number, true, false
 		if outcome == holds.Contested && h.Holder.Coordinator < c.cfg.Self.Name {
 			sleep(ctx, holderRetryInterval) // of two that contest an id, the other one goes first
 		}
@@ -161,6 +159,19 @@
 	return false, a
 }
 
+// mayStart reports whether the job may start by what the replicas let this process do. They may not know of a
+// holder whose result the submission has waited for.
+func (s *submission) mayStart(now time.Time, outcome holds.Outcome) bool {
+	switch outcome {
+	case holds.Granted, holds.GrantedByOne:
+		return !s.joined || !now.Before(s.lateAt())
+	case holds.NoAnswer:
+		return !now.Before(s.lateAt())
+	case holds.Pending, holds.Elsewhere, holds.Contested:
+	}
+	return false
+}
+
 // lateAt returns the time from which no run of another process is on, if no replica tells which one that is.
 func (s *submission) lateAt() time.Time {
 	if s.joined {
@@ -172,6 +183,9 @@
 // holderGoneAt returns the time from which no run of a holder that does not answer is on.
 func (s *submission) holderGoneAt(h holds.Hold) time.Time {
 	gone := h.Seen.Add(holderGoneAfter)
+	if s.joined && gone.Before(s.lateAt()) {
+		return s.lateAt()
+	}
 	if left := s.arrivedAt.Add(callerGoneAfter); !s.joined && left.Before(gone) {
 		return left
 	}
--- a/coord/hold_test.go
+++ b/coord/hold_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"carobpulley/holds"
 	"carobpulley/work"
 )
 
@@ -57,3 +58,25 @@
 		t.Error("the id is no longer asked for, although its first caller waits for the replicas")
 	}
 }
+
+// Guards against a start beside the runs of a holder whose result the submission has waited for, as it ends or is
+// cut off: the replicas may not know of it, or let it be replaced by an older sign of life.
+func TestSubmissionThatHasJoinedStartsLater(t *testing.T) {
+	arrived := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	left := arrived.Add(3 * time.Second)
+	over := left.Add(holderGoneAfter)
+	for _, joined := range []bool{false, true} {
+		s := &submission{arrivedAt: arrived, joined: joined, leftAt: left}
+		for outcome, want := range map[holds.Outcome]bool{holds.Granted: !joined, holds.GrantedByOne: !joined, holds.NoAnswer: !joined, holds.Elsewhere: false, holds.Contested: false} {
+			if got := s.mayStart(left.Add(10*time.Millisecond), outcome); got != want {
+				t.Errorf("joined %t, outcome %d: may start at once: %t, want %t", joined, outcome, got, want)
+			}
+			if got, want := s.mayStart(over, outcome), outcome != holds.Elsewhere && outcome != holds.Contested; got != want {
+				t.Errorf("joined %t, outcome %d: may start once the holder's runs are over: %t, want %t", joined, outcome, got, want)
+			}
+		}
+		if joined && s.holderGoneAt(holds.Hold{Seen: arrived}).Before(over) {
+			t.Error("the holder counts as gone by a sign of life that is older than the wait for it")
+		}
+	}
+}
--- a/coord/join.go
+++ b/coord/join.go
@@ -51,6 +51,7 @@
 	s.joined = true
 	c.cfg.Meter.Add("joins", 1)
 	reply, err := c.awaitJoin(ctx, peer, h.Holder, &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: h.Holder.Incarnation})
+	s.leftAt = c.clock.Now()
 	switch {
 	case err != nil:
 		err = peer.CallError("join", err)
