coord, sched: processor time and its waits, and when jobs are granted, in logs and metrics

Package sched reads both from the runtime and the system every 200 ms; 'short of processor time' is logged once a second at most while either is high, 'answered' has granted_ms, and metrics have grant, order, processor_us and processor_wait. No decision changes.

--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -10,6 +10,7 @@
 	"carobpulley/link"
 	"carobpulley/logs"
 	"carobpulley/platform"
+	"carobpulley/sched"
 	"carobpulley/wire/relay"
 )
 
@@ -37,7 +38,7 @@
 		Shards:          p.shards,
 		DrainTimeout:    p.drainTimeout(),
 		Meter:           p.meter,
-	}, p.clock, p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
+	}, p.clock, sched.New(), p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
 	callers := platform.NewCallerHandler(coordinator, p.log, p.meter)
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewCoordinatorServiceHandler(coordinator.Handler()))
--- a/coord/attach.go
+++ b/coord/attach.go
@@ -94,6 +94,7 @@
 // longer current.
 func (c *Coordinator) sendDispatch(d *jobs.Dispatch) {
 	defer c.removeUnanswered(d)
+	decided := c.clock.Now()
 	for c.baseCtx.Err() == nil {
 		c.lock()
 		agent, known := c.agents[d.Agent]
@@ -118,6 +119,7 @@
 		reply, err := peer.Agent.Order(call, connect.NewRequest(m))
 		cancel()
 		if err == nil {
+			c.cfg.Meter.Observe("order", c.clock.Now().Sub(decided))
 			c.cfg.Meter.Add("starts_ordered", int64(len(d.Starts)))
 			c.cfg.Meter.Add("starts_refused", int64(len(reply.Msg.GetRefused())))
 			c.handleDispatchReply(d, reply.Msg)
--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -20,7 +20,7 @@
 	a := c.awaitBestEffort(ctx, s)
 	took := time.Since(began)
 	c.recordAnswer(j, a, took)
-	c.log.Info().Str("job", j.ID).Int64("took_ms", took.Milliseconds()).Int64("objective_ms", j.Objective().Milliseconds()).Str("queue", j.Queue.Name).Int("tasks", j.Tasks()).
+	c.log.Info().Str("job", j.ID).Int64("took_ms", took.Milliseconds()).Int64("granted_ms", s.grantedAfter().Milliseconds()).Int64("objective_ms", j.Objective().Milliseconds()).Str("queue", j.Queue.Name).Int("tasks", j.Tasks()).
 		Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Func(s.grant.fields).Msg("answered")
 	return a
 }
--- a/coord/control_test.go
+++ b/coord/control_test.go
@@ -14,6 +14,7 @@
 	"carobpulley/domain"
 	"carobpulley/link"
 	"carobpulley/meter"
+	"carobpulley/sched"
 	"carobpulley/work"
 )
 
@@ -44,7 +45,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel() // no attachment is tried
 	self := work.Address{Name: "self", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
-	c := New(ctx, Config{Self: self, Shards: 1, Meter: meter.New()}, carobpulley.SteadyClock{}, zerolog.Nop(), s, nil, link.NewPeers())
+	c := New(ctx, Config{Self: self, Shards: 1, Meter: meter.New()}, carobpulley.SteadyClock{}, sched.New(), zerolog.Nop(), s, nil, link.NewPeers())
 	t.Cleanup(c.peers.Close)
 	return c
 }
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -110,6 +110,8 @@
 	nextAttachAt map[string]time.Time
 	draining     bool
 	drainSince   time.Time
+	// processor is the processor load, and what follows from it.
+	processor processorWatch
 	// lastTick is the time of the last tick, by which a pause of this process is found.
 	lastTick         time.Time
 	ownershipChanged chan struct{}
@@ -126,10 +128,11 @@
 }
 
 // New returns a Coordinator. All its calls are cancelled when baseCtx ends.
-func New(baseCtx context.Context, cfg Config, clock carobpulley.Clock, log zerolog.Logger, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers) *Coordinator {
+func New(baseCtx context.Context, cfg Config, clock carobpulley.Clock, processor carobpulley.Processor, log zerolog.Logger, store carobpulley.Store, configSource carobpulley.ConfigSource, peers *link.Peers) *Coordinator {
 	c := &Coordinator{
 		cfg:          cfg,
 		clock:        clock,
+		processor:    processorWatch{Processor: processor, readAt: clock.Now()},
 		log:          log,
 		store:        store,
 		configSource: configSource,
@@ -192,6 +195,7 @@
 		c.lock()
 		now := c.now
 		c.lastTick = now
+		c.checkProcessor()
 		c.table.Tick(now)
 		c.checkConfigAge(now)
 		c.followConfig(now)
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -44,8 +44,17 @@
 	// the call has broken. leftAt is the time at which this process last stopped to wait for it.
 	joined bool
 	leftAt time.Time
-	// grant tells who let this process start the job.
-	grant grant
+	// grant tells who let this process start the job, and grantedAt when.
+	grant     grant
+	grantedAt time.Time
+}
+
+// grantedAfter returns the time from the submission until this process was let start the job; 0 if it was not.
+func (s *submission) grantedAfter() time.Duration {
+	if s.grantedAt.IsZero() {
+		return 0
+	}
+	return s.grantedAt.Sub(s.arrivedAt)
 }
 
 // acquire makes this process the only one that may start a best-effort job: own is set, and the id is
@@ -58,7 +67,8 @@
 		outcome, h, g := c.askReplicas(ctx, id, s.replaced)
 		s.replaced = 0
 		if s.mayStart(c.clock.Now(), outcome) {
-			s.grant = g
+			s.grant, s.grantedAt = g, c.clock.Now()
+			c.cfg.Meter.Observe("grant", s.grantedAfter())
 			c.recordGrant(id, outcome, g)
 			return true, false, carobpulley.JobAnswer{}
 		}
--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -224,7 +224,7 @@
 	p, ctx, baseCtx, self := f.newProcess(CoordinatorAddr(n))
 	self.Name = fmt.Sprintf("coordinator-%d", n)
 	p.Name = self.Name
-	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, p.suspension,
+	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, p.suspension, idleProcessor{},
 		f.spec.Log.With().Str("process", self.Name).Logger(), suspendedStore{p.Store, p.suspension}, f, p.peers)
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewCoordinatorServiceHandler(p.Coordinator.Handler()))
@@ -234,6 +234,12 @@
 	f.serve(p, mux, func() error { return p.Coordinator.Run(ctx, func(context.Context) {}) })
 }
 
+// idleProcessor is the processor of a process whose work takes no time.
+type idleProcessor struct{}
+
+// Load implements carobpulley.Processor.
+func (idleProcessor) Load() carobpulley.ProcessorLoad { return carobpulley.ProcessorLoad{} }
+
 // coordinator returns the current process of a coordinator.
 func (f *Fleet) coordinator(n int) *Process {
 	f.mu.Lock()
