--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -57,6 +57,11 @@
 	Log    zerolog.Logger
 	// SteadyAges makes the processes judge ages by the clock that doesn't count suspensions.
 	SteadyAges bool
+	// Shares are the processor shares of the coordinators; 1 for those without one.
+	Shares []float64
+	// MessageCost is the processor time, on a processor share of 1, that a coordinator takes for each message that
+	// it receives and for each submission.
+	MessageCost time.Duration
 	// Late is the number of coordinators, the last ones, that don't start with the fleet.
 	Late int
 }
@@ -223,8 +228,12 @@
 func (f *Fleet) StartCoordinator(n int) {
 	p, ctx, baseCtx, self := f.newProcess(CoordinatorAddr(n))
 	self.Name = fmt.Sprintf("coordinator-%d", n)
+	if n < len(f.spec.Shares) {
+		self.Share = f.spec.Shares[n]
+	}
+	f.Net.SetMessageCost(p.Addr, time.Duration(float64(f.spec.MessageCost)/self.Share))
 	p.Name = self.Name
-	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, p.suspension, idleProcessor{},
+	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, p.suspension, hostProcessor{f.Net, p.Addr},
 		f.spec.Log.With().Str("process", self.Name).Logger(), suspendedStore{p.Store, p.suspension}, f, p.peers)
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewCoordinatorServiceHandler(p.Coordinator.Handler()))
@@ -234,11 +243,17 @@
 	f.serve(p, mux, func() error { return p.Coordinator.Run(ctx, func(context.Context) {}) })
 }
 
-// idleProcessor is the processor of a process whose work takes no time.
-type idleProcessor struct{}
+// hostProcessor is the processor of a host whose messages have a cost.
+type hostProcessor struct {
+	net  *memnet.Net
+	addr netip.Addr
+}
 
 // Load implements carobpulley.Processor.
-func (idleProcessor) Load() carobpulley.ProcessorLoad { return carobpulley.ProcessorLoad{} }
+func (p hostProcessor) Load() carobpulley.ProcessorLoad {
+	used, wait := p.net.ProcessorLoad(p.addr)
+	return carobpulley.ProcessorLoad{Used: used, Wait: wait}
+}
 
 // coordinator returns the current process of a coordinator.
 func (f *Fleet) coordinator(n int) *Process {
--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -182,6 +182,9 @@
 			if c.accepted {
 				c.net.AwaitTurn(c.local.Addr())
 			}
+			if n > 0 {
+				c.net.Handle(c.local.Addr())
+			}
 			return n, err
 		}
 		wait(changed, until)
--- a/memnet/net.go
+++ b/memnet/net.go
@@ -32,20 +32,23 @@
 	silent   map[[2]netip.Addr]uint64
 	lastConn uint64
 	// quotas holds the share of each quotaPeriod in which a host runs, for hosts that have one.
-	quotas   map[netip.Addr]float64
-	nextPort uint16
+	quotas map[netip.Addr]float64
+	// processors holds the hosts whose messages have a cost.
+	processors map[netip.Addr]*processor
+	nextPort   uint16
 }
 
 // New returns a network with a one-way delay.
 func New(delay time.Duration) *Net {
 	return &Net{
-		delay:     delay,
-		listeners: make(map[netip.AddrPort]*listener),
-		blocked:   make(map[[2]netip.Addr]bool),
-		delays:    make(map[[2]netip.Addr]time.Duration),
-		silent:    make(map[[2]netip.Addr]uint64),
-		quotas:    make(map[netip.Addr]float64),
-		nextPort:  firstPort,
+		delay:      delay,
+		listeners:  make(map[netip.AddrPort]*listener),
+		blocked:    make(map[[2]netip.Addr]bool),
+		delays:     make(map[[2]netip.Addr]time.Duration),
+		silent:     make(map[[2]netip.Addr]uint64),
+		quotas:     make(map[netip.Addr]float64),
+		processors: make(map[netip.Addr]*processor),
+		nextPort:   firstPort,
 	}
 }
 
