coord: a coordinator short of processor time passes submissions on to a replica of their id

Callers of bud-b got their answers too late in bursts: its two coordinators have 0.192 of a core each for 30% of the traffic and used 0.90 to 1.05 of it from the first second on, while others had most of theirs left. Admission counts the endpoints' cores only, so all that came was taken and all of it got late together.

A process now reads its processor time and the wait of its goroutines every 100 ms. Above 0.7 of its share, or 2 ms of wait, it keeps a smaller part of the submissions and passes the others on to the replica of the id that has said to use the least of its processor: Hold replies carry that. The call is a Join with 'take': the replica asks for the hold as for a submission of its own, so at most one process has the job; the sender waits for the result as for a job that it has joined. A receiver that is short itself declines.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -21,11 +21,19 @@
 	took := time.Since(began)
 	c.recordAnswer(j, a, took)
 	c.log.Info().Str("job", j.ID).Int64("took_ms", took.Milliseconds()).Int64("granted_ms", s.grantedAfter().Milliseconds()).Int64("objective_ms", j.Objective().Milliseconds()).Str("queue", j.Queue.Name).Int("tasks", j.Tasks()).
-		Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Func(s.grant.fields).Msg("answered")
+		Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Str("passed_to", s.passedTo).Func(s.grant.fields).Msg("answered")
 	return a
 }
 
 func (c *Coordinator) awaitBestEffort(ctx context.Context, s *submission) carobpulley.JobAnswer {
+	if answered, a := c.offload(ctx, s); answered {
+		return a
+	}
+	return c.awaitHere(ctx, s)
+}
+
+// awaitHere is awaitBestEffort for a submission that is not passed on.
+func (c *Coordinator) awaitHere(ctx context.Context, s *submission) carobpulley.JobAnswer {
 	for {
 		own, answered, a := c.acquire(ctx, s)
 		if !answered {
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -110,8 +110,9 @@
 	nextAttachAt map[string]time.Time
 	draining     bool
 	drainSince   time.Time
-	// processor is the processor load, and what follows from it.
+	// processor is the processor load, and what follows from it. peerUse is what other coordinators say of theirs.
 	processor processorWatch
+	peerUse   map[string]peerUse
 	// lastTick is the time of the last tick, by which a pause of this process is found.
 	lastTick         time.Time
 	ownershipChanged chan struct{}
@@ -132,7 +133,7 @@
 	c := &Coordinator{
 		cfg:          cfg,
 		clock:        clock,
-		processor:    processorWatch{Processor: processor, readAt: clock.Now()},
+		processor:    processorWatch{Processor: processor, readAt: clock.Now(), kept: 1},
 		log:          log,
 		store:        store,
 		configSource: configSource,
@@ -155,6 +156,7 @@
 		waiters:          make(map[string][]chan waitResult),
 		holdings:         newHoldings(clock.Now()),
 		unanswered:       make(map[string]map[*jobs.Dispatch]bool),
+		peerUse:          make(map[string]peerUse),
 		nextAttachAt:     make(map[string]time.Time),
 		ownershipChanged: make(chan struct{}),
 		picker:           share.New(share.DefaultCoordinators, share.DefaultAgents),
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -44,6 +44,8 @@
 	// the call has broken. leftAt is the time at which this process last stopped to wait for it.
 	joined bool
 	leftAt time.Time
+	// passedTo is the coordinator that the submission was passed on to.
+	passedTo string
 	// grant tells who let this process start the job, and grantedAt when.
 	grant     grant
 	grantedAt time.Time
--- a/coord/join.go
+++ b/coord/join.go
@@ -153,6 +153,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinLimit)
 	defer cancel()
+	if r.Msg.GetTake() {
+		return connect.NewResponse(c.take(ctx, j, time.Duration(r.Msg.GetAgeMs())*time.Millisecond)), nil
+	}
 	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false))), nil
 }
 
--- /dev/null
+++ b/coord/offload.go
@@ -0,0 +1,117 @@
+package coord
+
+import (
+	"context"
+	"time"
+
+	"carobpulley"
+	"carobpulley/holds"
+	"carobpulley/meter"
+	"carobpulley/wire/relay"
+	"carobpulley/work"
+)
+
+// peerUseTTL is the time for which another coordinator's word about its processor holds.
+const peerUseTTL = time.Second
+
+// peerUse is the part of its processor share that another coordinator has said to use.
+type peerUse struct {
+	use  float64
+	till time.Time
+}
+
+// learnUse takes over what another coordinator says about its processor. The caller holds the lock.
+func (c *Coordinator) learnUse(name string, permille uint32) {
+	if permille == 0 {
+		delete(c.peerUse, name)
+		return
+	}
+	c.peerUse[name] = peerUse{use: float64(permille-1) / 1000, till: c.now.Add(peerUseTTL)}
+}
+
+// ownUse returns what learnUse takes. The caller holds the lock.
+func (c *Coordinator) ownUse() uint32 {
+	return uint32(min(max(c.processor.use, 0), 1)*1000) + 1
+}
+
+// offload passes a submission on to a replica of its id, if this process has too little processor time for it and
+// the replica has some left. The replica becomes the holder; this process waits for the result as for that of a
+// job that it has joined.
+func (c *Coordinator) offload(ctx context.Context, s *submission) (answered bool, a carobpulley.JobAnswer) {
+	holder, found := c.offloadTarget(s.job.ID)
+	if !found {
+		return false, a
+	}
+	body, err := work.EncodeJob(s.job)
+	if err != nil {
+		return false, a
+	}
+	peer := c.peers.At(holder.Addr)
+	s.passedTo = holder.Coordinator
+	reply, err := c.awaitJoin(ctx, peer, holder, &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: holder.Incarnation, Take: true, AgeMs: c.clock.Now().Sub(s.arrivedAt).Milliseconds()})
+	switch {
+	case ctx.Err() != nil: // the caller has left
+		s.uncertain = true
+		return false, a
+	case err != nil:
+		err = peer.CallError("offload", err)
+		c.log.Warn().Err(err).Str("job", s.job.ID).Str("coordinator", holder.Coordinator).Msg("job passed on without an answer")
+		c.cfg.Meter.Add(meter.Name("offloads", "no_answer"), 1)
+		c.dropUse(holder.Coordinator)
+		s.joined, s.uncertain, s.leftAt = true, true, c.clock.Now() // the peer may run it
+		return false, a
+	case reply.GetCode() == relay.Code_CODE_DECLINED, reply.GetCode() == relay.Code_CODE_ABSENT:
+		c.cfg.Meter.Add(meter.Name("offloads", "declined"), 1)
+		c.dropUse(holder.Coordinator)
+		return false, a
+	case reply.GetCode() == relay.Code_CODE_NOT_OWNER: // the peer has lost the job, or the first call has not arrived
+		c.cfg.Meter.Add(meter.Name("offloads", "lost"), 1)
+		s.uncertain = true
+		return false, a
+	}
+	c.cfg.Meter.Add(meter.Name("offloads", "answered"), 1)
+	return true, answerFromReply(reply)
+}
+
+// offloadTarget returns the coordinator that a submission is to be passed on to: the replica of its id that uses the
+// least of its processor.
+func (c *Coordinator) offloadTarget(id string) (target holds.Holder, found bool) {
+	c.lock()
+	defer c.mu.Unlock()
+	if c.table.HasJob(id) || c.holdings.pending[id] != nil || c.processor.keeps() {
+		return target, false
+	}
+	least := targetUse
+	for _, name := range c.holdings.members.Ballot(c.now, id, c.self()).Open() {
+		known, a := c.peerUse[name], c.coordinators[name]
+		if name == c.cfg.Self.Name || c.now.After(known.till) || known.use >= least {
+			continue
+		}
+		least, found = known.use, true
+		target = holds.Holder{Coordinator: name, Incarnation: a.Incarnation, Addr: a.Addr}
+	}
+	return target, found
+}
+
+// dropUse forgets what a coordinator has said about its processor.
+func (c *Coordinator) dropUse(name string) {
+	c.lock()
+	defer c.mu.Unlock()
+	delete(c.peerUse, name)
+}
+
+// take runs a job that another coordinator has passed on, or joins it, and returns at its end.
+func (c *Coordinator) take(ctx context.Context, j *work.Job, age time.Duration) *relay.JobReply {
+	c.lock()
+	declined := !c.table.HasJob(j.ID) && c.holdings.pending[j.ID] == nil && (c.processor.use >= targetUse || c.draining)
+	c.mu.Unlock()
+	if declined {
+		return &relay.JobReply{Code: relay.Code_CODE_DECLINED}
+	}
+	s := &submission{job: j, arrivedAt: c.clock.Now().Add(-age)}
+	a := c.awaitHere(ctx, s)
+	if s.grant.number != 0 {
+		c.log.Info().Str("job", j.ID).Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Func(s.grant.fields).Msg("answered to a coordinator")
+	}
+	return replyFromAnswer(a)
+}
--- a/coord/processor.go
+++ b/coord/processor.go
@@ -8,13 +8,21 @@
 
 const (
 	// loadInterval is the interval at which the processor load is read.
-	loadInterval = 200 * time.Millisecond
+	loadInterval = 100 * time.Millisecond
 	// shortLogInterval is the least time between two log lines about the want of processor time.
 	shortLogInterval = time.Second
 	// shortUse is the use of the processor share from which this process is short of processor time, and
 	// shortWait the wait of its goroutines, which also shows a processor that is slower than its share.
 	shortUse  = 0.85
 	shortWait = 2 * time.Millisecond
+	// targetUse is the use of the processor share up to which this process takes jobs: with more, the waits for the
+	// processor grow beyond the slack of jobs.
+	targetUse = 0.7
+	// minKept is the least part of the submissions that is kept, whose effect shows when more can be kept again. It
+	// falls by minKeptFactor and grows by keptGrowth at most with each reading.
+	minKept       = 0.05
+	minKeptFactor = 0.5
+	keptGrowth    = 1.1
 )
 
 // processorWatch is what a coordinator knows of its processor load.
@@ -24,6 +32,30 @@
 	load              carobpulley.ProcessorLoad
 	// use is the part of the process's processor share that was in use.
 	use float64
+	// kept is the part of the submissions that this process keeps, the others are passed on. credit is what is
+	// left of it from earlier submissions.
+	kept, credit float64
+}
+
+// adjust sets the part of the submissions to keep, so that the use approaches targetUse.
+func (w *processorWatch) adjust() {
+	switch {
+	case w.use > targetUse:
+		w.kept = max(w.kept*max(targetUse/w.use, minKeptFactor), minKept)
+	case w.load.Wait >= shortWait:
+		w.kept = max(w.kept*minKeptFactor, minKept)
+	default:
+		w.kept = min(w.kept*keptGrowth, 1)
+	}
+}
+
+// keeps reports whether this process keeps a submission.
+func (w *processorWatch) keeps() bool {
+	if w.credit += w.kept; w.credit < 1 {
+		return false
+	}
+	w.credit--
+	return true
 }
 
 // short reports whether the process is short of processor time.
@@ -40,6 +72,7 @@
 		w.use = w.load.Used.Seconds() / share
 	}
 	w.readAt = now
+	w.adjust()
 	c.cfg.Meter.Add("processor_us", w.load.Used.Microseconds())
 	c.cfg.Meter.Observe("processor_wait", w.load.Wait)
 	if !w.short() || now.Before(w.nextLogAt) {
--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -203,6 +203,7 @@
 	case err == nil:
 		c.holdings.members.Answered(c.now, name, reply.GetYoung())
 		c.learnMembers(reply.GetMembers())
+		c.learnUse(name, reply.GetProcessorUse())
 		return false, c.setVotes(asks, reply)
 	case told:
 		c.holdings.members.Failed(c.now, name, link.ConnectionRefused(err))
@@ -320,7 +321,7 @@
 	now := c.now
 	c.holdings.table.Heard(now, sender)
 	c.holdings.members.Called(now, sender.Coordinator)
-	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(holders)), Young: c.holdings.young(now)}
+	reply := &relay.HoldReply{Holds: make([]*relay.Hold, len(holders)), Young: c.holdings.young(now), ProcessorUse: c.ownUse()}
 	if r.Msg.GetView() != c.holdings.view {
 		reply.Members = link.CoordinatorsToWire(c.coordinators)
 	}
