jobs, coord: a best-effort job's objective counts from its submission

A submission that waited for its replicas, or was passed on, counted as new when it got into the table: it was placed as urgently as one that could still be in time, and ran although its answer had no value any more, while processor time and endpoints were short. A resubmission that waits for a stop counts from its own submission as before.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -37,7 +37,7 @@
 	for {
 		own, answered, a := c.acquire(ctx, s)
 		if !answered {
-			a = c.runHere(ctx, s.job, own)
+			a = c.runHere(ctx, s.job, s.arrivedAt, own)
 		}
 		if a.Code != notOwner {
 			return correctRefusal(a, s.uncertain, true)
@@ -47,7 +47,7 @@
 
 // runHere adds a submission to the table and waits for the job's result. Unless this process may start the
 // job, it has to be in the table already.
-func (c *Coordinator) runHere(ctx context.Context, j *work.Job, mayStart bool) carobpulley.JobAnswer {
+func (c *Coordinator) runHere(ctx context.Context, j *work.Job, arrivedAt time.Time, mayStart bool) carobpulley.JobAnswer {
 	c.lock()
 	if mayStart {
 		c.dropPending(j.ID)
@@ -55,7 +55,7 @@
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
-	ch, a := c.submitBestEffort(ctx, j)
+	ch, a := c.submitBestEffort(ctx, j, arrivedAt)
 	c.mu.Unlock()
 	if ch == nil {
 		return a
@@ -65,7 +65,7 @@
 
 // submitBestEffort adds a submission to the table. It returns the channel for the result, or nil and
 // the answer. The caller holds the lock.
-func (c *Coordinator) submitBestEffort(ctx context.Context, j *work.Job) (chan waitResult, carobpulley.JobAnswer) {
+func (c *Coordinator) submitBestEffort(ctx context.Context, j *work.Job, arrivedAt time.Time) (chan waitResult, carobpulley.JobAnswer) {
 	if err := ctx.Err(); err != nil {
 		return nil, refusedAnswer("the caller has left: " + err.Error())
 	}
@@ -73,6 +73,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		j.AnswerBy = now.Add(time.Until(deadline))
 	}
+	j.SubmittedAt = arrivedAt
 	status, reason := c.table.Submit(now, j)
 	switch status {
 	case jobs.SubmitRefused:
--- a/coord/join.go
+++ b/coord/join.go
@@ -156,7 +156,7 @@
 	if r.Msg.GetTake() {
 		return connect.NewResponse(c.take(ctx, j, time.Duration(r.Msg.GetAgeMs())*time.Millisecond)), nil
 	}
-	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, false))), nil
+	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, c.clock.Now(), false))), nil
 }
 
 // awaitJob waits while an id is asked for and reports whether the job is in the table then.
--- a/work/job.go
+++ b/work/job.go
@@ -108,6 +108,8 @@
 	Epoch uint64 `json:"epoch,omitempty"`
 	// AcceptedMS is when the owner accepted the job, in milliseconds of Unix time.
 	AcceptedMS int64 `json:"accepted_ms,omitempty"`
+	// SubmittedAt is the time at which the submission of a best-effort job arrived; zero if that is not known.
+	SubmittedAt time.Time `json:"-"`
 	// AnswerBy is the time until which the caller of a best-effort job waits; zero if unknown.
 	AnswerBy time.Time `json:"-"`
 }
