jobs: a submission that has waited for long is not refused while its caller waits

Callers who wait longer, as after the loss of their coordinator, got 504 in place of their answer: TestStartWaitsWhileNoReplicaAnswers and TestJobSentToTwoCoordinatorsBesideFaults failed, 'overload: the submission is 1323 ms old, want it completed'. That refusal is taken back, and jobs without room are given up by the time at which they got into the table, as before; the order of starts goes by the submission. TestObjectiveCountsFromTheSubmission checks that a very late job starts. Both tests pass again, and the two tests of bursts.

--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -15,11 +15,6 @@
 // to start no later, and as many at each coordinator that shares its endpoints.
 func (t *Table) refusalReason(now time.Time, spec *work.Job) string {
 	service := spec.Queue.Service
-	if spec.BestEffort {
-		if age := now.Sub(submittedAt(now, spec)); age+spec.CriticalPath() > abandonFactor*spec.Objective() {
-			return fmt.Sprintf("overload: the submission is %d ms old", age.Milliseconds())
-		}
-	}
 	var cores int64
 	for _, a := range t.active {
 		if a.attached && a.endpoint.Ready && a.endpoint.Service == service && !t.outOfService[a.endpoint.Domain] {
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -153,7 +153,7 @@
 	objective := spec.Objective()
 	j.acceptedAt = accepted
 	j.answerBy = spec.AnswerBy
-	j.due = accepted.Add(objective)
+	j.due = submittedAt(accepted, spec).Add(objective)
 	j.abandonAt = accepted.Add(abandonFactor * objective)
 	j.tasks = make([][]task, len(spec.Steps))
 	j.remaining = make([]int, len(spec.Steps))
@@ -168,6 +168,14 @@
 	return j
 }
 
+// submittedAt returns the time from which the objective of a job counts that was accepted at a time.
+func submittedAt(accepted time.Time, spec *work.Job) time.Time {
+	if spec.SubmittedAt.IsZero() {
+		return accepted
+	}
+	return spec.SubmittedAt
+}
+
 // restore applies the stored progress of the job.
 func (j *job) restore(p work.Progress) {
 	for _, d := range p.Done {
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -27,7 +27,7 @@
 		if j.resubmission != nil {
 			spec.AnswerBy = laterEnd(spec.AnswerBy, j.resubmission.spec.AnswerBy)
 		}
-		j.resubmission = &resubmission{spec: spec, at: submittedAt(now, spec)}
+		j.resubmission = &resubmission{spec: spec, at: now}
 		return SubmitPending, ""
 	case j.state.Ended():
 		return SubmitComplete, ""
@@ -40,19 +40,11 @@
 	if reason := t.refusalReason(now, spec); reason != "" {
 		return SubmitRefused, reason
 	}
-	t.acceptBestEffort(now, submittedAt(now, spec), spec)
+	t.acceptBestEffort(now, now, spec)
 	t.PlaceReady(now)
 	return SubmitPending, ""
 }
 
-// submittedAt returns the time from which the objective of a submission counts.
-func submittedAt(now time.Time, spec *work.Job) time.Time {
-	if spec.SubmittedAt.IsZero() {
-		return now
-	}
-	return spec.SubmittedAt
-}
-
 // laterEnd returns the later of the times until which two callers of a job wait; zero if one is unknown.
 func laterEnd(a, b time.Time) time.Time {
 	if a.IsZero() || b.IsZero() {
