--- a/emul/fleet.go
+++ b/emul/fleet.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
 	"carobpulley"
@@ -62,6 +63,10 @@
 	// MessageCost is the processor time, on a processor share of 1, that a coordinator takes for each message that
 	// it receives and for each submission.
 	MessageCost time.Duration
+	// Load returns the processor load of a coordinator, in place of that of its messages, if it is set.
+	Load func(coordinator int) carobpulley.ProcessorLoad
+	// JoinSeen is called with each call to join or take a job, if it is set.
+	JoinSeen func(take bool)
 	// Late is the number of coordinators, the last ones, that don't start with the fleet.
 	Late int
 }
@@ -233,16 +238,44 @@
 	}
 	f.Net.SetMessageCost(p.Addr, time.Duration(float64(f.spec.MessageCost)/self.Share))
 	p.Name = self.Name
-	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, p.suspension, hostProcessor{f.Net, p.Addr},
+	p.Coordinator = coord.New(baseCtx, coord.Config{Self: self, StatusRetention: time.Minute, Shards: f.spec.Shards, DrainTimeout: drainTimeout, Meter: meter.New()}, p.suspension, f.processor(n),
 		f.spec.Log.With().Str("process", self.Name).Logger(), suspendedStore{p.Store, p.suspension}, f, p.peers)
 	mux := http.NewServeMux()
-	mux.Handle(relay.NewCoordinatorServiceHandler(p.Coordinator.Handler()))
+	mux.Handle(relay.NewCoordinatorServiceHandler(joinObserver{p.Coordinator.Handler(), f.spec.JoinSeen}))
 	f.mu.Lock()
 	f.Coordinators[n] = p
 	f.mu.Unlock()
 	f.serve(p, mux, func() error { return p.Coordinator.Run(ctx, func(context.Context) {}) })
 }
 
+// joinObserver tells of the calls to join or take a job.
+type joinObserver struct {
+	relay.CoordinatorServiceHandler
+	seen func(take bool)
+}
+
+// Join implements relay.CoordinatorServiceHandler.
+func (o joinObserver) Join(ctx context.Context, r *connect.Request[relay.JoinRequest]) (*connect.Response[relay.JobReply], error) {
+	if o.seen != nil {
+		o.seen(r.Msg.GetTake())
+	}
+	return o.CoordinatorServiceHandler.Join(ctx, r)
+}
+
+// processor returns the processor of a coordinator.
+func (f *Fleet) processor(n int) carobpulley.Processor {
+	if f.spec.Load != nil {
+		return givenProcessor(func() carobpulley.ProcessorLoad { return f.spec.Load(n) })
+	}
+	return hostProcessor{f.Net, CoordinatorAddr(n)}
+}
+
+// givenProcessor is a processor whose load a test gives.
+type givenProcessor func() carobpulley.ProcessorLoad
+
+// Load implements carobpulley.Processor.
+func (p givenProcessor) Load() carobpulley.ProcessorLoad { return p() }
+
 // hostProcessor is the processor of a host whose messages have a cost.
 type hostProcessor struct {
 	net  *memnet.Net
--- a/emul/two_coordinators_days_test.go
+++ b/emul/two_coordinators_days_test.go
@@ -338,28 +338,33 @@
 		count = twoCoordinatorsDays
 	}
 	for seed := first; seed < first+count; seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			spec := testSpec()
-			spec.Seed = seed * 100
-			spec.Coordinators = 4 + int(seed%3)
-			spec.Late = int(seed/3) % 2
-			spec.Behavior = longerBehavior(seed)
-			runFleet(t, spec, func(t *testing.T, f *Fleet) {
-				d := newTwoDay(f, seed)
-				faults := d.injectFaults(t)
-				var callers sync.WaitGroup
-				callers.Go(d.callers)
-				faults.Wait()
-				d.mu.Lock()
-				d.calmAt = time.Now()
-				d.mu.Unlock()
-				callers.Wait()
-				d.logCalls(t)
-				t.Logf("%d submissions at once after another one, %d jobs answered, %d runs", d.again.Load(), d.answers.Load(), f.Checker.RunCount())
-				if d.again.Load() == 0 || d.answers.Load() == 0 {
-					t.Error("no job was sent to two coordinators at once, or none was answered")
-				}
-			})
-		})
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playTwoDay(t, seed, func(*Spec) {}) })
 	}
 }
+
+// playTwoDay plays the day of a seed on a fleet whose specification is changed before.
+func playTwoDay(t *testing.T, seed uint64, change func(*Spec)) {
+	t.Helper()
+	spec := testSpec()
+	spec.Seed = seed * 100
+	spec.Coordinators = 4 + int(seed%3)
+	spec.Late = int(seed/3) % 2
+	spec.Behavior = longerBehavior(seed)
+	change(&spec)
+	runFleet(t, spec, func(t *testing.T, f *Fleet) {
+		d := newTwoDay(f, seed)
+		faults := d.injectFaults(t)
+		var callers sync.WaitGroup
+		callers.Go(d.callers)
+		faults.Wait()
+		d.mu.Lock()
+		d.calmAt = time.Now()
+		d.mu.Unlock()
+		callers.Wait()
+		d.logCalls(t)
+		t.Logf("%d submissions at once after another one, %d jobs answered, %d runs", d.again.Load(), d.answers.Load(), f.Checker.RunCount())
+		if d.again.Load() == 0 || d.answers.Load() == 0 {
+			t.Error("no job was sent to two coordinators at once, or none was answered")
+		}
+	})
+}
