--- a/coord/join.go
+++ b/coord/join.go
@@ -63,6 +63,9 @@
 	return answerFromReply(reply), joinAnswered
 }
 
+// errOtherProcess is the error of a call to a holder that has ended: runs of it may be on.
+var errOtherProcess = &carobpulley.Error{Op: "join", Kind: carobpulley.KindUnknown, Msg: "another process has the holder's address"}
+
 // awaitJoin calls Join at a holder. The connection of a call that waits for long may go silent, so another
 // call joins it from time to time, over a connection that has just worked. A call ends once two later ones
 // wait: a holder gives a job up as its last caller leaves.
@@ -94,12 +97,16 @@
 		return cancel
 	}
 	var older, newer context.CancelFunc = func() {}, call()
+	repeated := false
 	defer func() { older(); newer() }()
 	tick := time.NewTicker(joinRepeatInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case r := <-results:
+			if r.err == nil && repeated {
+				return replyToRepeated(r.reply)
+			}
 			return r.reply, r.err
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -113,13 +120,30 @@
 		case err != nil:
 		case code == relay.Code_CODE_OK:
 			older()
-			older, newer = newer, call()
+			older, newer, repeated = newer, call(), true
+		case code == relay.Code_CODE_ABSENT:
+			return nil, errOtherProcess
 		default: // the first call did not arrive
 			return &relay.JobReply{Code: relay.Code_CODE_NOT_OWNER}, nil
 		}
 	}
 }
 
+// replyToRepeated returns what the answer to one of several calls tells about the job. Another one that has no answer
+// may have run it.
+func replyToRepeated(r *relay.JobReply) (*relay.JobReply, error) {
+	switch r.GetCode() {
+	case relay.Code_CODE_ABSENT:
+		return nil, errOtherProcess
+	case relay.Code_CODE_DECLINED:
+		return &relay.JobReply{Code: relay.Code_CODE_NOT_OWNER}, nil
+	case relay.Code_CODE_REFUSED:
+		return &relay.JobReply{Code: relay.Code_CODE_UNKNOWN, Reason: r.GetReason()}, nil
+	default:
+		return r, nil
+	}
+}
+
 // askHolder asks a holder whether it has the job.
 func (c *Coordinator) askHolder(ctx context.Context, peer *link.Peer, holder holds.Holder, id string) (relay.Code, error) {
 	call, cancel := withTimeout(ctx, holderTimeout)
