emul: a coordinator that wakes from a pause passes jobs of callers who have left on, known red

Nothing of a best-effort job starts in the first 250 ms after a pause of 400 ms or more, since the departure of callers is seen only then (docs/platform.md, section 2). A submission that a short coordinator reads as it wakes was passed on, and the receiver, which was not paused, started it at once.

--- a/emul/offload_test.go
+++ b/emul/offload_test.go
@@ -188,3 +188,24 @@
 		})
 	}
 }
+
+// Guards against a start that nobody asks for by a submission that a coordinator reads as it wakes from a pause: its
+// caller has left meanwhile, which this coordinator sees a moment later, and the one that it passes the job on to
+// later still.
+func TestPausedCoordinatorPassesNothingOn(t *testing.T) {
+	runFleet(t, offloadSpec(200*time.Millisecond), func(t *testing.T, f *Fleet) {
+		f.askAll(100, 0)
+		before := f.Checker.RunCount()
+		var wg sync.WaitGroup
+		wg.Go(func() { f.coordinator(0).Freeze(600 * time.Millisecond) })
+		time.Sleep(100 * time.Millisecond)
+		for n := range 12 {
+			wg.Go(func() { f.submitFor(0, testJob(n, true, 1), 100*time.Millisecond) })
+		}
+		wg.Wait()
+		time.Sleep(time.Second)
+		if got := f.Checker.RunCount() - before; got != 0 {
+			t.Errorf("%d runs began for callers who had left", got)
+		}
+	})
+}
