coord: a coordinator passes nothing on while it holds starts back after a pause

Jobs of callers who had left during the pause ran at the receiver. While starts of best-effort jobs are held back, submissions are kept: they wait here until the departure of their callers is seen, as those of a coordinator with processor time left do.

--- a/coord/offload.go
+++ b/coord/offload.go
@@ -78,6 +78,9 @@
 func (c *Coordinator) keeps(id string) bool {
 	c.lock()
 	defer c.mu.Unlock()
+	if c.table.HoldsBestEffort(c.now) { // the caller may have left, which only this process will see
+		return true
+	}
 	return c.table.HasJob(id) || c.holdings.pending[id] != nil || c.processor.keeps()
 }
 
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -164,6 +164,9 @@
 // the process's connections are accepted after the pause, so those are held too.
 func (t *Table) HoldBestEffort(until time.Time) { t.heldUntil = until }
 
+// HoldsBestEffort reports whether no task of a best-effort job starts.
+func (t *Table) HoldsBestEffort(now time.Time) bool { return now.Before(t.heldUntil) }
+
 // availableAgents returns the agents that may get tasks now, sorted by name.
 func (t *Table) availableAgents(now time.Time) []*agentState {
 	agents := make([]*agentState, 0, len(t.active))
