emul: jobs are passed on to a coordinator that reaches no agent, known red

A coordinator without agents uses the least of its processor, so the submissions of all that are short of processor time went to it, and were answered 'no coordinator answers that would know of another start' after 290 ms, although their own coordinator could run them.

--- a/emul/offload_test.go
+++ b/emul/offload_test.go
@@ -209,3 +209,27 @@
 		}
 	})
 }
+
+// Guards against callers whose jobs get no result since they are passed on to a coordinator that has the most
+// processor time left because it reaches no agent, or has just begun; their own coordinator could run them.
+func TestJobsArePassedOnToOneThatCanRunThem(t *testing.T) {
+	for name, trouble := range map[string]func(f *Fleet){
+		"cut off from agents":     func(f *Fleet) { f.cutFromAgents(1, true, true, true); time.Sleep(1500 * time.Millisecond) },
+		"cut off from agents now": func(f *Fleet) { f.cutFromAgents(1, true, true, true); time.Sleep(500 * time.Millisecond) },
+		"restarted":               func(f *Fleet) { f.coordinator(1).Kill(); f.StartCoordinator(1); time.Sleep(20 * time.Millisecond) },
+		"restarted 100 ms ago":    func(f *Fleet) { f.coordinator(1).Kill(); f.StartCoordinator(1); time.Sleep(100 * time.Millisecond) },
+		"killed":                  func(f *Fleet) { f.coordinator(1).Kill() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, offloadSpec(200*time.Millisecond), func(t *testing.T, f *Fleet) {
+				f.askAll(100, 0)
+				trouble(f)
+				f.askAll(200, 0)
+				answers := f.submitAll(0, 0, 18, 200*time.Millisecond, 1300*time.Millisecond)
+				if got := completed(answers); got != len(answers) {
+					t.Errorf("%d of %d jobs were completed: %+v", got, len(answers), answers)
+				}
+			})
+		})
+	}
+}
