coord: a coordinator that can't start jobs declines those that are passed on to it

It now declines while it has reached no agent for 1.03 s, and while it holds starts back after a pause; the sender then runs or refuses the job itself. In the first second after the cut jobs still go to it, as they do to any coordinator that loses its agents.

--- a/coord/offload.go
+++ b/coord/offload.go
@@ -120,10 +120,16 @@
 	delete(c.peerUse, name)
 }
 
+// takesJobs reports whether this process takes jobs that others pass on. One that reaches no agent has more processor
+// time left than any other. The caller holds the lock.
+func (c *Coordinator) takesJobs() bool {
+	return c.processor.use < targetUse && !c.draining && !c.holdings.apart(c.now, apartAfter) && !c.table.HoldsBestEffort(c.now)
+}
+
 // take runs a job that another coordinator has passed on, or joins it, and returns at its end.
 func (c *Coordinator) take(ctx context.Context, j *work.Job, age time.Duration) *relay.JobReply {
 	c.lock()
-	declined := !c.table.HasJob(j.ID) && c.holdings.pending[j.ID] == nil && (c.processor.use >= targetUse || c.draining)
+	declined := !c.table.HasJob(j.ID) && c.holdings.pending[j.ID] == nil && !c.takesJobs()
 	c.mu.Unlock()
 	if declined {
 		return &relay.JobReply{Code: relay.Code_CODE_DECLINED}
