emul: coordinators that all wait for the processor exchange their jobs, known red

A sender is short of processor time from 2 ms of wait on, a receiver judged itself, and told others, by the use of its share only. On hosts that are slower than their shares all are short by their waits and below 0.7 by their use, so each passed its jobs on to the others and took theirs, a call or more for each: an overload that makes itself worse.

--- a/emul/offload_test.go
+++ b/emul/offload_test.go
@@ -233,3 +233,27 @@
 		})
 	}
 }
+
+// Guards against an exchange of jobs, a call each, between coordinators of which none has processor time left:
+// each one's goroutines wait for the processor.
+func TestNoJobIsPassedOnToOneThatIsShort(t *testing.T) {
+	spec := homesSpec(200 * time.Millisecond)
+	spec.Load = func(int) carobpulley.ProcessorLoad {
+		return carobpulley.ProcessorLoad{Used: 30 * time.Millisecond, Wait: 3 * time.Millisecond}
+	}
+	var joins atomic.Int64
+	spec.JoinSeen = func(take bool) {
+		if take {
+			joins.Add(1)
+		}
+	}
+	runFleet(t, spec, func(t *testing.T, f *Fleet) {
+		f.askAll(100, 0, 1, 2, 3)
+		joins.Store(0)
+		f.submitAll(0, 0, 12, 200*time.Millisecond, time.Second)
+		f.submitAll(1, 50, 12, 200*time.Millisecond, time.Second)
+		if got := joins.Load(); got != 0 {
+			t.Errorf("%d of 24 jobs were passed on", got)
+		}
+	})
+}
