--- a/coord/offload.go
+++ b/coord/offload.go
@@ -32,7 +32,10 @@
 
 // ownUse returns what learnUse takes. The caller holds the lock.
 func (c *Coordinator) ownUse() uint32 {
-	return uint32(min(max(c.processor.use, 0), 1)*1000) + 1
+	if !c.processor.takes() {
+		return 1001
+	}
+	return uint32(max(c.processor.use, 0)*1000) + 1
 }
 
 // offload passes a submission on to a replica of its id, if this process has too little processor time for it and
@@ -123,7 +126,7 @@
 // takesJobs reports whether this process takes jobs that others pass on. One that reaches no agent has more processor
 // time left than any other. The caller holds the lock.
 func (c *Coordinator) takesJobs() bool {
-	return c.processor.use < targetUse && !c.draining && !c.holdings.apart(c.now, apartAfter) && !c.table.HoldsBestEffort(c.now)
+	return c.processor.takes() && !c.draining && !c.holdings.apart(c.now, apartAfter) && !c.table.HoldsBestEffort(c.now)
 }
 
 // take runs a job that another coordinator has passed on, or joins it, and returns at its end.
--- a/coord/processor.go
+++ b/coord/processor.go
@@ -83,6 +83,9 @@
 	return true
 }
 
+// takes reports whether the process has processor time left for jobs of others.
+func (w *processorWatch) takes() bool { return w.use < targetUse && w.load.Wait < shortWait }
+
 // short reports whether the process is short of processor time.
 func (w *processorWatch) short() bool { return w.use >= shortUse || w.load.Wait >= shortWait }
 
