emul: a copy of the call that passes a job on runs it later, known red

Messages between processes may arrive a second time (emul, SetRepeatRate); a forwarded Submit has a number for that, a Join with 'take' had none. The copy runs a job whose caller has left, or was told by a refusal that it never runs, as soon as the receiver has processor time.

--- a/emul/offload_test.go
+++ b/emul/offload_test.go
@@ -257,3 +257,19 @@
 		}
 	})
 }
+
+// Guards against a job that runs seconds after its caller has left, by a copy of the call by which it was passed on.
+func TestCopyOfAPassedOnJobRunsNothing(t *testing.T) {
+	runFleet(t, offloadSpec(200*time.Millisecond), func(t *testing.T, f *Fleet) {
+		f.askAll(100, 0)
+		f.SetRepeatRate(1)
+		f.submitAll(0, 0, 12, 200*time.Millisecond, 50*time.Millisecond)
+		f.SetRepeatRate(0)
+		time.Sleep(250 * time.Millisecond)
+		before := f.Checker.RunCount()
+		time.Sleep(2 * maxRepeatDelay)
+		if got := f.Checker.RunCount() - before; got != 0 {
+			t.Errorf("%d runs began after the callers had left", got)
+		}
+	})
+}
