coord: calls that pass a job on have a number, and a copy of one has no effect

Each call now carries its sender's process and a number, as a forwarded Submit does, and the receiver carries out each number once. The age of the job is that at the call too, not that at the first one.

--- a/coord/join.go
+++ b/coord/join.go
@@ -50,7 +50,9 @@
 	}
 	s.joined = true
 	c.cfg.Meter.Add("joins", 1)
-	reply, err := c.awaitJoin(ctx, peer, h.Holder, &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: h.Holder.Incarnation})
+	reply, err := c.awaitJoin(ctx, peer, h.Holder, s.job.ID, func() *relay.JoinRequest {
+		return &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: h.Holder.Incarnation}
+	})
 	s.leftAt = c.clock.Now()
 	switch {
 	case err != nil:
@@ -69,7 +71,7 @@
 // awaitJoin calls Join at a holder. The connection of a call that waits for long may go silent, so another
 // call joins it from time to time, over a connection that has just worked. A call ends once two later ones
 // wait: a holder gives a job up as its last caller leaves.
-func (c *Coordinator) awaitJoin(ctx context.Context, peer *link.Peer, holder holds.Holder, m *relay.JoinRequest) (*relay.JobReply, error) {
+func (c *Coordinator) awaitJoin(ctx context.Context, peer *link.Peer, holder holds.Holder, id string, request func() *relay.JoinRequest) (*relay.JobReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
@@ -79,6 +81,7 @@
 	results := make(chan result)
 	call := func() context.CancelFunc {
 		ctx, cancel := context.WithCancel(ctx)
+		m := request()
 		go func() {
 			r := result{}
 			if reply, err := peer.Coordinator.Join(ctx, connect.NewRequest(m)); err != nil {
@@ -112,9 +115,9 @@
 			return nil, ctx.Err()
 		case <-tick.C:
 		}
-		code, err := c.askHolder(ctx, peer, holder, m.GetId())
+		code, err := c.askHolder(ctx, peer, holder, id)
 		if err != nil {
-			code, err = c.askHolder(ctx, peer, holder, m.GetId()) // over a new connection
+			code, err = c.askHolder(ctx, peer, holder, id) // over a new connection
 		}
 		switch {
 		case err != nil:
@@ -178,6 +181,9 @@
 	ctx, cancel := context.WithTimeout(ctx, joinLimit)
 	defer cancel()
 	if r.Msg.GetTake() {
+		if !c.beginAttempt(attempt{r.Msg.GetCoordinator(), r.Msg.GetSenderIncarnation(), r.Msg.GetNumber()}) {
+			return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_UNKNOWN, Reason: "the call arrived twice"}), nil
+		}
 		return connect.NewResponse(c.take(ctx, j, time.Duration(r.Msg.GetAgeMs())*time.Millisecond)), nil
 	}
 	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, c.clock.Now(), false))), nil
--- a/coord/offload.go
+++ b/coord/offload.go
@@ -52,7 +52,12 @@
 	}
 	peer := c.peers.At(holder.Addr)
 	s.passedTo = holder.Coordinator
-	reply, err := c.awaitJoin(ctx, peer, holder, &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: holder.Incarnation, Take: true, AgeMs: c.clock.Now().Sub(s.arrivedAt).Milliseconds()})
+	reply, err := c.awaitJoin(ctx, peer, holder, s.job.ID, func() *relay.JoinRequest {
+		return &relay.JoinRequest{
+			Id: s.job.ID, Job: body, Incarnation: holder.Incarnation, Take: true, AgeMs: c.clock.Now().Sub(s.arrivedAt).Milliseconds(),
+			Coordinator: c.cfg.Self.Name, SenderIncarnation: c.cfg.Self.Incarnation, Number: c.lastAttempt.Add(1),
+		}
+	})
 	switch {
 	case ctx.Err() != nil: // the caller has left
 		s.uncertain = true
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -53,20 +53,20 @@
 	if err != nil {
 		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
 	}
-	if !s.c.beginAttempt(r.Msg) {
+	if !s.c.beginAttempt(attempt{r.Msg.GetCoordinator(), r.Msg.GetIncarnation(), r.Msg.GetNumber()}) {
 		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_UNKNOWN, Reason: "the submission arrived twice"}), nil
 	}
 	return connect.NewResponse(replyFromAnswer(s.c.submitAsOwner(ctx, j))), nil
 }
 
-// beginAttempt reports whether a forwarded submission arrives for the first time.
-func (c *Coordinator) beginAttempt(m *relay.SubmitRequest) bool {
-	if m.GetNumber() == 0 {
+// beginAttempt reports whether a submission that another coordinator forwards or passes on arrives for the first time.
+func (c *Coordinator) beginAttempt(a attempt) bool {
+	if a.number == 0 {
 		return true // the coordinator runs a build that does not number its messages
 	}
 	c.lock()
 	defer c.mu.Unlock()
-	return c.attempts.begin(c.now, attempt{m.GetCoordinator(), m.GetIncarnation(), m.GetNumber()})
+	return c.attempts.begin(c.now, a)
 }
 
 // State implements relay.CoordinatorServiceHandler.
