emul: jobs count as passed on to a coordinator that has ended, known red

A call that failed since nothing listens at the receiver counted like one without an answer: the job may run there, so nothing starts for 1.8 s, and a caller that does not wait so long gets 504. TestJobsAreNotTakenForPassedOnToOneThatHasEnded: 10 of 18 jobs that are submitted right after a receiver was killed have a result.

--- a/emul/offload_test.go
+++ b/emul/offload_test.go
@@ -273,3 +273,16 @@
 		}
 	})
 }
+
+// Guards against jobs that wait until their runs at another coordinator would be over although they were not passed on
+// to it: nothing listens there any more.
+func TestJobsAreNotTakenForPassedOnToOneThatHasEnded(t *testing.T) {
+	runFleet(t, offloadSpec(200*time.Millisecond), func(t *testing.T, f *Fleet) {
+		f.askAll(100, 0)
+		f.coordinator(1).Kill()
+		answers := f.submitAll(0, 0, 18, 200*time.Millisecond, 1300*time.Millisecond)
+		if got := completed(answers); got != len(answers) {
+			t.Errorf("%d of %d jobs were completed: %+v", got, len(answers), answers)
+		}
+	})
+}
