--- a/coord/join.go
+++ b/coord/join.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"carobpulley"
 	"carobpulley/holds"
@@ -107,8 +108,8 @@
 	for {
 		select {
 		case r := <-results:
-			if r.err == nil && repeated {
-				return replyToRepeated(r.reply)
+			if repeated {
+				return replyToRepeated(r.reply, r.err)
 			}
 			return r.reply, r.err
 		case <-ctx.Done():
@@ -134,7 +135,10 @@
 
 // replyToRepeated returns what the answer to one of several calls tells about the job. Another one that has no answer
 // may have run it.
-func replyToRepeated(r *relay.JobReply) (*relay.JobReply, error) {
+func replyToRepeated(r *relay.JobReply, err error) (*relay.JobReply, error) {
+	if err != nil {
+		return nil, errors.Errorf("the last of several calls: %v", err) // it may be that this one was not sent
+	}
 	switch r.GetCode() {
 	case relay.Code_CODE_ABSENT:
 		return nil, errOtherProcess
--- a/coord/offload.go
+++ b/coord/offload.go
@@ -67,7 +67,9 @@
 		c.log.Warn().Err(err).Str("job", s.job.ID).Str("coordinator", holder.Coordinator).Msg("job passed on without an answer")
 		c.cfg.Meter.Add(meter.Name("offloads", "no_answer"), 1)
 		c.dropUse(holder.Coordinator)
-		s.joined, s.uncertain, s.leftAt = true, true, c.clock.Now() // the peer may run it
+		if carobpulley.KindOf(err) == carobpulley.KindUnknown { // the peer may run it
+			s.joined, s.uncertain, s.leftAt = true, true, c.clock.Now()
+		}
 		return false, a
 	case reply.GetCode() == relay.Code_CODE_DECLINED, reply.GetCode() == relay.Code_CODE_ABSENT:
 		c.cfg.Meter.Add(meter.Name("offloads", "declined"), 1)
