emul: the receiver of a passed on job is cut off twice, known red

Where a holder can't be asked, its runs count as over 1,323 ms after a submission came elsewhere, since callers leave a coordinator before they go to another one, and it sees that. The receiver of a passed on job learns it from the sender: cut off from it, it goes on until 1.2 s after the last call. If it loses its agents before it has stopped the runs, these go on for up to 1.15 s more. Not fixed: a wait of 2.5 s for each job whose holder is gone would cost more.

--- a/emul/offload_test.go
+++ b/emul/offload_test.go
@@ -286,3 +286,29 @@
 		}
 	})
 }
+
+// Guards against two runs of a task at a time because a job was passed on: its receiver, which is cut off from the
+// coordinators as the caller leaves, and from its agents before it gives the job up, runs it for longer than a
+// coordinator would whose caller has left.
+func TestReceiverOfAPassedOnJobIsCutOff(t *testing.T) {
+	for _, agents := range []time.Duration{500 * time.Millisecond, 900 * time.Millisecond, 1150 * time.Millisecond} {
+		t.Run(agents.String(), func(t *testing.T) {
+			runFleet(t, offloadSpec(3*time.Second), func(_ *testing.T, f *Fleet) {
+				f.askAll(100, 0)
+				var wg sync.WaitGroup
+				for n := range 12 {
+					j := testJob(n, true, 1)
+					j.Steps[0].EstimateMS = 3000
+					wg.Go(func() { f.submitFor(0, j, 80*time.Millisecond) })
+				}
+				time.Sleep(99 * time.Millisecond)
+				f.SilenceCoordinators()
+				f.isolate(1, true)
+				time.AfterFunc(agents, func() { f.cutFromAgents(1, true, true, true) })
+				time.Sleep(10 * time.Millisecond)
+				wg.Go(func() { f.submitAll(2, 0, 12, 3*time.Second, 6*time.Second) })
+				wg.Wait()
+			})
+		})
+	}
+}
