emul: a coordinator that wakes from a pause takes no job whose sender may have left

Trace: coordinator 0 passed the job on at 6.245 s to coordinator 2, which was suspended from 5.912 to 7.188 s, and its caller left at 6.257 s. Coordinator 2 read the call as it woke, did not see that its sender had left, replaced the hold of coordinator 1, which was cut off, and started the job at 7.445 s; its caller was at coordinator 1 by then, which placed it again at 8.242 s.

--- a/emul/offload_test.go
+++ b/emul/offload_test.go
@@ -312,3 +312,27 @@
 		})
 	}
 }
+
+// Guards against runs for callers who have left by a call that a coordinator reads as it wakes from a pause: it does
+// not learn that the sender has left, as the connection has gone silent.
+func TestPausedReceiverTakesNothing(t *testing.T) {
+	runFleet(t, offloadSpec(700*time.Millisecond), func(t *testing.T, f *Fleet) {
+		f.askAll(100, 0)
+		before := f.Checker.RunCount()
+		var wg sync.WaitGroup
+		wg.Go(func() { f.coordinator(1).Suspend(700 * time.Millisecond) })
+		time.Sleep(10 * time.Millisecond)
+		for n := range 12 {
+			wg.Go(func() { f.submitFor(0, testJob(n, true, 1), 20*time.Millisecond) })
+		}
+		time.Sleep(30 * time.Millisecond)
+		f.SilenceCoordinators()
+		time.Sleep(500 * time.Millisecond)
+		started := f.Checker.RunCount()
+		wg.Wait()
+		time.Sleep(2 * time.Second)
+		if got := f.Checker.RunCount() - started; got != 0 {
+			t.Errorf("%d runs began after the pause for callers who had left, %d before", got, started-before)
+		}
+	})
+}
