coord: the expected wait for the processor leaves out waits for other processes

The measure now counts from the arrival at this process, and leaves out submissions that have waited for another one or were passed on before. A replica that is slow to answer still counts as own wait.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -16,7 +16,8 @@
 // before the caller submits the job again elsewhere.
 func (c *Coordinator) runBestEffort(ctx context.Context, j *work.Job) carobpulley.JobAnswer {
 	began := time.Now()
-	s := &submission{job: j, arrivedAt: c.clock.Now()}
+	now := c.clock.Now()
+	s := &submission{job: j, arrivedAt: now, receivedAt: now}
 	a := c.awaitBestEffort(ctx, s)
 	took := time.Since(began)
 	c.recordAnswer(j, a, took)
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -34,8 +34,9 @@
 
 // submission is a submission of a best-effort job before it is in a table.
 type submission struct {
-	job       *work.Job
-	arrivedAt time.Time
+	job *work.Job
+	// arrivedAt is the time at which the submission came from its caller, receivedAt that at which it came here.
+	arrivedAt, receivedAt time.Time
 	// replaced is the number of the hold to replace; 0 if there is none.
 	replaced uint64
 	// uncertain is set once a holder had to be replaced: it may have run the job.
@@ -70,7 +71,7 @@
 		s.replaced = 0
 		if s.mayStart(c.clock.Now(), outcome) {
 			s.grant, s.grantedAt = g, c.clock.Now()
-			c.recordGrant(id, outcome, g, s.grantedAfter())
+			c.recordGrant(s, outcome)
 			return true, false, carobpulley.JobAnswer{}
 		}
 		c.endPending(id)
@@ -98,12 +99,15 @@
 
 // recordGrant counts how a job that may start here is guarded against another start, and keeps the hold: others
 // that know other members may take this process for a replica of the id.
-func (c *Coordinator) recordGrant(id string, outcome holds.Outcome, g grant, took time.Duration) {
+func (c *Coordinator) recordGrant(s *submission, outcome holds.Outcome) {
+	id, g := s.job.ID, s.grant
 	c.lock()
 	c.holdings.table.Take(c.now, id, c.self(), g.number, 0)
-	c.processor.recordGrant(took)
+	if !s.uncertain && s.passedTo == "" { // it has not waited for another process
+		c.processor.recordGrant(s.grantedAt.Sub(s.receivedAt))
+	}
 	c.mu.Unlock()
-	c.cfg.Meter.Observe("grant", took)
+	c.cfg.Meter.Observe("grant", s.grantedAfter())
 	result := "granted"
 	switch {
 	case g.members == 0:
--- a/coord/offload.go
+++ b/coord/offload.go
@@ -144,7 +144,8 @@
 	if declined {
 		return &relay.JobReply{Code: relay.Code_CODE_DECLINED}
 	}
-	s := &submission{job: j, arrivedAt: c.clock.Now().Add(-age)}
+	now := c.clock.Now()
+	s := &submission{job: j, arrivedAt: now.Add(-age), receivedAt: now}
 	a := c.awaitHere(ctx, s)
 	if s.grant.number != 0 {
 		c.log.Info().Str("job", j.ID).Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Func(s.grant.fields).Msg("answered to a coordinator")
