--- a/coord/join.go
+++ b/coord/join.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"carobpulley"
 	"carobpulley/holds"
@@ -50,7 +51,9 @@
 	}
 	s.joined = true
 	c.cfg.Meter.Add("joins", 1)
-	reply, err := c.awaitJoin(ctx, peer, h.Holder, &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: h.Holder.Incarnation})
+	reply, err := c.awaitJoin(ctx, peer, h.Holder, s.job.ID, func() *relay.JoinRequest {
+		return &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: h.Holder.Incarnation}
+	})
 	s.leftAt = c.clock.Now()
 	switch {
 	case err != nil:
@@ -63,10 +66,13 @@
 	return answerFromReply(reply), joinAnswered
 }
 
+// errOtherProcess is the error of a call to a holder that has ended: runs of it may be on.
+var errOtherProcess = &carobpulley.Error{Op: "join", Kind: carobpulley.KindUnknown, Msg: "another process has the holder's address"}
+
 // awaitJoin calls Join at a holder. The connection of a call that waits for long may go silent, so another
 // call joins it from time to time, over a connection that has just worked. A call ends once two later ones
 // wait: a holder gives a job up as its last caller leaves.
-func (c *Coordinator) awaitJoin(ctx context.Context, peer *link.Peer, holder holds.Holder, m *relay.JoinRequest) (*relay.JobReply, error) {
+func (c *Coordinator) awaitJoin(ctx context.Context, peer *link.Peer, holder holds.Holder, id string, request func() *relay.JoinRequest) (*relay.JobReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
@@ -76,6 +82,7 @@
 	results := make(chan result)
 	call := func() context.CancelFunc {
 		ctx, cancel := context.WithCancel(ctx)
+		m := request()
 		go func() {
 			r := result{}
 			if reply, err := peer.Coordinator.Join(ctx, connect.NewRequest(m)); err != nil {
@@ -94,32 +101,56 @@
 		return cancel
 	}
 	var older, newer context.CancelFunc = func() {}, call()
+	repeated := false
 	defer func() { older(); newer() }()
 	tick := time.NewTicker(joinRepeatInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case r := <-results:
+			if repeated {
+				return replyToRepeated(r.reply, r.err)
+			}
 			return r.reply, r.err
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-tick.C:
 		}
-		code, err := c.askHolder(ctx, peer, holder, m.GetId())
+		code, err := c.askHolder(ctx, peer, holder, id)
 		if err != nil {
-			code, err = c.askHolder(ctx, peer, holder, m.GetId()) // over a new connection
+			code, err = c.askHolder(ctx, peer, holder, id) // over a new connection
 		}
 		switch {
 		case err != nil:
 		case code == relay.Code_CODE_OK:
 			older()
-			older, newer = newer, call()
+			older, newer, repeated = newer, call(), true
+		case code == relay.Code_CODE_ABSENT:
+			return nil, errOtherProcess
 		default: // the first call did not arrive
 			return &relay.JobReply{Code: relay.Code_CODE_NOT_OWNER}, nil
 		}
 	}
 }
 
+// replyToRepeated returns what the answer to one of several calls tells about the job. Another one that has no answer
+// may have run it.
+func replyToRepeated(r *relay.JobReply, err error) (*relay.JobReply, error) {
+	if err != nil {
+		return nil, errors.Errorf("the last of several calls: %v", err) // it may be that this one was not sent
+	}
+	switch r.GetCode() {
+	case relay.Code_CODE_ABSENT:
+		return nil, errOtherProcess
+	case relay.Code_CODE_DECLINED:
+		return &relay.JobReply{Code: relay.Code_CODE_NOT_OWNER}, nil
+	case relay.Code_CODE_REFUSED:
+		return &relay.JobReply{Code: relay.Code_CODE_UNKNOWN, Reason: r.GetReason()}, nil
+	default:
+		return r, nil
+	}
+}
+
 // askHolder asks a holder whether it has the job.
 func (c *Coordinator) askHolder(ctx context.Context, peer *link.Peer, holder holds.Holder, id string) (relay.Code, error) {
 	call, cancel := withTimeout(ctx, holderTimeout)
@@ -154,6 +185,9 @@
 	ctx, cancel := context.WithTimeout(ctx, joinLimit)
 	defer cancel()
 	if r.Msg.GetTake() {
+		if !c.beginAttempt(attempt{r.Msg.GetCoordinator(), r.Msg.GetSenderIncarnation(), r.Msg.GetNumber()}) {
+			return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_UNKNOWN, Reason: "the call arrived twice"}), nil
+		}
 		return connect.NewResponse(c.take(ctx, j, time.Duration(r.Msg.GetAgeMs())*time.Millisecond)), nil
 	}
 	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, c.clock.Now(), false))), nil
--- a/coord/offload.go
+++ b/coord/offload.go
@@ -32,7 +32,10 @@
 
 // ownUse returns what learnUse takes. The caller holds the lock.
 func (c *Coordinator) ownUse() uint32 {
-	return uint32(min(max(c.processor.use, 0), 1)*1000) + 1
+	if !c.processor.takes() {
+		return 1001
+	}
+	return uint32(max(c.processor.use, 0)*1000) + 1
 }
 
 // offload passes a submission on to a replica of its id, if this process has too little processor time for it and
@@ -49,7 +52,12 @@
 	}
 	peer := c.peers.At(holder.Addr)
 	s.passedTo = holder.Coordinator
-	reply, err := c.awaitJoin(ctx, peer, holder, &relay.JoinRequest{Id: s.job.ID, Job: body, Incarnation: holder.Incarnation, Take: true, AgeMs: c.clock.Now().Sub(s.arrivedAt).Milliseconds()})
+	reply, err := c.awaitJoin(ctx, peer, holder, s.job.ID, func() *relay.JoinRequest {
+		return &relay.JoinRequest{
+			Id: s.job.ID, Job: body, Incarnation: holder.Incarnation, Take: true, AgeMs: c.clock.Now().Sub(s.arrivedAt).Milliseconds(),
+			Coordinator: c.cfg.Self.Name, SenderIncarnation: c.cfg.Self.Incarnation, Number: c.lastAttempt.Add(1),
+		}
+	})
 	switch {
 	case ctx.Err() != nil: // the caller has left
 		s.uncertain = true
@@ -59,7 +67,9 @@
 		c.log.Warn().Err(err).Str("job", s.job.ID).Str("coordinator", holder.Coordinator).Msg("job passed on without an answer")
 		c.cfg.Meter.Add(meter.Name("offloads", "no_answer"), 1)
 		c.dropUse(holder.Coordinator)
-		s.joined, s.uncertain, s.leftAt = true, true, c.clock.Now() // the peer may run it
+		if carobpulley.KindOf(err) == carobpulley.KindUnknown { // the peer may run it
+			s.joined, s.uncertain, s.leftAt = true, true, c.clock.Now()
+		}
 		return false, a
 	case reply.GetCode() == relay.Code_CODE_DECLINED, reply.GetCode() == relay.Code_CODE_ABSENT:
 		c.cfg.Meter.Add(meter.Name("offloads", "declined"), 1)
@@ -78,6 +88,9 @@
 func (c *Coordinator) keeps(id string) bool {
 	c.lock()
 	defer c.mu.Unlock()
+	if c.table.HoldsBestEffort(c.now) { // the caller may have left, which only this process will see
+		return true
+	}
 	return c.table.HasJob(id) || c.holdings.pending[id] != nil || c.processor.keeps()
 }
 
@@ -117,15 +130,22 @@
 	delete(c.peerUse, name)
 }
 
+// takesJobs reports whether this process takes jobs that others pass on. One that reaches no agent has more processor
+// time left than any other. The caller holds the lock.
+func (c *Coordinator) takesJobs() bool {
+	return c.processor.takes() && !c.draining && !c.holdings.apart(c.now, apartAfter) && !c.table.HoldsBestEffort(c.now)
+}
+
 // take runs a job that another coordinator has passed on, or joins it, and returns at its end.
 func (c *Coordinator) take(ctx context.Context, j *work.Job, age time.Duration) *relay.JobReply {
 	c.lock()
-	declined := !c.table.HasJob(j.ID) && c.holdings.pending[j.ID] == nil && (c.processor.use >= targetUse || c.draining)
+	declined := !c.table.HasJob(j.ID) && c.holdings.pending[j.ID] == nil && !c.takesJobs()
 	c.mu.Unlock()
 	if declined {
 		return &relay.JobReply{Code: relay.Code_CODE_DECLINED}
 	}
-	s := &submission{job: j, arrivedAt: c.clock.Now().Add(-age)}
+	now := c.clock.Now()
+	s := &submission{job: j, arrivedAt: now.Add(-age), receivedAt: now}
 	a := c.awaitHere(ctx, s)
 	if s.grant.number != 0 {
 		c.log.Info().Str("job", j.ID).Int("code", int(a.Code)).Str("state", string(a.State)).Str("why", a.Reason).Func(s.grant.fields).Msg("answered to a coordinator")
