coord: a submission is refused for want of processor time once no other process has the job

It is now decided after the grant, as the table's own refusals are. Asking costs a share of a batched call and the wait for its answer, so a refusal comes later under load, not at once.

--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -27,13 +27,11 @@
 }
 
 func (c *Coordinator) awaitBestEffort(ctx context.Context, s *submission) carobpulley.JobAnswer {
-	if !c.keeps(s.job.ID) {
+	s.refusable = !c.keeps(s.job.ID)
+	if s.refusable {
 		if answered, a := c.offload(ctx, s); answered {
 			return a
 		}
-		if reason := c.overloaded(s); reason != "" {
-			return refusedAnswer(reason)
-		}
 	}
 	return c.awaitHere(ctx, s)
 }
@@ -42,7 +40,16 @@
 func (c *Coordinator) awaitHere(ctx context.Context, s *submission) carobpulley.JobAnswer {
 	for {
 		own, answered, a := c.acquire(ctx, s)
-		if !answered {
+		reason := ""
+		if own && s.refusable {
+			reason = c.overloaded(s.job)
+		}
+		switch {
+		case answered:
+		case reason != "": // no other process has the job, so it never runs
+			c.endPending(s.job.ID)
+			a = refusedAnswer(reason)
+		default:
 			a = c.runHere(ctx, s.job, s.arrivedAt, own)
 		}
 		if a.Code != notOwner {
--- a/coord/hold.go
+++ b/coord/hold.go
@@ -45,6 +45,8 @@
 	// the call has broken. leftAt is the time at which this process last stopped to wait for it.
 	joined bool
 	leftAt time.Time
+	// refusable is set if the submission is refused while this process is overloaded.
+	refusable bool
 	// passedTo is the coordinator that the submission was passed on to.
 	passedTo string
 	// grant tells who let this process start the job, and grantedAt when.
--- a/coord/offload.go
+++ b/coord/offload.go
@@ -94,13 +94,13 @@
 	return c.table.HasJob(id) || c.holdings.pending[id] != nil || c.processor.keeps()
 }
 
-// overloaded returns why a submission is refused that this process can't run in time and no other one takes; empty if
-// it is not.
-func (c *Coordinator) overloaded(s *submission) string {
+// overloaded returns why a job is refused that this process can't run in time and no other one takes; empty if it is
+// not.
+func (c *Coordinator) overloaded(j *work.Job) string {
 	c.lock()
 	defer c.mu.Unlock()
-	wait, slack := c.processor.expectedWait(c.now), s.job.Objective()-s.job.CriticalPath()
-	if s.uncertain || float64(wait) <= bearableWait*float64(slack) {
+	wait, slack := c.processor.expectedWait(c.now), j.Objective()-j.CriticalPath()
+	if float64(wait) <= bearableWait*float64(slack) {
 		return ""
 	}
 	return fmt.Sprintf("overload: a wait of %d ms for this process is expected, of %d ms slack", wait.Milliseconds(), slack.Milliseconds())
