--- a/scripts/emul.sh
+++ b/scripts/emul.sh
@@ -17,7 +17,7 @@
 go test -race -c -o "$out/emul.test" ./emul
 # "--- PASS: TestRandomDays/7 (0.20s)" gives ^TestRandomDays$/^7$; a line of all days gives nothing.
 sed -nE 's/^ *--- PASS: ([A-Za-z0-9_]+)(\/([0-9]+))? .*/\1 \3/p' "$out/plain" |
-	grep -vE '^Test(Random|Late|Suspend|Evacuation|Elsewhere|Duplicate|OvertakenAnswers|ReplacedOwners|Silent|OneCoordinator|TwoCoordinators)Days $' |
+	grep -vE '^Test(Random|Late|Suspend|Evacuation|Elsewhere|Duplicate|OvertakenAnswers|ReplacedOwners|Silent|OneCoordinator|TwoCoordinators|Offload)Days $' |
 	sed -E 's/^([^ ]+) $/^\1$/; s/^([^ ]+) ([0-9]+)$/^\1$\/^\2$/' > "$out/names"
 cd emul
 export out
