coord: a job that is passed on or joined outlasts the connection of its call

The sender now calls again at once over a new connection, three times at most, and the receiver takes a call's caller for gone 100 ms after its connection has ended.

--- a/coord/join.go
+++ b/coord/join.go
@@ -22,6 +22,11 @@
 	// joinLimit bounds one call that waits for a result: the departure of a process that has made no later one may
 	// have got lost, and its caller may have left.
 	joinLimit = 3 * joinRepeatInterval
+	// joinGrace is the time after the end of a call's connection after which its caller counts as gone: it may call
+	// again, over a new connection.
+	joinGrace = 100 * time.Millisecond
+	// maxRejoins bounds the calls that are made again at once after their connections have ended.
+	maxRejoins = 3
 )
 
 // joinResult is what became of a submission that was to join a job of another process.
@@ -101,13 +106,19 @@
 		return cancel
 	}
 	var older, newer context.CancelFunc = func() {}, call()
-	repeated := false
+	repeated, rejoins := false, 0
 	defer func() { older(); newer() }()
 	tick := time.NewTicker(joinRepeatInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case r := <-results:
+			if r.err != nil && rejoins < maxRejoins && !link.ConnectionRefused(r.err) { // the connection has ended, which tells nothing about the peer
+				peer.CloseIdleConnections()
+				rejoins++
+				older, newer, repeated = newer, call(), true
+				continue
+			}
 			if repeated {
 				return replyToRepeated(r.reply, r.err)
 			}
@@ -182,7 +193,7 @@
 	if err != nil {
 		return connect.NewResponse(&relay.JobReply{Code: relay.Code_CODE_INVALID, Reason: err.Error()}), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, joinLimit)
+	ctx, cancel := withGrace(ctx, joinLimit, joinGrace)
 	defer cancel()
 	if r.Msg.GetTake() {
 		if !c.beginAttempt(attempt{r.Msg.GetCoordinator(), r.Msg.GetSenderIncarnation(), r.Msg.GetNumber()}) {
@@ -193,6 +204,21 @@
 	return connect.NewResponse(replyFromAnswer(c.runHere(ctx, j, c.clock.Now(), false))), nil
 }
 
+// withGrace returns a context that ends after a timeout, at the parent's deadline, or a grace period after the parent
+// was cancelled.
+func withGrace(parent context.Context, timeout, grace time.Duration) (context.Context, context.CancelFunc) {
+	deadline := time.Now().Add(timeout)
+	if d, ok := parent.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(parent), deadline)
+	stop := context.AfterFunc(parent, func() { time.AfterFunc(grace, cancel) })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // awaitJob waits while an id is asked for and reports whether the job is in the table then.
 func (c *Coordinator) awaitJob(ctx context.Context, id string) bool {
 	for {
--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -167,8 +167,17 @@
 	defer n.mu.Unlock()
 	n.lastConn++
 	there, back := newStream(), newStream()
-	return &conn{net: n, number: n.lastConn, local: from, remote: to, in: back, out: there},
-		&conn{net: n, number: n.lastConn, accepted: true, local: to, remote: from, in: there, out: back}
+	near = &conn{net: n, number: n.lastConn, local: from, remote: to, in: back, out: there}
+	far = &conn{net: n, number: n.lastConn, accepted: true, local: to, remote: from, in: there, out: back}
+	n.open[n.lastConn] = [2]*conn{near, far}
+	return near, far
+}
+
+// forget removes a connection that one side has closed.
+func (n *Net) forget(number uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.open, number)
 }
 
 // silent reports whether what this side sends is lost because the connection has gone silent.
@@ -216,6 +225,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.net.forget(c.number)
 	seen := !c.silent()
 	c.out.end(seen)
 	c.in.abandon(seen)
--- a/memnet/net.go
+++ b/memnet/net.go
@@ -31,6 +31,8 @@
 	// silent holds the number of the last connection over which data from one host to another is lost.
 	silent   map[[2]netip.Addr]uint64
 	lastConn uint64
+	// open holds the connections that neither side has closed, by number.
+	open map[uint64][2]*conn
 	// quotas holds the share of each quotaPeriod in which a host runs, for hosts that have one.
 	quotas map[netip.Addr]float64
 	// processors holds the hosts whose messages have a cost.
@@ -48,6 +50,7 @@
 		silent:     make(map[[2]netip.Addr]uint64),
 		quotas:     make(map[netip.Addr]float64),
 		processors: make(map[netip.Addr]*processor),
+		open:       make(map[uint64][2]*conn),
 		nextPort:   firstPort,
 	}
 }
@@ -79,6 +82,22 @@
 	return number <= n.silent[[2]netip.Addr{from, to}]
 }
 
+// Reset ends all connections that are open between two hosts.
+func (n *Net) Reset(a, b netip.Addr) {
+	n.mu.Lock()
+	var ended []*conn
+	for _, sides := range n.open {
+		near, far := sides[0].local.Addr(), sides[0].remote.Addr()
+		if near == a && far == b || near == b && far == a {
+			ended = append(ended, sides[0], sides[1])
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range ended {
+		_ = c.Close() // it reports no error
+	}
+}
+
 // SetQuota lets a host's servers read and write in a share of each tenth of a second only, at its beginning;
 // 1 ends this. The host's own calls and timers are not affected: a process whose timers are late too
 // allows for that.
