holds: a spare is asked beside a replica that does not answer

Two coordinators ran one best-effort job at a time: coordinator 0 had been granted the id by replica 2 alone, as it took replica 3 for out, and 450 ms later coordinator 1 by replica 3 alone, as 2 did not answer. Both replicas were alive; they were slow one after the other (answers 600 ms late). In the logs both grants are GrantedByOne, each with the other one's replica as silent.

Cause: a call that an agent passes on ends after 100 ms, so a host that is alive but slow is out by the word of another host too. A coordinator also keeps that for up to 250 ms, until its next probe. So the words of two replicas, each alone, let two processes start. Class: a permission by a view that the other side doesn't share.

Change: if a replica has no vote and none knows of another holder, the next coordinator in the order of the id is asked too, and two of the three have to grant the id, one of them a replica that knows all grants. Any two processes then have a grant of a common coordinator. Fleets of two coordinators have no spare and are as before. The spare does not have to be out by the word of another host, since the majority is enough. A job whose replicas both answer costs no further call.

TestTwoProcessesThatMissDifferentReplicas plays all 729 fates of the asks of two processes at three members; with the old rule in the new ballot ("asks 39: the id was granted to [a b]") it fails, and passes now. TestOutcome wanted a start by one replica at once beside one that is out; it now wants the spare's vote there, and has more cases.

--- a/coord/replicas.go
+++ b/coord/replicas.go
@@ -61,9 +61,9 @@
 	id               string
 	number, replaced uint64
 	replica          string
-	// vote is the answer; nil if there was none, by the word of another host too if told is set.
-	vote *holds.Vote
-	told bool
+	// vote is the answer; nil if there was none.
+	vote    *holds.Vote
+	silence holds.Silence
 	// done gets the ask when the replica has answered or the call has failed.
 	done chan<- *holdAsk
 }
@@ -113,7 +113,7 @@
 
 // holdBallot asks the replicas of an id by the members that are known now.
 func (c *Coordinator) holdBallot(ctx context.Context, id string, replaced uint64) (holds.Outcome, holds.Hold, grant) {
-	answers := make(chan *holdAsk, holds.ReplicaCount)
+	answers := make(chan *holdAsk, holds.VoterCount)
 	c.lock()
 	now := c.now
 	ballot := c.holdings.members.Ballot(now, id, c.self())
@@ -123,11 +123,15 @@
 		c.mu.Unlock()
 		return holds.NoAnswer, holds.Hold{}, g
 	}
-	for _, name := range ballot.Open() {
-		c.submitAsk(now, &holdAsk{id: id, number: g.number, replaced: replaced, replica: name, done: answers})
-	}
 	c.mu.Unlock()
 	for {
+		if next := ballot.Next(); len(next) > 0 {
+			c.lock()
+			for _, name := range next {
+				c.submitAsk(c.now, &holdAsk{id: id, number: g.number, replaced: replaced, replica: name, done: answers})
+			}
+			c.mu.Unlock()
+		}
 		outcome, hold := ballot.Outcome()
 		if outcome != holds.Pending {
 			g.replicas, g.silent = ballot.Granting(), ballot.Silent()
@@ -135,7 +139,7 @@
 		}
 		select {
 		case ask := <-answers:
-			ballot.Record(ask.replica, ask.vote, ask.told)
+			ballot.Record(ask.replica, ask.vote, ask.silence)
 		case <-ctx.Done():
 			return holds.Pending, holds.Hold{}, grant{}
 		}
@@ -172,12 +176,12 @@
 		n := min(len(asks), maxHoldBatch)
 		asks, c.holdings.asks[name] = asks[:n:n], asks[n:]
 		c.mu.Unlock()
-		told, err := c.callAndRecord(name, asks)
+		silence, err := c.callAndRecord(name, asks)
 		if err != nil {
 			asks = append(asks, c.takeWaiting(name)...)
 		}
 		for _, ask := range asks {
-			ask.told = told
+			ask.silence = silence
 			ask.done <- ask
 		}
 	}
@@ -192,10 +196,10 @@
 	return asks
 }
 
-// callAndRecord calls a replica, sets the answers of the asks, and records whether it has answered. If it has not,
-// told reports whether another host has found the same.
-func (c *Coordinator) callAndRecord(name string, asks []*holdAsk) (told bool, err error) {
+// callAndRecord calls a replica, sets the answers of the asks, and records whether it has answered.
+func (c *Coordinator) callAndRecord(name string, asks []*holdAsk) (holds.Silence, error) {
 	reply, told, err := c.callReplicaOver(name, asks)
+	ended := link.ConnectionRefused(err)
 	c.lock()
 	defer c.mu.Unlock()
 	c.cfg.Meter.Add("hold_calls", 1)
@@ -204,15 +208,21 @@
 		c.holdings.members.Answered(c.now, name, reply.GetYoung())
 		c.learnMembers(reply.GetMembers())
 		c.learnUse(name, reply.GetProcessorUse())
-		return false, c.setVotes(asks, reply)
+		return holds.Unreached, c.setVotes(asks, reply)
 	case told:
-		c.holdings.members.Failed(c.now, name, link.ConnectionRefused(err))
+		c.holdings.members.Failed(c.now, name, ended)
 	default:
 		c.holdings.members.Unreached(c.now, name)
 	}
 	c.cfg.Meter.Add(meter.Name("holds", "unanswered"), int64(len(asks)))
-	c.log.Warn().Err(err).Str("coordinator", name).Int("asks", len(asks)).Bool("told", told).Msg("hold not answered")
-	return told, err
+	c.log.Warn().Err(err).Str("coordinator", name).Int("asks", len(asks)).Bool("told", told).Bool("ended", ended).Msg("hold not answered")
+	switch {
+	case ended:
+		return holds.Ended, err
+	case told:
+		return holds.Told, err
+	}
+	return holds.Unreached, err
 }
 
 // setVotes sets the answers of the asks. The caller holds the lock.
--- a/holds/ballot_test.go
+++ b/holds/ballot_test.go
@@ -20,7 +20,8 @@
 func TestOutcome(t *testing.T) {
 	mine, other, third, young := voteOf{"self", false}, voteOf{"y", false}, voteOf{"z", false}, voteOf{"self", true}
 	// By the word of another host too a replica is out; one that is unreached may be up.
-	out, unreached := voteOf{"out", false}, voteOf{"unreached", false}
+	out, unreached, ended := voteOf{"out", false}, voteOf{"unreached", false}, voteOf{"ended", false}
+	silences := map[voteOf]Silence{out: Told, unreached: Unreached, ended: Ended}
 	for _, c := range []struct {
 		votes []voteOf
 		want  Outcome
@@ -29,27 +30,43 @@
 		{[]voteOf{mine, mine}, Granted, "self"},
 		{[]voteOf{mine}, Pending, ""},
 		{[]voteOf{other}, Pending, ""},
-		{[]voteOf{mine, out}, GrantedByOne, "self"},
-		{[]voteOf{mine, unreached}, NoAnswer, ""},
+		{[]voteOf{mine, out}, Pending, ""},
+		{[]voteOf{mine, out, mine}, GrantedByOne, "self"},
+		{[]voteOf{mine, out, young}, GrantedByOne, "self"},
+		{[]voteOf{mine, out, out}, NoAnswer, ""},
+		{[]voteOf{mine, out, other}, Contested, "y"},
+		{[]voteOf{mine, ended}, GrantedByOne, "self"},
+		{[]voteOf{young, ended}, NoAnswer, ""},
+		{[]voteOf{other, ended}, Elsewhere, "y"},
+		{[]voteOf{ended, ended}, NoAnswer, ""},
+		{[]voteOf{out, ended}, Pending, ""},
+		{[]voteOf{out, ended, mine}, NoAnswer, ""},
+		{[]voteOf{mine, out, ended}, NoAnswer, ""},
+		{[]voteOf{mine, unreached}, Pending, ""},
+		{[]voteOf{mine, unreached, mine}, GrantedByOne, "self"},
+		{[]voteOf{mine, unreached, unreached}, NoAnswer, ""},
 		{[]voteOf{mine, other}, Contested, "y"},
 		{[]voteOf{other, other}, Elsewhere, "y"},
 		{[]voteOf{other, third}, Contested, "y"},
 		{[]voteOf{other, out}, Elsewhere, "y"},
 		{[]voteOf{other, unreached}, Elsewhere, "y"},
-		{[]voteOf{out, out}, NoAnswer, ""},
+		{[]voteOf{out, out, out}, NoAnswer, ""},
+		{[]voteOf{out, out, mine}, NoAnswer, ""},
+		{[]voteOf{out, out, other}, Elsewhere, "y"},
 		{[]voteOf{young, mine}, GrantedByOne, "self"},
 		{[]voteOf{young, other}, Contested, "y"},
 		{[]voteOf{young, young}, NoAnswer, ""},
-		{[]voteOf{young, out}, NoAnswer, ""},
+		{[]voteOf{young, out, out}, NoAnswer, ""},
+		{[]voteOf{young, out, mine}, NoAnswer, ""},
 	} {
 		b := newMembers("a", "b", "c", "d", "e").Ballot(start, "x", holder("self", 1))
 		for n, v := range c.votes {
-			switch name := b.replicas[n].name; v {
-			case out, unreached:
-				b.Record(name, nil, v == out)
-			default:
-				b.Record(name, &Vote{Hold: Hold{Holder: holder(v.holder, 1)}, Young: v.young}, false)
+			name := b.replicas[n].name
+			if silence, silent := silences[v]; silent {
+				b.Record(name, nil, silence)
+				continue
 			}
+			b.Record(name, &Vote{Hold: Hold{Holder: holder(v.holder, 1)}, Young: v.young}, Unreached)
 		}
 		got, hold := b.Outcome()
 		if got != c.want || hold.Holder.Coordinator != c.by {
@@ -61,7 +78,7 @@
 // grantAll has all replicas of a ballot grant the id, and say that they may have forgotten holds if young is set.
 func grantAll(b *Ballot, young bool) Outcome {
 	for _, name := range b.Open() {
-		b.Record(name, &Vote{Hold: Hold{Holder: b.by}, Young: young}, false)
+		b.Record(name, &Vote{Hold: Hold{Holder: b.by}, Young: young}, Unreached)
 	}
 	outcome, _ := b.Outcome()
 	return outcome
@@ -99,7 +116,8 @@
 		t.Errorf("asked at first (-want +got):\n%s", diff)
 	}
 	m.Failed(start, replicas[0], false)
-	if diff := cmp.Diff(replicas[1:], m.Ballot(start, id, holder("other", 1)).Open()); diff != "" {
+	spare := m.choose(start, id, VoterCount)[ReplicaCount]
+	if diff := cmp.Diff(append(replicas[1:], spare), m.Ballot(start, id, holder("other", 1)).Next()); diff != "" {
 		t.Errorf("asked beside a silent replica (-want +got):\n%s", diff)
 	}
 	out := start.Add(testTiming.Silent)
@@ -134,10 +152,10 @@
 				}
 				h := tables[name].Take(start, id, holder(by, 1), uint64(k+1), 0)
 				if n>>(ReplicaCount*k+i)&1 == 1 { // the answer is lost
-					b.Record(name, nil, n%32 >= 16)
+					b.Record(name, nil, Silence(n%48/16))
 					continue
 				}
-				b.Record(name, &Vote{Hold: h}, false)
+				b.Record(name, &Vote{Hold: h}, Unreached)
 			}
 			if outcome, _ := b.Outcome(); outcome == Granted || outcome == GrantedByOne {
 				granted++
@@ -149,6 +167,46 @@
 	}
 }
 
+// Guards against two processes that both hold an id as each of them takes another replica for out, which it has not
+// asked or whose answer was lost.
+func TestTwoProcessesThatMissDifferentReplicas(t *testing.T) {
+	const arrives, notAsked = 0, 1 // and 2: the answer gets lost
+	for n := range 729 {           // what becomes of the asks of both at three members
+		m := newMembers("a", "b", "c", "d", "e")
+		tables := make(map[string]*Table)
+		var by []string
+		rest := n
+		for k, name := range []string{"a", "b"} {
+			b := m.Ballot(start, "x", holder(name, 1))
+			for range VoterCount {
+				fate := rest % 3
+				rest /= 3
+				next := b.Open()
+				if len(next) == 0 {
+					continue
+				}
+				if tables[next[0]] == nil {
+					tables[next[0]] = New()
+				}
+				var vote *Vote
+				if fate != notAsked {
+					vote = &Vote{Hold: tables[next[0]].Take(start, "x", holder(name, 1), uint64(k+1), 0)}
+				}
+				if fate != arrives {
+					vote = nil
+				}
+				b.Record(next[0], vote, Told)
+			}
+			if outcome, _ := b.Outcome(); outcome == Granted || outcome == GrantedByOne {
+				by = append(by, name)
+			}
+		}
+		if len(by) > 1 {
+			t.Fatalf("asks %d: the id was granted to %v", n, by)
+		}
+	}
+}
+
 // Guards against the word of a member that was left out and is back, and has missed what was granted meanwhile.
 func TestMemberThatReturnsDoesNotCountAtOnce(t *testing.T) {
 	m := newMembers("a", "b", "c", "d")
@@ -161,7 +219,7 @@
 		b := m.Ballot(returned.Add(after), id, holder("other", 1))
 		for _, name := range b.Open() {
 			if name != back {
-				b.Record(name, nil, true)
+				b.Record(name, nil, Told)
 			}
 		}
 		if outcome := grantAll(b, false); (outcome == GrantedByOne) != counts {
--- a/holds/members.go
+++ b/holds/members.go
@@ -13,9 +13,12 @@
 
 const (
 	// ReplicaCount is the number of members that keep the hold of an id, if there are as many. All are asked, and
-	// each that answers has to grant the id: one that is out leaves the other one's word, which knows all grants.
-	// Every further replica costs a call a job; three were too much for hosts with an eighth of a core.
+	// each that answers has to grant the id. Every further replica costs a call a job; three were too much for hosts
+	// with an eighth of a core.
 	ReplicaCount = 2
+	// VoterCount is the number of members that are asked at most: the last one is a spare, asked only if a replica
+	// does not answer, so that any two processes that hold the id have been granted it by a common member.
+	VoterCount = ReplicaCount + 1
 	// probeInterval is the time between two probes of a member that does not answer. It doubles once the
 	// member is left out, up to maxProbeInterval: the record of a host that is gone for good stays.
 	probeInterval    = 250 * time.Millisecond
@@ -68,8 +71,8 @@
 	outAt   time.Time
 	probeAt time.Time
 	pause   time.Duration
-	// told is set if the last failure was not only seen by this process, which may be cut off itself.
-	told bool
+	// silence tells about the last failure.
+	silence Silence
 	// wasOut is set if the member was left out until Recheck.
 	wasOut bool
 }
@@ -107,10 +110,13 @@
 // Replicas returns the members that keep the hold of an id, by weighted rendezvous hashing among those that are
 // not left out; each in another failure domain than the ones before it, if there is one. A member that joins or
 // leaves changes the replicas of its own ids only.
-func (m *Members) Replicas(now time.Time, id string) []string {
+func (m *Members) Replicas(now time.Time, id string) []string { return m.choose(now, id, ReplicaCount) }
+
+// choose returns the replicas of an id and the members that would take their places, count in all.
+func (m *Members) choose(now time.Time, id string, count int) []string {
 	hash := xxhash.Sum64String(id)
-	chosen := make([]int, 0, ReplicaCount)
-	for range ReplicaCount {
+	chosen := make([]int, 0, count)
+	for range count {
 		best, bestScore, bestApart := -1, 0.0, false
 		for n, member := range m.list {
 			if slices.Contains(chosen, n) || m.leftOut(now, member.Name) {
@@ -195,7 +201,10 @@
 	} else {
 		o.pause = min(2*o.pause, maxProbeInterval)
 	}
-	o.probeAt, o.told = now.Add(o.pause), true
+	o.probeAt, o.silence = now.Add(o.pause), Told
+	if ended {
+		o.silence = Ended
+	}
 	m.outages[name] = o
 }
 
@@ -206,7 +215,7 @@
 	if !out || now.Before(o.outAt) {
 		o.outAt = now.Add(m.timing.Silent)
 	}
-	o.pause, o.told = probeInterval, false
+	o.pause, o.silence = probeInterval, Unreached
 	o.probeAt = now.Add(o.pause)
 	m.outages[name] = o
 }
