--- a/emul/two_coordinators_days_test.go
+++ b/emul/two_coordinators_days_test.go
@@ -312,8 +312,8 @@
 }
 
 // injectFaults injects three faults at a time for elsewhereLoad.
-func (d *twoDay) injectFaults(t *testing.T) *sync.WaitGroup {
-	began, faults := time.Now(), twoFaults()
+func (d *twoDay) injectFaults(t *testing.T, faults []twoFault) *sync.WaitGroup {
+	began := time.Now()
 	var wg sync.WaitGroup
 	for n := range uint64(3) {
 		rng := rand.New(rand.NewPCG(d.seed, 1000+n))
@@ -332,7 +332,20 @@
 // Guards against two runs of a task at a time, and against callers without an answer, as they send their jobs
 // to two coordinators, at once or after a break, while coordinators are cut off from each other and from other
 // hosts, are paused, end and join, and know different members.
-func TestTwoCoordinatorsDays(t *testing.T) {
+func TestTwoCoordinatorsDays(t *testing.T) { playTwoDays(t, twoFaults()) }
+
+// Guards against two runs of a task at a time beside coordinators and agents that are alive but slow: they are taken
+// for out by turns, and what they send arrives late.
+func TestSlowDays(t *testing.T) {
+	faults := slowFaults()
+	for range 3 {
+		faults = append(faults, faults...)
+	}
+	playTwoDays(t, append(faults, twoFaults()...))
+}
+
+func playTwoDays(t *testing.T, faults []twoFault) {
+	t.Helper()
 	first, count := seedRange(t)
 	if count == defaultSeeds {
 		count = twoCoordinatorsDays
@@ -346,7 +359,7 @@
 			spec.Behavior = longerBehavior(seed)
 			runFleet(t, spec, func(t *testing.T, f *Fleet) {
 				d := newTwoDay(f, seed)
-				faults := d.injectFaults(t)
+				faults := d.injectFaults(t, faults)
 				var callers sync.WaitGroup
 				callers.Go(d.callers)
 				faults.Wait()
--- a/emul/two_coordinators_faults_test.go
+++ b/emul/two_coordinators_faults_test.go
@@ -205,3 +205,35 @@
 	}
 	return faults
 }
+
+// slowFaults returns faults by which hosts are alive but slow.
+func slowFaults() []twoFault {
+	return []twoFault{
+		ofProcess("slow coordinator", func(d *twoDay, rng *rand.Rand, n int) {
+			d.setDelay(n, time.Duration(100+rng.IntN(500))*time.Millisecond)
+			time.Sleep(lasting(rng) / 2)
+			d.setDelay(n, 0)
+		}),
+		ofProcess("slow coordinator by turns", func(d *twoDay, rng *rand.Rand, n int) {
+			for range 6 {
+				d.setDelay(n, time.Duration(100+rng.IntN(500))*time.Millisecond)
+				time.Sleep(time.Duration(50+rng.IntN(400)) * time.Millisecond)
+				d.setDelay(n, 0)
+				time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+			}
+		}),
+		{"slow agents", func(d *twoDay, rng *rand.Rand) {
+			agents, length := rng.Perm(d.spec.Endpoints)[:1+rng.IntN(d.spec.Endpoints)], lasting(rng)/2
+			set := func(added time.Duration) {
+				for _, k := range agents {
+					for n := range d.spec.Coordinators {
+						d.Net.SetDelay(CoordinatorAddr(n), AgentAddr(k), added)
+					}
+				}
+			}
+			set(time.Duration(50+rng.IntN(250)) * time.Millisecond)
+			time.Sleep(length)
+			set(0)
+		}},
+	}
+}
