--- a/emul/offload_days_test.go
+++ b/emul/offload_days_test.go
@@ -45,7 +45,7 @@
 	for seed := first; seed < first+count; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			var passedOn atomic.Int64
-			playTwoDay(t, seed, func(spec *Spec) {
+			playTwoDay(t, seed, twoFaults(), func(spec *Spec) {
 				spec.Load = changingLoad(seed)
 				spec.JoinSeen = func(take bool) {
 					if take {
