--- a/coord/join.go
+++ b/coord/join.go
@@ -74,52 +74,93 @@
 // errOtherProcess is the error of a call to a holder that has ended: runs of it may be on.
 var errOtherProcess = &carobpulley.Error{Op: "join", Kind: carobpulley.KindUnknown, Msg: "another process has the holder's address"}
 
+// joinCalls are the calls of Join by which a submission waits at a holder.
+type joinCalls struct {
+	ctx     context.Context
+	peer    *link.Peer
+	request func() *relay.JoinRequest
+	results chan joinReply
+	// older and newer end the two latest calls.
+	older, newer context.CancelFunc
+	// repeated is set once there was more than one call, and rejoins counts those made since a connection had ended.
+	repeated bool
+	rejoins  int
+}
+
+// joinReply is the outcome of one call.
+type joinReply struct {
+	reply *relay.JobReply
+	err   error
+}
+
+// newJoinCalls makes the first call.
+func newJoinCalls(ctx context.Context, peer *link.Peer, request func() *relay.JoinRequest) *joinCalls {
+	j := &joinCalls{ctx: ctx, peer: peer, request: request, results: make(chan joinReply), older: func() {}}
+	j.newer = j.call()
+	return j
+}
+
+// call makes a call and returns the function that ends it.
+func (j *joinCalls) call() context.CancelFunc {
+	ctx, cancel := context.WithCancel(j.ctx)
+	m := j.request()
+	go func() {
+		r := joinReply{}
+		if reply, err := j.peer.Coordinator.Join(ctx, connect.NewRequest(m)); err != nil {
+			r.err = err
+		} else {
+			r.reply = reply.Msg
+		}
+		if ctx.Err() != nil {
+			return // this call, or all of them
+		}
+		select {
+		case j.results <- r:
+		case <-ctx.Done():
+		}
+	}()
+	return cancel
+}
+
+// again makes another call beside the latest one. A call ends once two later ones wait: a holder gives a job up as its
+// last caller leaves.
+func (j *joinCalls) again() {
+	j.older()
+	j.older, j.newer, j.repeated = j.newer, j.call(), true
+}
+
+// rejoin makes another call if a connection has ended, which tells nothing about the peer.
+func (j *joinCalls) rejoin(err error) bool {
+	if err == nil || j.rejoins >= maxRejoins || link.ConnectionRefused(err) {
+		return false
+	}
+	j.peer.CloseIdleConnections()
+	j.rejoins++
+	j.again()
+	return true
+}
+
+func (j *joinCalls) end() {
+	j.older()
+	j.newer()
+}
+
 // awaitJoin calls Join at a holder. The connection of a call that waits for long may go silent, so another
-// call joins it from time to time, over a connection that has just worked. A call ends once two later ones
-// wait: a holder gives a job up as its last caller leaves.
+// call joins it from time to time, over a connection that has just worked.
 func (c *Coordinator) awaitJoin(ctx context.Context, peer *link.Peer, holder holds.Holder, id string, request func() *relay.JoinRequest) (*relay.JobReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type result struct {
-		reply *relay.JobReply
-		err   error
-	}
-	results := make(chan result)
-	call := func() context.CancelFunc {
-		ctx, cancel := context.WithCancel(ctx)
-		m := request()
-		go func() {
-			r := result{}
-			if reply, err := peer.Coordinator.Join(ctx, connect.NewRequest(m)); err != nil {
-				r.err = err
-			} else {
-				r.reply = reply.Msg
-			}
-			if ctx.Err() != nil {
-				return // this call, or all of them
-			}
-			select {
-			case results <- r:
-			case <-ctx.Done():
-			}
-		}()
-		return cancel
-	}
-	var older, newer context.CancelFunc = func() {}, call()
-	repeated, rejoins := false, 0
-	defer func() { older(); newer() }()
+	calls := newJoinCalls(ctx, peer, request)
+	defer calls.end()
 	tick := time.NewTicker(joinRepeatInterval)
 	defer tick.Stop()
 	for {
 		select {
-		case r := <-results:
-			if r.err != nil && rejoins < maxRejoins && !link.ConnectionRefused(r.err) { // the connection has ended, which tells nothing about the peer
-				peer.CloseIdleConnections()
-				rejoins++
-				older, newer, repeated = newer, call(), true
+		case r := <-calls.results:
+			if calls.rejoin(r.err) {
 				continue
 			}
-			if repeated {
+			if calls.repeated {
 				return replyToRepeated(r.reply, r.err)
 			}
 			return r.reply, r.err
@@ -134,8 +175,7 @@
 		switch {
 		case err != nil:
 		case code == relay.Code_CODE_OK:
-			older()
-			older, newer, repeated = newer, call(), true
+			calls.again()
 		case code == relay.Code_CODE_ABSENT:
 			return nil, errOtherProcess
 		default: // the first call did not arrive
