coord: a job that is being stopped here is not refused as one that never runs

Found by reading: the refusal for want of processor time did not look at the table. A submission whose job another one had brought into the table meanwhile, and that is being stopped, would have been answered 503 although its runs had begun. Such a job now goes on to the table, which answers truthfully. No test shows it; the tests of bursts and of refusals pass.

--- a/coord/offload.go
+++ b/coord/offload.go
@@ -100,6 +100,9 @@
 	c.lock()
 	defer c.mu.Unlock()
 	wait, slack := c.processor.expectedWait(c.now), j.Objective()-j.CriticalPath()
+	if c.table.HasJob(j.ID) { // it has run here for another submission
+		return ""
+	}
 	if float64(wait) <= bearableWait*float64(slack) {
 		return ""
 	}
