carobd: check-config

Cause: operators had no way to check a configuration document before they sent it; carobd check reads the settings file only.

--- a/cmd/carobd/main.go
+++ b/cmd/carobd/main.go
@@ -6,6 +6,7 @@
 //	carobd coordinator [flags]    serve callers and own shards of jobs
 //	carobd agent [flags]          start and stop runs at the endpoint on this host
 //	carobd check                  check the settings file and print the settings read from it
+//	carobd check-config FILE      check a configuration document and compare it with the one in force
 //	carobd version                print the version
 package main
 
@@ -30,6 +31,7 @@
 			coordinatorCommand(),
 			agentCommand(),
 			checkCommand(),
+			checkConfigCommand(),
 			setup.VersionCommand(),
 		},
 	}
--- a/setup/errors.go
+++ b/setup/errors.go
@@ -22,8 +22,10 @@
 	Op       string
 	Kind     carobpulley.Kind
 	Problems []Problem
-	// Err is the cause if the command line is malformed; nil otherwise.
+	// Err is the cause if the command line is malformed or the command failed; nil otherwise.
 	Err error
+	// Exit is the program's exit code; 0 stands for ExitUsage.
+	Exit int
 }
 
 // Error implements error with one line per problem.
--- a/setup/program.go
+++ b/setup/program.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -29,8 +30,8 @@
 		return ExitOK
 	}
 	_, _ = fmt.Fprintf(stderr, "%s: %s\n", cmd.Name, err)
-	if _, ok := errors.Into[*Error](err); ok {
-		return ExitUsage
+	if e, ok := errors.Into[*Error](err); ok {
+		return cmp.Or(e.Exit, ExitUsage)
 	}
 	return ExitFailed
 }
