shed, jobs, runs: capacity goes to the more urgent queues first

Change: package shed ranks the priorities of a service; waiting tasks and queued starts are ordered by priority, less urgent work leaves a part of the capacity free, late jobs that can't end before their caller leaves are refused, and a start waits at its agent for the next end instead of being sent back.

--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -268,7 +268,7 @@
 }
 
 func (tk *task) start() work.Start {
-	return work.Start{Run: tk.key(), Spec: tk.job.spec.Spec, Resources: tk.resources(), Durable: tk.job.durable()}
+	return work.Start{Run: tk.key(), Spec: tk.job.spec.Spec, Resources: tk.resources(), Durable: tk.job.durable(), Priority: tk.job.spec.Queue.Priority}
 }
 
 // updateAgent updates an agent with the endpoint's state from a report.
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"carobpulley/shed"
 	"carobpulley/work"
 )
 
@@ -102,12 +103,13 @@
 // which their answer has no value, or while no endpoint can run them, so that their callers are
 // answered at once.
 func (t *Table) abandonUnstarted(now time.Time) {
+	loads := make(map[string]*shed.Load)
 	for n := 0; n < len(t.ready); n++ {
 		g := t.ready[n]
 		if g.job.durable() || g.job.started {
 			continue
 		}
-		reason := t.hopeless(now, g)
+		reason := t.hopeless(now, g, loads)
 		if reason == "" {
 			continue
 		}
@@ -119,11 +121,15 @@
 	}
 }
 
-// hopeless returns why the tasks of a waiting group can't start in time; empty if they can.
-func (t *Table) hopeless(now time.Time, g *taskGroup) string {
+// hopeless returns why the tasks of a waiting group can't start in time; empty if they can. It adds the loads of
+// services that it needs to those given.
+func (t *Table) hopeless(now time.Time, g *taskGroup, loads map[string]*shed.Load) string {
 	if now.After(g.job.abandonAt) {
 		return "no room in time"
 	}
+	if reason := t.tooLate(now, g, loads); reason != "" {
+		return reason
+	}
 	service, step := t.service(g.job), &g.job.spec.Steps[g.step]
 	for _, a := range t.active {
 		if a.attached && a.endpoint.Ready && a.canRun(service, step) && !t.outOfService[a.endpoint.Domain] {
--- a/jobs/choose.go
+++ b/jobs/choose.go
@@ -11,11 +11,10 @@
 
 const (
 	// agentQueueShare is the fraction of an endpoint's capacity that starts waiting at its
-	// agent may need. It is a little less than the agent allows, since other
-	// coordinators dispatch to the agent too.
-	agentQueueShare = 0.25
-	// turnoverEnds is the number of ended runs over which the turnover time is measured.
-	turnoverEnds = 500
+	// agent may need by the coordinator's view. It is far less than the agent allows: other
+	// coordinators dispatch to the agent too, and a task that waits there can't go where capacity
+	// becomes free first.
+	agentQueueShare = 0.05
 	// crowdingShare is the part of the turnover time that a task is expected to wait at an
 	// endpoint that it fills up, since other coordinators start runs there too.
 	crowdingShare = 0.5
@@ -38,7 +37,7 @@
 	var best *agentState
 	var least float64
 	step := &tk.job.spec.Steps[tk.step]
-	turnover := t.turnover(estimateOf(tk))
+	turnover := t.turnover.From(0, estimateOf(tk))
 	onTime := tk.job.due.Add(-estimateOf(tk)).After(now)
 	if t.suspects[tk.job] {
 		agents = t.forSuspect(now, tk, agents, onTime)
@@ -107,23 +106,6 @@
 	return cost*float64(estimateOf(tk)) + wait + crowding
 }
 
-// turnover returns the time in which the whole capacity of a busy endpoint becomes free once:
-// the mean time of the latest runs, weighted by the capacity that they used. Before the first
-// end it is the given estimate.
-func (t *Table) turnover(estimate time.Duration) time.Duration {
-	if t.endedCPU <= 0 {
-		return estimate
-	}
-	return time.Duration(t.endedCPUTime / t.endedCPU)
-}
-
-// recordTurnover takes an ended run into the turnover time.
-func (t *Table) recordTurnover(cpu int64, took time.Duration) {
-	const keep = 1 - 1.0/turnoverEnds
-	t.endedCPU = t.endedCPU*keep + float64(cpu)
-	t.endedCPUTime = t.endedCPUTime*keep + float64(cpu)*float64(took)
-}
-
 // hasCapacity reports whether a task can start at the agent or, if wait is set, wait
 // there for a short time.
 func (a *agentState) hasCapacity(resources work.Resources, wait bool) bool {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"carobpulley/shed"
 )
 
 const (
@@ -12,13 +14,14 @@
 	overdueFactor = 5
 	overdueMargin = 700 * time.Millisecond
 	// maxAgentWait bounds how long a start may wait at an agent for free capacity; then
-	// the task is placed again.
-	maxAgentWait = 150 * time.Millisecond
+	// the task is placed again. maxCollisionWait is that bound where capacity was free by the
+	// coordinator's view, and collisionWaitShare the part of the slack that such a wait may take: runs of
+	// other coordinators came first, and one of them ends soon.
+	maxAgentWait       = 150 * time.Millisecond
+	maxCollisionWait   = 60 * time.Millisecond
+	collisionWaitShare = 0.4
 	// defaultEstimate replaces a missing run time estimate.
 	defaultEstimate = time.Second
-	// maxWaitShare is the fraction of a job's slack that its estimated wait may use; the
-	// rest covers bad estimates.
-	maxWaitShare = 0.7
 	// messageTime is the transit time of a dispatch and of the report of an end
 	// together.
 	messageTime = 15 * time.Millisecond
@@ -29,6 +32,8 @@
 	job   *job
 	step  int
 	tasks []*task
+	// class is that of the job's queue.
+	class shed.Class
 	// latestStart is the latest start time that meets the job's objective.
 	latestStart time.Time
 }
@@ -69,11 +74,20 @@
 	if len(tasks) == 0 || j.takeoverPending {
 		return
 	}
-	g := &taskGroup{job: j, step: step, tasks: tasks, latestStart: j.due.Add(-estimateOf(tasks[0]))}
-	at := sort.Search(len(t.ready), func(i int) bool { return t.ready[i].latestStart.After(g.latestStart) })
+	g := &taskGroup{job: j, step: step, tasks: tasks, class: t.classOf(&j.spec.Queue), latestStart: j.due.Add(-estimateOf(tasks[0]))}
+	at := sort.Search(len(t.ready), func(i int) bool { return g.before(t.ready[i]) })
 	t.ready = slices.Insert(t.ready, at, g)
 }
 
+// before reports whether a group comes before another one: it is more urgent, or as urgent and has to start
+// earlier.
+func (g *taskGroup) before(other *taskGroup) bool {
+	if g.class.Rank != other.class.Rank {
+		return g.class.Rank < other.class.Rank
+	}
+	return g.latestStart.Before(other.latestStart)
+}
+
 func (g *taskGroup) cpu() int64 {
 	var sum int64
 	for _, tk := range g.tasks {
@@ -114,8 +128,8 @@
 	t.ready = remaining
 }
 
-// PlaceReady starts waiting tasks as far as there is capacity, in the order of their
-// latest starts. Tasks whose latest start has passed come after all others.
+// PlaceReady starts waiting tasks as far as there is capacity, in the order of their priorities and
+// latest starts. Late tasks come after all others.
 func (t *Table) PlaceReady(now time.Time) {
 	t.proof.awaited = false
 	if len(t.ready) == 0 {
@@ -129,10 +143,11 @@
 		t.findSuspects()
 	}
 	remaining := make([]*taskGroup, 0, len(t.ready))
+	loads := make(map[string]*shed.Load)
 	for _, late := range []bool{false, true} {
 		for _, g := range t.ready {
-			if g.latestStart.Before(now) == late && len(g.tasks) > 0 && t.mayStart(now, g.job) {
-				t.placeGroup(now, g, agents)
+			if g.late(now) == late && len(g.tasks) > 0 && t.mayStart(now, g.job) {
+				t.placeGroup(now, g, agents, loads)
 			}
 		}
 	}
@@ -186,14 +201,24 @@
 	return !a.probing || len(a.placed) == 0
 }
 
-func (t *Table) placeGroup(now time.Time, g *taskGroup, agents []*agentState) {
+// placeGroup places the tasks of a group, the less urgent ones as far as the loads of the services have room
+// for them. Those of a job that has begun are not held back: its runs have used capacity, and are worth
+// nothing without them.
+func (t *Table) placeGroup(now time.Time, g *taskGroup, agents []*agentState, loads map[string]*shed.Load) {
 	service := t.service(g.job)
+	load := loads[service]
+	if load == nil && g.class.Rank > 0 {
+		load = t.loadOf(service)
+		loads[service] = load
+	}
 	n := 0
 	for _, tk := range g.tasks {
 		var a *agentState
-		if t.provenFor(tk) {
+		switch {
+		case load != nil && !g.begun() && load.Room(g.class) < tk.cpu():
+		case t.provenFor(tk):
 			a = t.chooseAgent(now, tk, service, agents)
-		} else {
+		default:
 			t.proof.awaited = true
 		}
 		if a == nil {
@@ -202,6 +227,9 @@
 			continue
 		}
 		t.startTask(now, tk, a)
+		if load != nil {
+			load.Take(g.class.Priority, tk.cpu())
+		}
 	}
 	g.tasks = g.tasks[:n]
 }
@@ -231,17 +259,23 @@
 	}
 	latest := tk.job.due.Add(-estimateOf(tk))
 	s.SlackMS = latest.Sub(now).Milliseconds()
-	if latest.After(now) {
-		s.WaitMS = min(s.SlackMS, maxAgentWait.Milliseconds())
-		if fits {
-			// If the endpoint is full after all, another one may have room.
-			s.WaitMS = min(s.WaitMS, messageTime.Milliseconds())
-		}
-	}
+	s.WaitMS = waitAtAgent(time.Duration(s.SlackMS)*time.Millisecond, fits).Milliseconds()
 	d := t.pendingDispatch(a)
 	d.Starts = append(d.Starts, s)
 }
 
+// waitAtAgent returns how long a start may wait at its agent for free capacity, by the time that is left until
+// its latest start and whether its endpoint has capacity for it by this coordinator's view.
+func waitAtAgent(slack time.Duration, fits bool) time.Duration {
+	switch {
+	case slack <= 0:
+		return maxCollisionWait
+	case fits:
+		return min(maxCollisionWait, time.Duration(collisionWaitShare*float64(slack)))
+	}
+	return min(maxAgentWait, slack)
+}
+
 // assign places a task at an agent and reserves its resources there.
 func (t *Table) assign(now time.Time, tk *task, a *agentState) {
 	tk.phase = taskPlaced
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/shed"
 	"carobpulley/work"
 )
 
@@ -86,10 +87,8 @@
 	// recent holds ended best-effort jobs in the order of their ends.
 	recent []*job
 	// results holds the outcomes of best-effort jobs that Results has not returned.
-	results []BestEffortResult
-	// endedCPU and endedCPUTime sum the CPU capacity of the latest ended runs, and its product
-	// with their times.
-	endedCPU, endedCPUTime float64
+	results  []BestEffortResult
+	turnover shed.Turnover
 
 	decisions []Decision
 }
--- a/link/convert.go
+++ b/link/convert.go
@@ -68,7 +68,7 @@
 		out = append(out, &relay.Start{
 			Run: runToWire(s.Run), Spec: s.Spec, Cpu: s.Resources.CPU, MemMb: s.Resources.MemMB,
 			Gpu: s.Resources.GPU, Checkpoint: s.Checkpoint, Kept: s.Durable, SlackMs: s.SlackMS, WaitMs: s.WaitMS,
-			Suspect: s.Suspect,
+			Suspect: s.Suspect, Priority: uint32(min(max(s.Priority, 0), maxPriority)),
 		})
 	}
 	return out
@@ -81,7 +81,7 @@
 			Run: runFromWire(s.GetRun()), Spec: s.GetSpec(), Checkpoint: s.GetCheckpoint(),
 			Resources: boundResources(work.Resources{CPU: s.GetCpu(), MemMB: s.GetMemMb(), GPU: s.GetGpu()}),
 			Durable:   s.GetKept(), SlackMS: boundMS(s.GetSlackMs()), WaitMS: max(boundMS(s.GetWaitMs()), 0),
-			Suspect: s.GetSuspect(),
+			Suspect: s.GetSuspect(), Priority: int(min(s.GetPriority(), maxPriority)),
 		})
 	}
 	return out
@@ -128,7 +128,31 @@
 		Capacity: work.Resources{CPU: r.GetCpu(), MemMB: r.GetMemMb(), GPU: r.GetGpu()},
 		Used:     work.Resources{CPU: r.GetUsedCpu(), MemMB: r.GetUsedMemMb(), GPU: r.GetUsedGpu()},
 		Ready:    r.GetReady(),
+
+		UsedByPriority: usedByPriorityFromWire(r.GetUsedByPriority()),
+	}
+}
+
+const (
+	// maxPriority bounds a priority, and maxPriorities the number of priorities in the state of an endpoint.
+	maxPriority   = 1 << 20
+	maxPriorities = 32
+)
+
+func usedByPriorityFromWire(in []*relay.PriorityUse) []work.PriorityUse {
+	out := make([]work.PriorityUse, 0, min(len(in), maxPriorities))
+	for _, u := range in[:min(len(in), maxPriorities)] {
+		out = append(out, work.PriorityUse{Priority: int(min(u.GetPriority(), maxPriority)), CPU: min(max(u.GetCpu(), 0), work.MaxResource)})
 	}
+	return out
+}
+
+func usedByPriorityToWire(in []work.PriorityUse) []*relay.PriorityUse {
+	out := make([]*relay.PriorityUse, 0, min(len(in), maxPriorities))
+	for _, u := range in[:min(len(in), maxPriorities)] {
+		out = append(out, &relay.PriorityUse{Priority: uint32(min(max(u.Priority, 0), maxPriority)), Cpu: u.CPU})
+	}
+	return out
 }
 
 // EndpointStateToWire converts the state of an endpoint for sending.
@@ -137,6 +161,7 @@
 		Instance: s.Instance, Service: s.Service, Zone: s.Domain, Labels: s.Labels,
 		Cpu: s.Capacity.CPU, MemMb: s.Capacity.MemMB, Gpu: s.Capacity.GPU, Ready: s.Ready,
 		UsedCpu: s.Used.CPU, UsedMemMb: s.Used.MemMB, UsedGpu: s.Used.GPU,
+		UsedByPriority: usedByPriorityToWire(s.UsedByPriority),
 	}
 }
 
--- a/load/agent.go
+++ b/load/agent.go
@@ -34,7 +34,7 @@
 	a := &agent{s: s, n: n, name: fmt.Sprintf("a-%d", n), reported: make(map[string]time.Time)}
 	a.controller = runs.New(runs.Config{Agent: a.name, Incarnation: incarnation, Token: 1, MaxLease: maxLease, Shards: 1}, s.begin)
 	a.controller.HandleHeartbeat(s.begin, carobpulley.Heartbeat{
-		Instance: a.name, Generation: 1, Sequence: 1, Service: serviceName, Domain: a.name, Capacity: s.pattern.Capacity,
+		Instance: a.name, Generation: 1, Sequence: 1, Service: serviceName, Domain: a.name, Capacity: s.capacity(n),
 	})
 	a.poll(s.begin, nil)
 	s.agents = append(s.agents, a)
@@ -48,6 +48,15 @@
 	})
 }
 
+// capacity returns the capacity of an endpoint.
+func (s *simulation) capacity(n int) work.Resources {
+	c := s.pattern.Capacity
+	if s.pattern.Sizes != nil {
+		c.CPU = int64(float64(c.CPU) * s.pattern.Sizes[n])
+	}
+	return c
+}
+
 func (a *agent) lost(now time.Time) bool {
 	return a.s.pattern.Lost != nil && a.s.pattern.Lost(a.n, now.Sub(a.s.begin))
 }
@@ -104,6 +113,7 @@
 			a.execute(now)
 		})
 		took := time.Duration(float64(a.s.runTimes[start.Run.Task]) / a.s.pattern.Speeds[a.n])
+		a.s.recordStart(now, start, took)
 		a.s.at(now.Add(startDelay+took), func(now time.Time) { a.end(now, start.Run, work.OutcomeDone) })
 	}
 }
@@ -127,6 +137,9 @@
 	})
 	a.execute(now)
 	for _, co := range a.s.coordinators {
+		if !co.agents[a.name] {
+			continue
+		}
 		interval := idleReport
 		if a.controller.HasRunsOrEnds(co.name) {
 			interval = busyReport
@@ -139,7 +152,13 @@
 
 func (a *agent) report(now time.Time, co *coordinator) {
 	a.reported[co.name] = now
+	a.s.result.Reports++
 	r := a.controller.Report(now, co.name)
+	for i := range r.Ends {
+		if r.Ends[i].Outcome == work.OutcomeNoCapacity {
+			a.s.result.HandedBack++
+		}
+	}
 	// The ends count as reported at once: this network loses nothing.
 	a.controller.HandleReportReply(now, co.name, r, runs.ReportReply{})
 	a.s.at(now.Add(messageDelay), func(now time.Time) {
@@ -149,3 +168,24 @@
 		co.flush(now)
 	})
 }
+
+// recordStart records that a run uses its endpoint for a time.
+func (s *simulation) recordStart(now time.Time, start work.Start, took time.Duration) {
+	for at, end := now, now.Add(took); at.Before(end); {
+		n := int(at.Sub(s.begin) / WindowLength)
+		if n >= len(s.result.Windows) {
+			return
+		}
+		next := s.begin.Add(time.Duration(n+1) * WindowLength)
+		if next.After(end) {
+			next = end
+		}
+		s.result.Windows[n].Busy += float64(start.Resources.CPU) * next.Sub(at).Seconds()
+		at = next
+	}
+	job := work.JobOfTask(start.Run.Task)
+	if at, first := s.unstarted[job]; first {
+		delete(s.unstarted, job)
+		s.result.FirstStarts = append(s.result.FirstStarts, now.Sub(at))
+	}
+}
--- a/load/load.go
+++ b/load/load.go
@@ -44,6 +44,8 @@
 	// coefficient of variation. Callers' estimates of a job vary as much.
 	Mean   time.Duration
 	Spread float64
+	// Priority is that of the class's queue; 0 is the most urgent.
+	Priority int
 }
 
 // Pattern is a load on a fleet.
@@ -52,7 +54,15 @@
 	// Speeds holds an endpoint each: run times are divided by its speed.
 	Speeds   []float64
 	Capacity work.Resources
-	Classes  []Class
+	// Sizes holds a factor on the capacity of each endpoint; nil stands for 1.
+	Sizes   []float64
+	Classes []Class
+	// Share is the number of coordinators that work with an endpoint; 0 stands for all.
+	Share int
+	// Tail is the part of the jobs whose tasks take TailFactor times as long as others.
+	Tail, TailFactor float64
+	// Patience is the time after which callers leave; 0 if they don't.
+	Patience time.Duration
 	// Factor returns the multiple of the arrivals at a time since the start; nil stands for 1.
 	Factor func(since time.Duration) float64
 	// Lost returns whether an endpoint is lost from a time since the start on; nil stands for
@@ -65,6 +75,10 @@
 // Window counts the jobs that arrived in one window of time.
 type Window struct {
 	Asked, InTime, Late, Refused int
+	// Left counts the jobs whose callers left without an answer.
+	Left int
+	// Busy is the CPU time in millicore-seconds that runs used in the window.
+	Busy float64
 }
 
 // Result is the outcome of a pattern.
@@ -76,6 +90,12 @@
 	// Starts counts dispatched starts, RefusedStarts those that an agent refused, and
 	// Dispatches the messages that carried them.
 	Starts, RefusedStarts, Dispatches int
+	// HandedBack counts starts that waited at an agent in vain.
+	HandedBack int
+	// Reports counts the reports of agents.
+	Reports int
+	// FirstStarts holds the times from the submission of jobs to their first start.
+	FirstStarts []time.Duration
 }
 
 // WindowLength is the length of a Window.
@@ -119,6 +139,8 @@
 	jobs         int
 	// runTimes holds the run time of each task on an endpoint of speed 1.
 	runTimes map[string]time.Duration
+	// unstarted holds the arrivals of the jobs without a start.
+	unstarted map[string]time.Time
 }
 
 // Play plays a pattern. The same pattern gives the same result.
@@ -126,7 +148,7 @@
 	s := &simulation{
 		pattern: p, random: rand.New(rand.NewPCG(p.Seed, 1)),
 		begin:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		runTimes: make(map[string]time.Duration),
+		runTimes: make(map[string]time.Duration), unstarted: make(map[string]time.Time),
 	}
 	s.result.Classes = make([]Window, len(p.Classes))
 	s.result.Windows = make([]Window, int((p.Length+WindowLength-1)/WindowLength))
@@ -147,6 +169,8 @@
 		s.result.InTime += w.InTime
 		s.result.Late += w.Late
 		s.result.Refused += w.Refused
+		s.result.Left += w.Left
+		s.result.Busy += w.Busy
 	}
 	return s.result
 }
@@ -191,14 +215,23 @@
 	}
 	s.at(next, func(now time.Time) {
 		s.jobs++
+		size := s.runTime(c)
 		j := &work.Job{
 			ID: fmt.Sprintf("%016x", s.jobs), BestEffort: true,
-			Queue: work.Queue{Name: queueName, Service: serviceName, MaxAttempts: 4, Stretch: stretch, TargetMS: target.Milliseconds()},
-			Steps: []work.Step{{Count: c.Tasks, Resources: work.Resources{CPU: c.CPU}, EstimateMS: max(s.runTime(c).Milliseconds(), 1)}},
+			Queue: s.queueOf(class),
+			Steps: []work.Step{{Count: c.Tasks, Resources: work.Resources{CPU: c.CPU}, EstimateMS: max(size.Milliseconds(), 1)}},
+		}
+		s.unstarted[j.ID] = now
+		// A long job is long in all its tasks, and its caller's estimate tells so.
+		long := 1.0
+		if s.random.Float64() < s.pattern.Tail {
+			long = s.pattern.TailFactor
+			j.Steps[0].EstimateMS = int64(float64(j.Steps[0].EstimateMS) * long)
 		}
 		longest := time.Duration(0)
 		for task := range c.Tasks {
-			took := s.runTime(c)
+			took := time.Duration(float64(size) * math.Exp(0.15*s.random.NormFloat64()))
+			took = time.Duration(float64(took) * long)
 			s.runTimes[work.TaskName(j.ID, 0, task)] = took
 			longest = max(longest, took)
 		}
@@ -213,6 +246,7 @@
 	name     string
 	table    *jobs.Table
 	arrivals map[string]arrival
+	agents   map[string]bool
 }
 
 // arrival is a job that has arrived, and the time by which it is in time.
@@ -223,11 +257,16 @@
 }
 
 func (s *simulation) addCoordinator(n int) {
-	co := &coordinator{s: s, name: fmt.Sprintf("c-%d", n), arrivals: make(map[string]arrival)}
+	co := &coordinator{s: s, name: fmt.Sprintf("c-%d", n), arrivals: make(map[string]arrival), agents: make(map[string]bool)}
 	co.table = jobs.New(jobs.Config{Name: co.name, AgentTimeout: 1323 * time.Millisecond, Shards: 1})
-	co.table.SetCoordinatorCount(s.pattern.Coordinators)
+	co.table.SetCoordinatorCount(s.share())
+	co.table.SetConfig(s.config())
 	s.coordinators = append(s.coordinators, co)
 	for _, a := range s.agents {
+		if !s.works(n, a.n) {
+			continue
+		}
+		co.agents[a.name] = true
 		co.table.AddAgent(a.name, a.name, nil)
 		a.attach(s.begin, co)
 	}
@@ -241,8 +280,51 @@
 	}
 }
 
+// share returns the number of coordinators that work with an endpoint.
+func (s *simulation) share() int {
+	if s.pattern.Share == 0 {
+		return s.pattern.Coordinators
+	}
+	return s.pattern.Share
+}
+
+// works reports whether a coordinator works with an endpoint.
+func (s *simulation) works(coordinator, endpoint int) bool {
+	first := endpoint * 7 % s.pattern.Coordinators
+	return (coordinator-first+s.pattern.Coordinators)%s.pattern.Coordinators < s.share()
+}
+
+// config returns the configuration with the queues of the classes.
+func (s *simulation) config() *work.RoutingConfig {
+	c := &work.RoutingConfig{Version: 1}
+	for class := range s.pattern.Classes {
+		c.Routes = append(c.Routes, work.Route{Queue: s.queueOf(class)})
+	}
+	c.Index()
+	return c
+}
+
+// queueOf returns the queue of a class.
+func (s *simulation) queueOf(class int) work.Queue {
+	return work.Queue{
+		Name: fmt.Sprintf("%s%d", queueName, class), Service: serviceName, MaxAttempts: 4, Stretch: stretch,
+		TargetMS: target.Milliseconds(), Priority: s.pattern.Classes[class].Priority,
+	}
+}
+
 func (co *coordinator) submit(now time.Time, j *work.Job, a arrival) {
 	co.s.count(a, func(w *Window) { w.Asked++ })
+	if s := co.s; s.pattern.Patience > 0 {
+		j.SubmittedAt, j.AnswerBy = now, now.Add(s.pattern.Patience)
+		s.at(j.AnswerBy, func(now time.Time) {
+			if _, waits := co.arrivals[j.ID]; waits {
+				delete(co.arrivals, j.ID)
+				s.count(a, func(w *Window) { w.Left++ })
+				co.table.Abandon(now, j.ID, "its caller has left")
+				co.flush(now)
+			}
+		})
+	}
 	status, _ := co.table.Submit(now, j)
 	if status == jobs.SubmitRefused {
 		co.s.count(a, func(w *Window) { w.Refused++ })
@@ -262,7 +344,10 @@
 		co.s.at(now.Add(messageDelay), func(now time.Time) { co.s.agentNamed(d.Agent).order(now, co, d) })
 	}
 	for _, r := range co.table.Results() {
-		a := co.arrivals[r.Job]
+		a, waits := co.arrivals[r.Job]
+		if !waits {
+			continue
+		}
 		delete(co.arrivals, r.Job)
 		co.s.count(a, func(w *Window) {
 			switch {
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -1,15 +1,17 @@
 package runs
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"carobpulley/work"
 )
 
 // queueShare is the fraction of an endpoint's CPU capacity that queued runs may need in total, so
-// that the next run starts without a message round trip when one ends. Queued runs that need half
-// of it wait for a fraction of a usual run time.
-const queueShare = 0.35
+// that the next run starts without a message round trip when one ends. Coordinators queue few runs on
+// purpose; the rest is for starts that several of them send for the same free capacity.
+const queueShare = 0.45
 
 // fitsQueue reports whether one more run may be queued.
 func (c *Controller) fitsQueue(resources work.Resources) bool {
@@ -22,8 +24,20 @@
 	return float64(sum+resources.CPU) <= queueShare*float64(c.heartbeat.Capacity.CPU)
 }
 
-// nextQueued returns the queued run to start next: the one with the earliest latestStart, with runs
-// whose latestStart has passed after all others.
+// queued returns the queued runs in the order of their tasks.
+func (c *Controller) queued() []*run {
+	var queued []*run
+	for _, r := range c.runs {
+		if r.phase == phaseQueued {
+			queued = append(queued, r)
+		}
+	}
+	slices.SortFunc(queued, func(a, b *run) int { return cmp.Compare(a.start.Run.Task, b.start.Run.Task) })
+	return queued
+}
+
+// nextQueued returns the queued run to start next: the most urgent one with the earliest latestStart, with
+// runs whose latestStart has passed after all others.
 func (c *Controller) nextQueued(now time.Time) *run {
 	var first *run
 	for _, r := range c.runs {
@@ -39,7 +53,13 @@
 	if late != otherLate {
 		return otherLate
 	}
-	return r.latestStart.Before(other.latestStart)
+	if r.start.Priority != other.start.Priority {
+		return r.start.Priority < other.start.Priority
+	}
+	if !r.latestStart.Equal(other.latestStart) {
+		return r.latestStart.Before(other.latestStart)
+	}
+	return r.start.Run.Task < other.start.Run.Task
 }
 
 // launch starts a run at the endpoint.
@@ -56,10 +76,8 @@
 // domain is out of service. It reports whether it ended one.
 func (c *Controller) processQueue(now time.Time) bool {
 	changed := false
-	for key, r := range c.runs {
-		if r.phase != phaseQueued {
-			continue
-		}
+	for _, r := range c.queued() {
+		key := r.start.Run
 		switch {
 		case now.Sub(c.proof(r)) > orphanTimeout || !c.Usable() || c.domainRefusal(now) != "":
 			c.endRun(now, key, r, work.OutcomeNotStarted)
--- a/runs/state.go
+++ b/runs/state.go
@@ -1,6 +1,8 @@
 package runs
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,7 +30,24 @@
 		Capacity: c.heartbeat.Capacity,
 		Used:     c.reservedByOthers(coordinator),
 		Ready:    c.Usable() && !c.leaseBlocked(now),
+
+		UsedByPriority: c.reservedByPriority(coordinator),
+	}
+}
+
+// reservedByPriority returns the CPU capacity of all runs except those of one coordinator, by priority.
+func (c *Controller) reservedByPriority(coordinator string) []work.PriorityUse {
+	sums := make(map[int]int64)
+	for _, r := range c.runs {
+		if c.coordinatorOf(r) != coordinator {
+			sums[r.start.Priority] += r.start.Resources.CPU
+		}
+	}
+	use := make([]work.PriorityUse, 0, len(sums))
+	for _, priority := range slices.Sorted(maps.Keys(sums)) {
+		use = append(use, work.PriorityUse{Priority: priority, CPU: sums[priority]})
 	}
+	return use
 }
 
 // Drain refuses starts from now on.
--- /dev/null
+++ b/shed/load.go
@@ -0,0 +1,77 @@
+package shed
+
+// Parts of a service's capacity. Coordinators learn of each other's starts up to a report interval late;
+// what less urgent work leaves free is there for more urgent tasks that arrive meanwhile.
+const (
+	// firstReserve is the part that the second most urgent queues leave free, and furtherReserve what each
+	// less urgent priority leaves in addition, up to maxReserve.
+	firstReserve   = 0.03
+	furtherReserve = 0.03
+	maxReserve     = 0.24
+	// minShare is the part that each priority may hold whatever the demand of the more urgent ones is, so
+	// that none is shut out.
+	minShare = 0.04
+)
+
+// Class is the urgency of a queue.
+type Class struct {
+	// Rank is the number of priorities that are more urgent among the queues of the service.
+	Rank int
+	// Priority is the queue's; 0 is the most urgent.
+	Priority int
+}
+
+// Load is how the capacity of a service's endpoints is used. CPU is in millicores.
+type Load struct {
+	// Capacity is the CPU capacity in service, Free the part of it that no run holds.
+	Capacity, Free int64
+	// used holds the CPU capacity that runs of each priority hold.
+	used map[int]int64
+}
+
+// Use records that runs of a priority hold CPU capacity.
+func (l *Load) Use(priority int, cpu int64) {
+	if l.used == nil {
+		l.used = make(map[int]int64)
+	}
+	l.used[priority] += cpu
+}
+
+// Take records that a task gets free capacity.
+func (l *Load) Take(priority int, cpu int64) {
+	l.Free -= cpu
+	l.Use(priority, cpu)
+}
+
+// Room returns the CPU capacity that further tasks of a class may take now.
+//
+// Answers the pattern of less urgent jobs that fill all endpoints before a burst of urgent short ones, which
+// then wait for the end of long runs.
+func (l *Load) Room(c Class) int64 {
+	if c.Rank <= 0 {
+		return l.Free
+	}
+	return max(l.limit(c.Rank)-(l.Capacity-l.Free), l.floor()-l.used[c.Priority])
+}
+
+// Open returns the CPU capacity that runs of a class and of less urgent ones may hold.
+func (l *Load) Open(c Class) int64 {
+	if c.Rank <= 0 {
+		return l.Capacity
+	}
+	var urgent int64
+	for priority, cpu := range l.used {
+		if priority < c.Priority {
+			urgent += cpu
+		}
+	}
+	return max(l.limit(c.Rank)-urgent, l.floor())
+}
+
+// limit returns the capacity up to which tasks of a rank are placed.
+func (l *Load) limit(rank int) int64 {
+	reserve := min(firstReserve+furtherReserve*float64(rank-1), maxReserve)
+	return int64((1 - reserve) * float64(l.Capacity))
+}
+
+func (l *Load) floor() int64 { return int64(minShare * float64(l.Capacity)) }
--- a/work/routing.go
+++ b/work/routing.go
@@ -1,6 +1,8 @@
 package work
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -30,6 +32,8 @@
 
 	byHost map[string][]*Route
 	byName map[string]*Route
+	// ranks holds the number of more urgent priorities, by service and priority.
+	ranks map[string]map[int]int
 }
 
 // Index builds the lookup tables. It is called once, before the configuration is
@@ -37,6 +41,7 @@
 func (c *RoutingConfig) Index() {
 	c.byHost = make(map[string][]*Route)
 	c.byName = make(map[string]*Route)
+	c.rankPriorities()
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
@@ -66,5 +71,28 @@
 	return r.Queue, true
 }
 
+// Rank returns the number of priorities that are more urgent than a queue's among the queues of its service.
+func (c *RoutingConfig) Rank(q *Queue) int { return c.ranks[q.Service][q.Priority] }
+
+// Priorities returns the number of priorities of the queues of a service.
+func (c *RoutingConfig) Priorities(service string) int { return len(c.ranks[service]) }
+
+// rankPriorities numbers the priorities of each service's queues in their order.
+func (c *RoutingConfig) rankPriorities() {
+	c.ranks = make(map[string]map[int]int)
+	for i := range c.Routes {
+		q := &c.Routes[i].Queue
+		if c.ranks[q.Service] == nil {
+			c.ranks[q.Service] = make(map[int]int)
+		}
+		c.ranks[q.Service][q.Priority] = 0
+	}
+	for _, ranks := range c.ranks {
+		for n, priority := range slices.Sorted(maps.Keys(ranks)) {
+			ranks[priority] = n
+		}
+	}
+}
+
 // MaxShards is the number of partitions that a topic of the store has.
 const MaxShards = 32
--- a/work/state.go
+++ b/work/state.go
@@ -81,6 +81,15 @@
 	// time are at an endpoint, and its starts are sent one at a time, so that the next crash tells
 	// which job is the cause and which of its tasks were there.
 	Suspect bool
+	// Priority is that of the job's queue; 0 is the most urgent.
+	Priority int
+}
+
+// PriorityUse is the capacity that runs of one priority hold.
+type PriorityUse struct {
+	Priority int
+	// CPU is in millicores.
+	CPU int64
 }
 
 // Crash is the crash of an endpoint that had a run of a task.
@@ -106,6 +115,9 @@
 	Capacity Resources
 	// Used is the capacity taken by runs of other coordinators.
 	Used Resources
+	// UsedByPriority holds the CPU capacity in Used by the priorities of the runs, the most urgent first. It
+	// is empty from an agent that does not tell them.
+	UsedByPriority []PriorityUse
 	// Ready is false while the agent sends the endpoint no starts: while either drains,
 	// or the endpoint is unresponsive, has not been polled yet or lists an unknown run.
 	Ready bool
