jobs: extend the share for late stored jobs

Change: late groups of stored jobs get agents too, after those that can be in time; a late group that no agent is left for doesn't keep the next one from its agents. Best-effort jobs are treated as before. The new test on the code before: TestShareGrowsForALateStoredJob, share_test.go:200: the share is not extended for a late stored job.

--- a/jobs/share.go
+++ b/jobs/share.go
@@ -106,35 +106,63 @@
 }
 
 // Grow extends the share by agents whose endpoints can run the first task that waits for
-// capacity. It reports whether it added any.
+// capacity. Late tasks of stored jobs get agents too, after all others. It reports whether it added
+// any.
 //
 // Answers the patterns of callers that are spread unevenly over the coordinators, of a share
-// that lost its endpoints, and of a durable shard whose one owner carries all load.
+// that lost its endpoints, of a durable shard whose one owner carries all load, and of a stored job
+// that is late after a crash and can run at endpoints outside the share only.
 func (t *Table) Grow(now time.Time) bool {
 	if !t.shared || len(t.ready) == 0 {
 		return false
 	}
-	var waiting *taskGroup
-	var cpu int64
-	for _, g := range t.ready {
-		if len(g.tasks) == 0 || g.latestStart.Before(now) || !t.mayStart(now, g.job) {
-			continue
-		}
-		if waiting == nil {
-			waiting = g
-		}
+	timely, late := t.waitingGroups(now)
+	cpu := int64(0)
+	for _, g := range slices.Concat(timely, late) {
 		cpu += g.cpu()
 	}
-	if waiting == nil || !t.canGrow(now, cpu) {
+	if len(timely)+len(late) == 0 || !t.canGrow(now, cpu) {
 		return false
 	}
-	added := t.extraAgents(now, t.service(waiting.job), &waiting.job.spec.Steps[waiting.step], cpu)
-	for _, a := range added {
-		a.extraUntil = now.Add(extraRetention)
+	added := false
+	if len(timely) > 0 {
+		added = t.addAgentsFor(now, timely[0], cpu)
+	}
+	for _, g := range late {
+		// No agent may be left that can run a late task, so the next ones are considered.
+		if t.addAgentsFor(now, g, g.cpu()) {
+			added = true
+			break
+		}
 	}
 	t.growPause = min(max(2*t.growPause, growInterval), maxGrowInterval)
 	t.growAt = now.Add(t.growPause)
 	t.growCPU = cpu
+	return added
+}
+
+// waitingGroups returns the groups for which the share may be extended, in the order of their latest
+// starts: those that can still be in time, and late ones of stored jobs, which have to run in any case.
+func (t *Table) waitingGroups(now time.Time) (timely, late []*taskGroup) {
+	for _, g := range t.ready {
+		switch {
+		case len(g.tasks) == 0 || !t.mayStart(now, g.job):
+		case !g.latestStart.Before(now):
+			timely = append(timely, g)
+		case g.job.durable():
+			late = append(late, g)
+		}
+	}
+	return timely, late
+}
+
+// addAgentsFor extends the share for a group by as many agents as work that needs the given CPU
+// capacity calls for. It reports whether it added any.
+func (t *Table) addAgentsFor(now time.Time, g *taskGroup, cpu int64) bool {
+	added := t.extraAgents(now, t.service(g.job), &g.job.spec.Steps[g.step], cpu)
+	for _, a := range added {
+		a.extraUntil = now.Add(extraRetention)
+	}
 	return len(added) > 0
 }
 
--- a/jobs/share_test.go
+++ b/jobs/share_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -172,3 +173,39 @@
 		}
 	}
 }
+
+// Guards against a stored job that is never started again after a crash: it is late by then, and the only
+// endpoint that can run it is outside its owner's share. Jobs beside it, of which some can't be helped by any
+// agent, must not keep it from that endpoint, nor it them.
+func TestShareGrowsForALateStoredJob(t *testing.T) {
+	f := newShared(t, 6)
+	f.table.AcquireShard(f.now, 0, 1, nil)
+	f.attachWanted()
+	f.table.AddAgent("rack", "zrack", &work.EndpointCapacity{Service: testService, Labels: []string{"r"}, Capacity: work.Resources{CPU: 64_000, MemMB: 1000}})
+	unhelped := testJob(1, 1, false)
+	unhelped.Steps[0].Label = "gone"
+	needsRack := testJob(2, 1, false)
+	needsRack.Steps[0].Label = "r"
+	for _, j := range []*work.Job{unhelped, needsRack} {
+		f.table.AddAgent("gone", "zgone", &work.EndpointCapacity{Service: testService, Labels: []string{"gone"}, Capacity: work.Resources{CPU: 64_000, MemMB: 1000}})
+		if status, reason := f.table.Submit(f.now, j); status != SubmitPending {
+			t.Fatalf("status %v: %s", status, reason)
+		}
+	}
+	f.table.RemoveAgent(f.now, "gone")
+	f.commit()
+	f.now = f.now.Add(5 * time.Second)
+	f.prove()
+	if !f.table.Grow(f.now) {
+		t.Fatal("the share is not extended for a late stored job")
+	}
+	if names := f.table.AgentsToAttach(f.now); !slices.Contains(names, "rack") {
+		t.Errorf("to be attached: %v, without the agent that the job needs", names)
+	}
+	f.now = f.now.Add(maxGrowInterval)
+	f.submit(testJob(3, 30, true))
+	f.table.Grow(f.now)
+	if names := f.table.AgentsToAttach(f.now); len(names) < 1+minGrowStep {
+		t.Errorf("to be attached: %v, want agents for the job that is not late too", names)
+	}
+}
