jobs: narrow the agents for a suspect to those that can take it

Change: canTake holds all conditions; forSuspect and chooseAgent both ask it. The new tests on the code before: crash_test.go:262: label: 0 starts at the one endpoint that can run the task, want 1; service: 0 starts, want 1; crash_test.go:282: 1 starts of two tasks at two endpoints, want 2. They pass now.

--- a/jobs/choose.go
+++ b/jobs/choose.go
@@ -41,11 +41,11 @@
 	turnover := t.turnover(estimateOf(tk))
 	onTime := tk.job.due.Add(-estimateOf(tk)).After(now)
 	if t.suspects[tk.job] {
-		agents = t.forSuspect(now, tk, agents, onTime)
+		agents = t.forSuspect(now, tk, service, agents, onTime)
 	}
 	unproven := false
 	for _, a := range agents {
-		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) || !a.mayRun(tk, step) {
+		if !a.canTake(now, tk, service, onTime) {
 			continue
 		}
 		if !t.provenAt(tk, a) {
@@ -66,6 +66,12 @@
 	return best
 }
 
+// canTake reports whether a task of a service can be placed at the agent now. With wait set the task may
+// wait there for capacity.
+func (a *agentState) canTake(now time.Time, tk *task, service string, wait bool) bool {
+	return a.endpoint.Service == service && a.available(now) && a.hasCapacity(tk.resources(), wait) && a.mayRun(tk, &tk.job.spec.Steps[tk.step])
+}
+
 // mayRun reports whether the label and the limit for each endpoint that a step asks for admit another task
 // of it at the agent.
 func (a *agentState) mayRun(tk *task, step *work.Step) bool {
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -201,16 +201,16 @@
 	}
 }
 
-// forSuspect returns the agents at which a task of a suspect job may be placed: those with tasks of
-// the same job, if they have capacity, or else those at which nothing runs, or else those without
+// forSuspect returns the agents at which a task of a suspect job may be placed, of those that can take
+// it: those with tasks of the same job, or else those at which nothing runs, or else those without
 // tasks of another suspect job. With wait set the task may wait there for capacity.
 //
 // Answers the pattern of tasks that were lost together and are placed together again: the one that
 // crashes its endpoints is never found, and the others fall with it each time.
-func (t *Table) forSuspect(now time.Time, tk *task, agents []*agentState, wait bool) []*agentState {
+func (t *Table) forSuspect(now time.Time, tk *task, service string, agents []*agentState, wait bool) []*agentState {
 	var same, idle, others []*agentState
 	for _, a := range agents {
-		if now.Before(a.suspectsPausedUntil) || !a.hasCapacity(tk.resources(), wait) {
+		if now.Before(a.suspectsPausedUntil) || !a.canTake(now, tk, service, wait) {
 			continue
 		}
 		switch t.suspectsAt[a] {
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -233,3 +233,52 @@
 		t.Errorf("%d records stored, want %d", stored, jobs)
 	}
 }
+
+// Guards against a suspect task that waits while idle endpoints exist that it can't use: of another service
+// or without its label. They hid the busy ones that it could use.
+func TestSuspectIsNotHiddenByIdleEndpointsThatItCannotUse(t *testing.T) {
+	for name, limit := range map[string]func(step *work.Step, state *work.EndpointState){
+		"label":   func(step *work.Step, state *work.EndpointState) { step.Label, state.Labels = "b", []string{"a"} },
+		"service": func(_ *work.Step, state *work.EndpointState) { state.Service = "other" },
+	} {
+		f := newOwner(t, 0)
+		j := testJob(1, 1, false)
+		for n := range 3 {
+			agent := fmt.Sprint("h", n)
+			f.agents = append(f.agents, agent)
+			f.table.AddAgent(agent, "z"+agent, nil)
+			r := f.newReport(agent, f.table.FollowingAttachment(agent))
+			r.State.Labels = []string{"b"}
+			if n > 0 {
+				limit(&j.Steps[0], &r.State)
+			} else {
+				r.State.Used = work.Resources{CPU: 45_000}
+			}
+			f.table.HandleAttachment(f.now, r, f.table.OwnedShards())
+		}
+		f.prove()
+		f.submitSuspect(j)
+		if got := len(f.started["h0"]); got != 1 {
+			t.Errorf("%s: %d starts at the one endpoint that can run the task, want 1", name, got)
+		}
+	}
+}
+
+// submitSuspect submits a stored job under which an endpoint has crashed before.
+func (f *fixture) submitSuspect(j *work.Job) {
+	f.submit(j)
+	f.table.recordCrash(f.now, work.Crash{Task: work.TaskName(j.ID, 0, 0), Endpoint: "elsewhere"})
+	f.commit()
+}
+
+// Guards against a suspect task that waits for an endpoint with tasks of its job, where its step has reached
+// the limit per endpoint.
+func TestSuspectIsNotKeptAtAnEndpointAtItsLimit(t *testing.T) {
+	f := newOwner(t, 2)
+	j := testJob(1, 2, false)
+	j.Steps[0].MaxPerEndpoint = 1
+	f.submitSuspect(j)
+	if got := f.startCount(); got != 2 {
+		t.Errorf("%d starts of two tasks at two endpoints, want 2", got)
+	}
+}
