jobs: probe an unhealthy endpoint beside its own long tasks

In addition each failure of the runs that were there at the verdict doubled the period, so that the first probe came after 6 s and the second one 12 s later. Change: one probe at a time, counted by the task placed as probe; a probe that goes on for a period doesn't keep the next one away; only a failed probe lengthens the period; a task that may fail only once more gives others a period to be the probe.

--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -83,6 +83,10 @@
 	unhealthyUntil  time.Time
 	unhealthyPeriod time.Duration
 	probing         bool
+	// probe is the task that was placed last as a probe, nil once its run is over, and nextProbeAt the
+	// time from which the endpoint gets another one although that run has not failed.
+	probe       *task
+	nextProbeAt time.Time
 }
 
 // unconfirmedEnd is an end that is acknowledged only after an ownership proof newer
--- a/jobs/choose.go
+++ b/jobs/choose.go
@@ -45,7 +45,7 @@
 	}
 	unproven := false
 	for _, a := range agents {
-		if !a.canTake(now, tk, service, onTime) {
+		if !t.canTake(now, a, tk, service, onTime) {
 			continue
 		}
 		if !t.provenAt(tk, a) {
@@ -68,8 +68,9 @@
 
 // canTake reports whether a task of a service can be placed at the agent now. With wait set the task may
 // wait there for capacity.
-func (a *agentState) canTake(now time.Time, tk *task, service string, wait bool) bool {
-	return a.endpoint.Service == service && a.available(now) && a.hasCapacity(tk.resources(), wait) && a.mayRun(tk, &tk.job.spec.Steps[tk.step])
+func (t *Table) canTake(now time.Time, a *agentState, tk *task, service string, wait bool) bool {
+	return a.endpoint.Service == service && a.available(now) && a.hasCapacity(tk.resources(), wait) &&
+		a.mayRun(tk, &tk.job.spec.Steps[tk.step]) && t.mayProbe(now, a, tk)
 }
 
 // mayRun reports whether the label and the limit for each endpoint that a step asks for admit another task
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -210,7 +210,7 @@
 func (t *Table) forSuspect(now time.Time, tk *task, service string, agents []*agentState, wait bool) []*agentState {
 	var same, idle, others []*agentState
 	for _, a := range agents {
-		if now.Before(a.suspectsPausedUntil) || !a.canTake(now, tk, service, wait) {
+		if now.Before(a.suspectsPausedUntil) || !t.canTake(now, a, tk, service, wait) {
 			continue
 		}
 		switch t.suspectsAt[a] {
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -135,7 +135,7 @@
 // countFailure counts a failed run, and fails the job if its task may fail no more.
 func (t *Table) countFailure(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
-	a.recordFailure(now, j.id)
+	a.recordFailure(now, tk)
 	tk.failures.add(e.Run.Number)
 	t.ackAfterStore(a, j, e)
 	t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Run: e.Run.Number, Agent: a.name, Event: "failed", Reason: "told by the runner"})
@@ -200,6 +200,9 @@
 	a := tk.agent
 	delete(a.placed, tk)
 	a.free = a.free.Add(tk.resources())
+	if a.probe == tk {
+		a.probe = nil
+	}
 	tk.phase = taskWaiting
 	tk.agent = nil
 	tk.stopping = false
@@ -233,11 +236,13 @@
 	a.runTimeRatio += (ratio - a.runTimeRatio) * weight
 }
 
-// recordFailure counts a failed or overdue run and marks the endpoint unhealthy after
-// failures of unhealthyAfterJobs jobs, or after any failure while it is probed.
-func (a *agentState) recordFailure(now time.Time, job string) {
-	a.failedJobs[job] = true
-	if len(a.failedJobs) < unhealthyAfterJobs && !a.probing {
+// recordFailure counts a failed or overdue run of a task and marks the endpoint unhealthy after
+// failures of unhealthyAfterJobs jobs, or after the failure of a probe. Runs that were placed before
+// the endpoint counted as unhealthy tell nothing new: with ten of them, which fail together, it would
+// get no probe for maxUnhealthyPeriod.
+func (a *agentState) recordFailure(now time.Time, tk *task) {
+	a.failedJobs[tk.job.id] = true
+	if len(a.failedJobs) < unhealthyAfterJobs && !a.probing || a.probing && tk.placedAt.Before(a.unhealthyUntil) {
 		return
 	}
 	a.unhealthyPeriod = min(max(2*a.unhealthyPeriod, minUnhealthyPeriod), maxUnhealthyPeriod)
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -183,7 +183,27 @@
 	if !a.attached || a.released || !a.endpoint.Ready || a.echo == 0 || now.Before(a.pausedUntil) || now.Before(a.unhealthyUntil) {
 		return false
 	}
-	return !a.probing || len(a.placed) == 0
+	return !a.probing || a.probe == nil || !now.Before(a.nextProbeAt)
+}
+
+// mayProbe reports whether a task may be placed at an agent although it may be the probe of an unhealthy
+// endpoint. One that may fail only once more gives the others a period's time to be the probe.
+func (t *Table) mayProbe(now time.Time, a *agentState, tk *task) bool {
+	limit := t.maxAttempts(tk.job)
+	if !a.probing || limit <= 0 || tk.failures.count+1 < limit {
+		return true
+	}
+	return !now.Before(a.unhealthyUntil.Add(a.unhealthyPeriod))
+}
+
+// recordProbe records a task that is placed at an unhealthy endpoint as its probe. Runs that were there
+// before, and a probe that goes on for a period without a failure, don't keep the next one away: each may
+// be a task of minutes.
+func (a *agentState) recordProbe(now time.Time, tk *task) {
+	if a.probing {
+		a.probe = tk
+		a.nextProbeAt = now.Add(max(a.unhealthyPeriod, minUnhealthyPeriod))
+	}
 }
 
 func (t *Table) placeGroup(now time.Time, g *taskGroup, agents []*agentState) {
@@ -222,6 +242,7 @@
 	tk.run = max(tk.run, tk.job.runBase) + 1
 	fits := tk.resources().Fits(a.free)
 	t.assign(now, tk, a)
+	a.recordProbe(now, tk)
 	t.logPlacedAgain(now, tk)
 	t.foundCapacity(now, a)
 	s := tk.start()
@@ -266,7 +287,7 @@
 			t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "stopped", Reason: "far beyond its expected run time"})
 			t.stopTask(tk)
 			tk.avoid = a
-			a.recordFailure(now, tk.job.id)
+			a.recordFailure(now, tk)
 		}
 	}
 }
--- a/jobs/place_test.go
+++ b/jobs/place_test.go
@@ -154,3 +154,58 @@
 		t.Errorf("submit status %d, want %d", status, SubmitRefused)
 	}
 }
+
+// Guards against an endpoint that gets no probe after failures while a long task of its own goes on well, as
+// the task it was working on before or as the probe itself, and against more than one probe at a time.
+func TestUnhealthyEndpointIsProbedBesideALongTask(t *testing.T) {
+	f := newOwner(t, 1)
+	long := testJob(0, 1, false)
+	long.Steps[0].EstimateMS = 75_000
+	f.submit(long)
+	f.commit()
+	for n := 1; n <= unhealthyAfterJobs; n++ {
+		j := testJob(n, 1, false)
+		j.Steps[0].EstimateMS = 10_000
+		f.submit(j)
+	}
+	f.commit()
+	for n, s := range f.started["h0"][1:] {
+		f.report("h0", end(s, int64(n)+1, work.OutcomeFailed))
+	}
+	for n := range 3 {
+		f.submit(testJob(10+n, 1, false))
+	}
+	f.commit()
+	before := f.startCount()
+	f.advance(minUnhealthyPeriod + minUnhealthyPeriod/2)
+	if got := f.startCount() - before; got != 1 {
+		t.Fatalf("%d probes beside a long task, want 1", got)
+	}
+	f.advance(minUnhealthyPeriod)
+	if got := f.startCount() - before; got != 2 {
+		t.Errorf("%d probes, want one for each period in which the last one goes on without a failure", got)
+	}
+}
+
+// Guards against an endpoint that gets no probe for long since many runs fail there at once, and against a
+// job that fails for good as the probe of an endpoint while other jobs wait for it.
+func TestProbesOfAnUnhealthyEndpoint(t *testing.T) {
+	f := newOwner(t, 1)
+	for n := range 9 {
+		f.submit(testJob(n, 1, false))
+	}
+	f.commit()
+	var ends []work.End
+	for n, s := range f.started["h0"] {
+		ends = append(ends, end(s, int64(n)+1, work.OutcomeFailed))
+	}
+	f.report("h0", ends...)
+	f.submit(testJob(9, 1, false))
+	f.commit()
+	before := f.startCount()
+	f.advance(minUnhealthyPeriod + 200*time.Millisecond)
+	probes := f.started["h0"][before:]
+	if len(probes) != 1 || work.JobOfTask(probes[0].Run.Task) != testJob(9, 1, false).ID {
+		t.Errorf("probes %v, want one of the job that has not failed yet", probes)
+	}
+}
