runs: tell with an end whether its run may have begun

Cause: the outcomes absent and room cover starts that were refused or never sent as well as starts without an answer and numbers that the endpoint refuses as old, so a coordinator can't tell that a job has not begun. The agent sets it for absent and room if each start of the run was refused with a reason that proves it or was not sent; ends of agents of an earlier build lack it and count as may have begun. Two tests of process_test.go compare whole ends and now expect the field.

--- a/link/convert.go
+++ b/link/convert.go
@@ -98,7 +98,7 @@
 		e := &r.Ends[i]
 		out.Ends = append(out.Ends, &relay.End{
 			Number: e.Sequence, Run: runToWire(e.Run), How: string(e.Outcome),
-			ElapsedMs: e.ElapsedMS, Checkpoint: e.Checkpoint,
+			ElapsedMs: e.ElapsedMS, Checkpoint: e.Checkpoint, NeverBegun: e.NeverBegun,
 		})
 	}
 	for _, c := range r.Crashes {
@@ -151,6 +151,7 @@
 		out.Ends = append(out.Ends, work.End{
 			Sequence: e.GetNumber(), Run: runFromWire(e.GetRun()), Outcome: work.Outcome(e.GetHow()),
 			ElapsedMS: max(boundMS(e.GetElapsedMs()), 0), Checkpoint: e.GetCheckpoint(),
+			NeverBegun: e.GetNeverBegun(),
 		})
 	}
 	for _, c := range m.GetCrashes() {
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -86,6 +86,9 @@
 	coordinator string
 	incarnation uint64
 	stopping    bool
+	// mayHaveBegun is set once the run was confirmed or listed, or a start of it got no answer that proves
+	// that it started nothing.
+	mayHaveBegun bool
 	// stopProof is the proof of the run's coordinator at the time at which its stop was asked for.
 	stopProof time.Time
 	// crashed is set once the endpoint has crashed while the run was there or under way, and left once
@@ -399,7 +402,7 @@
 func (c *Controller) endRun(now time.Time, key work.Run, r *run, outcome work.Outcome) {
 	delete(c.runs, key)
 	c.recordEnded(now, key, r)
-	c.ends = append(c.ends, newEnd(work.End{Run: key, Outcome: outcome, ElapsedMS: elapsed(now, r)}, r))
+	c.ends = append(c.ends, newEnd(work.End{Run: key, Outcome: outcome, ElapsedMS: elapsed(now, r), NeverBegun: r.neverBegun(outcome)}, r))
 }
 
 func elapsed(now time.Time, r *run) int64 {
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -13,6 +13,7 @@
 	if r == nil || l.Token < r.minToken {
 		return
 	}
+	r.mayHaveBegun = r.mayHaveBegun || err == nil && !provesNotBegun(a.Refusal)
 	if r.crashed != nil && r.phase == phaseUncertain {
 		c.crashStart(now, key, r, a.Refusal, err)
 		return
@@ -51,6 +52,7 @@
 		c.endRun(now, key, r, work.OutcomeNotStarted)
 		return
 	}
+	r.mayHaveBegun = true
 	r.phase = phaseUncertain
 	r.phaseSince = now
 	if carobpulley.KindOf(err) == carobpulley.KindBroken {
@@ -197,6 +199,7 @@
 		return
 	}
 	r.listedIn = c.unread.lists
+	r.mayHaveBegun = true
 	if r.phase == phaseUncertain {
 		// A list shows that the run has ended only if it was asked for after this one was made.
 		r.phase = phaseRunning
--- a/runs/process_test.go
+++ b/runs/process_test.go
@@ -29,7 +29,7 @@
 	f.dispatch("c", work.Start{Run: newRun(2), Spec: "x", Resources: work.Resources{CPU: 2000}, WaitMS: 100})
 	f.advance(200 * time.Millisecond)
 	f.controller.Tick(f.now)
-	if diff := cmp.Diff([]work.End{{Run: newRun(2), Outcome: work.OutcomeNoCapacity}}, f.controller.Report(f.now, "c").Ends); diff != "" {
+	if diff := cmp.Diff([]work.End{{Run: newRun(2), Outcome: work.OutcomeNoCapacity, NeverBegun: true}}, f.controller.Report(f.now, "c").Ends); diff != "" {
 		t.Fatalf("ends of the process that started the run (-want +got):\n%s", diff)
 	}
 	full := f.attachProcess("c", 8)
@@ -57,7 +57,7 @@
 	f.advance(200 * time.Millisecond)
 	f.controller.Tick(f.now)
 	f.controller.HandleReportReply(f.now, "c", sent, ReportReply{})
-	want := []work.End{{Run: newRun(1), Outcome: work.OutcomeNoCapacity}}
+	want := []work.End{{Run: newRun(1), Outcome: work.OutcomeNoCapacity, NeverBegun: true}}
 	if diff := cmp.Diff(want, f.controller.Report(f.now, "d").Ends); diff != "" {
 		t.Errorf("ends reported to the second coordinator (-want +got):\n%s", diff)
 	}
--- a/runs/restart.go
+++ b/runs/restart.go
@@ -20,6 +20,8 @@
 			c.record(now, evidence, key.Task, r)
 		}
 		r.left = r.left || !crashed && r.phase == phaseRunning
+		// Only crashStart tells a start under way at a crash as not started.
+		r.mayHaveBegun = r.mayHaveBegun || !crashed
 		// The command may still reach the next generation of the endpoint, which has seen no token yet.
 		r.phase = phaseUncertain
 		r.token = c.token
--- a/work/state.go
+++ b/work/state.go
@@ -60,6 +60,10 @@
 	Outcome    Outcome
 	ElapsedMS  int64
 	Checkpoint string
+	// NeverBegun is set by the agent for OutcomeNotStarted and OutcomeNoCapacity if the run has not
+	// begun and never will: each of its starts was refused or not sent. Without it the run may have
+	// begun, as after a start without an answer.
+	NeverBegun bool
 }
 
 // Start is a request to start a run.
