jobs: count a job as begun only if a run of it may have begun

Cause: assign set started when a task was placed, also if its agent refused the start or handed it back, or it was never sent. PendingCount left such jobs out, State showed them as running, and their callers were told 504. Change: a job counts as begun by ends and by the loss of runs; starts in flight count while they are; refusals by the agent (except stopped), ends with never_begun, starts that were not sent and the only try of a dispatch that is rejected as stale don't. neverBegan is the bookkeeping for a truthful 503; the times at which abandonUnstarted refuses are unchanged, but it no longer passes over jobs whose starts were all refused. Run numbers are remembered for a resubmission also if nothing has begun, since agents remember numbers that they refused.

--- a/coord/attach.go
+++ b/coord/attach.go
@@ -177,7 +177,7 @@
 	c.reachedAgent()
 	c.mergeDomains(link.DomainsFromWire(reply.GetDomains(), time.Time{}), d.Agent)
 	if reply.GetStale() {
-		c.table.Detach(d.Agent, d.Attachment)
+		c.table.HandleStaleDispatch(d)
 		delete(c.nextAttachAt, d.Agent)
 		c.attachDetached(c.now)
 		return
--- a/jobs/abandoned.go
+++ b/jobs/abandoned.go
@@ -13,20 +13,19 @@
 	// lastRun is the highest run number of the job's tasks. Endpoints refuse numbers up to
 	// that of a run that has ended there.
 	lastRun int64
+	// begun is set if a run has begun or may have.
+	begun bool
 	// stalledAt holds the agents at which tasks stood still, by task name.
 	stalledAt map[string]*agentState
 }
 
-// rememberAbandoned records a best-effort job that is given up after a start, also of an earlier
-// submission.
+// rememberAbandoned records a best-effort job that is given up after it has used run numbers, also those of
+// an earlier submission: agents remember also the numbers of starts that they have refused.
 //
 // Answers the pattern of an endpoint at which tasks stand still: a job that its caller submits
 // again would wait there once more.
 func (t *Table) rememberAbandoned(now time.Time, j *job) {
-	if !j.hasStarted() {
-		return
-	}
-	a := &abandonedJob{at: now, lastRun: j.runBase, stalledAt: make(map[string]*agentState)}
+	a := &abandonedJob{at: now, lastRun: j.runBase, begun: !j.neverBegan(), stalledAt: make(map[string]*agentState)}
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
 			tk := &j.tasks[step][i]
@@ -39,7 +38,9 @@
 			}
 		}
 	}
-	t.abandoned[j.id] = a
+	if a.lastRun > 0 {
+		t.abandoned[j.id] = a
+	}
 }
 
 // recallAbandoned applies what is remembered of an earlier submission of the job.
@@ -49,7 +50,7 @@
 		return
 	}
 	delete(t.abandoned, j.id)
-	j.startedBefore = true
+	j.begunBefore = a.begun
 	j.runBase = a.lastRun
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -258,11 +258,13 @@
 			tk.stopping = false
 			t.stopTask(tk)
 		}
+		tk.setSent(true)
 		return tk
 	}
 	if tk != nil && tk.phase == taskWaiting && tk.job.takeoverPending && !tk.job.state.Ended() {
 		tk.run = key.Number
 		t.assign(now, tk, a)
+		tk.setSent(true)
 		return tk
 	}
 	if t.unreadable(work.JobOfTask(key.Task)) == nil {
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -77,7 +77,7 @@
 }
 
 // Abandon cancels a best-effort job that no caller waits for any more. unstarted is
-// set if none of its tasks has started or will start, not even of an earlier submission.
+// set if no run of it has begun or will begin, not even of an earlier submission.
 func (t *Table) Abandon(now time.Time, id, reason string) (unstarted bool) {
 	j := t.jobs[id]
 	if j == nil || j.durable() {
@@ -87,7 +87,7 @@
 		t.withdrawResubmission(j, reason)
 		return false
 	}
-	unstarted = !j.hasStarted()
+	unstarted = j.neverBegan()
 	decision := Decision{Job: id, Event: "given up", Reason: reason}
 	if n := j.placedCount(); n > 0 {
 		decision.Reason += fmt.Sprintf(", with runs of %d tasks that are not known to have ended", n)
@@ -98,20 +98,20 @@
 	return unstarted
 }
 
-// abandonUnstarted cancels best-effort jobs that have not started by the time from
+// abandonUnstarted cancels best-effort jobs of which no run has begun by the time from
 // which their answer has no value, or while no endpoint can run them, so that their callers are
 // answered at once.
 func (t *Table) abandonUnstarted(now time.Time) {
 	for n := 0; n < len(t.ready); n++ {
 		g := t.ready[n]
-		if g.job.durable() || g.job.started {
+		if g.job.durable() || g.job.mayHaveBegun() {
 			continue
 		}
 		reason := t.hopeless(now, g)
 		if reason == "" {
 			continue
 		}
-		t.results = append(t.results, BestEffortResult{Job: g.job.id, State: work.StateCancelled, Unstarted: !g.job.hasStarted(), Reason: reason})
+		t.results = append(t.results, BestEffortResult{Job: g.job.id, State: work.StateCancelled, Unstarted: g.job.neverBegan(), Reason: reason})
 		t.logDecision(Decision{Job: g.job.id, Event: "given up", Reason: reason})
 		t.rememberAbandoned(now, g.job)
 		t.finishJob(now, g.job, work.StateCancelled)
@@ -152,13 +152,14 @@
 }
 
 // State returns the stored state of a job and whether the job is known. A queued job
-// is shown as running once a task was placed; that of an unreadable one is empty.
+// is shown as running once a run may have begun, and as queued again if all its starts turn out to have
+// been refused; that of an unreadable one is empty.
 func (t *Table) State(queue, id string) (work.State, bool) {
 	j := t.jobs[id]
 	if j == nil || j.phase == phaseStoring || j.queue != "" && j.queue != queue {
 		return "", false
 	}
-	if j.storedState == work.StateQueued && j.started {
+	if j.storedState == work.StateQueued && j.mayHaveBegun() {
 		return work.StateRunning, true
 	}
 	return j.storedState, true
@@ -186,12 +187,12 @@
 	return true, false
 }
 
-// PendingCount returns the number of accepted jobs of a queue of which no task has
-// started.
+// PendingCount returns the number of accepted jobs of a queue of which no run has begun or may have, also
+// of those whose starts were refused.
 func (t *Table) PendingCount(queue string) int {
 	n := 0
 	for _, j := range t.jobs {
-		if j.queue == queue && j.phase == phaseActive && !j.started && !j.state.Ended() {
+		if j.queue == queue && j.phase == phaseActive && !j.state.Ended() && !j.mayHaveBegun() {
 			n++
 		}
 	}
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -79,7 +79,7 @@
 // restoreCrashes records the crashes of a job's stored progress.
 func (t *Table) restoreCrashes(now time.Time, j *job, p work.Progress) {
 	for _, c := range p.Crashed {
-		j.started = true
+		j.begun = true
 		t.recordCrash(now, c)
 	}
 }
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -18,8 +18,8 @@
 	Acked       []int64
 	// AckedGeneration is the endpoint generation that the numbers in Acked belong to.
 	AckedGeneration string
-	// sent is set once the dispatch may have reached the agent.
-	sent bool
+	// tries counts how often the dispatch may have reached the agent.
+	tries int
 }
 
 // pendingDispatch returns the dispatch to be sent next to an agent, creating it if
@@ -31,7 +31,8 @@
 	return a.dispatch
 }
 
-// Dispatches returns and clears the pending dispatches of the attached agents.
+// Dispatches returns and clears the pending dispatches of the attached agents. Their starts count as sent
+// from now on, unless Refresh keeps them back.
 func (t *Table) Dispatches() []*Dispatch {
 	var dispatches []*Dispatch
 	for _, a := range t.active {
@@ -42,6 +43,7 @@
 		a.dispatch.Acked = a.acked
 		a.dispatch.AckedGeneration = a.generation
 		a.acked = nil
+		t.markSent(a.dispatch, true)
 		dispatches = append(dispatches, a.dispatch)
 		a.dispatch = nil
 	}
@@ -69,6 +71,7 @@
 func (t *Table) Refresh(now time.Time, d *Dispatch) Sendable {
 	a := t.agents[d.Agent]
 	if a == nil || !a.attached || a.attachment != d.Attachment || a.incarnation != d.Incarnation {
+		t.markSent(d, d.tries > 0)
 		return SendNever
 	}
 	d.Echo = a.echo
@@ -80,7 +83,7 @@
 			continue
 		}
 		switch {
-		case tk.job.state.Ended() && !d.sent:
+		case tk.job.state.Ended() && d.tries == 0:
 			t.requeueTask(now, tk)
 			continue
 		case tk.job.state.Ended():
@@ -88,12 +91,14 @@
 				d.Stops = append(d.Stops, key)
 			}
 		case !t.mayStart(now, tk.job):
+			t.markSent(d, d.tries > 0)
 			return SendLater
 		}
 		placed = append(placed, d.Starts[i])
 	}
 	d.Starts = placed
-	d.sent = true
+	d.tries++
+	t.markSent(d, true)
 	return SendNow
 }
 
@@ -131,6 +136,7 @@
 		} else {
 			a.pausedUntil = now.Add(refusalPause)
 		}
+		tk.recordBack(reason != reasonStopped)
 		tk.requireProof(a.attachedAt)
 		t.requeueTask(now, tk)
 	}
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -23,6 +23,7 @@
 		t.handleEarlierEnd(now, a, tk, e)
 		return
 	}
+	tk.recordBack(neverBegun(e))
 	t.unassign(tk)
 	tk.run = max(tk.run, e.Run.Number)
 	tk.requireProof(a.attachedAt)
@@ -53,6 +54,7 @@
 		t.ackIgnored(now, a, tk.job, e)
 		return
 	}
+	tk.job.begun = true
 	t.countFailure(now, a, tk, e)
 }
 
@@ -198,6 +200,7 @@
 		return
 	}
 	a := tk.agent
+	tk.setSent(false)
 	delete(a.placed, tk)
 	a.free = a.free.Add(tk.resources())
 	if a.probe == tk {
--- a/jobs/inferred.go
+++ b/jobs/inferred.go
@@ -27,6 +27,7 @@
 func (t *Table) inferEnd(now time.Time, tk *task, basis string, d Decision) {
 	d.Job, d.Task, d.Run, d.Agent = tk.job.id, tk.name(), tk.run, tk.agent.name
 	t.logDecision(d)
+	tk.recordBack(!tk.sent)
 	tk.inferred = &inference{basis: basis, run: tk.key(), agent: tk.agent.name, at: now}
 	t.requeueTask(now, tk)
 }
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -47,6 +47,10 @@
 	// endpoint it would have ended well before.
 	overdueAt time.Time
 	stopping  bool
+	// sent is set while the start of a placed run may have reached its agent (see setSent), and neverBegun
+	// once the last run that came back is known not to have begun.
+	sent       bool
+	neverBegun bool
 	// proofAfter is the time that the proof of the ownership has to exceed for the next start; see
 	// requireProof.
 	proofAfter time.Time
@@ -77,8 +81,11 @@
 	storedState work.State
 	tasks       [][]task
 	remaining   []int
-	// started is set once a task was placed, by this owner or an earlier one.
-	started bool
+	// begun is set once a run has begun or may have, by this owner or an earlier one. Starts in flight
+	// don't count; see mayHaveBegun.
+	begun bool
+	// inFlight is the number of placed tasks whose starts may have reached their agents.
+	inFlight int
 	// takeoverPending is set while the job's tasks are not queued because runs of an
 	// earlier owner may continue.
 	takeoverPending bool
@@ -88,8 +95,8 @@
 	inBatch bool
 	// crashUnstored is set while a crash of an endpoint under one of the tasks is not stored.
 	crashUnstored bool
-	// startedBefore is set if tasks of an earlier submission of the best-effort job have started.
-	startedBefore bool
+	// begunBefore is set if runs of an earlier submission of the best-effort job have begun or may have.
+	begunBefore bool
 	// cancelRequested is set for a best-effort job that a caller has cancelled.
 	cancelRequested bool
 	// resubmission is the latest submission of a best-effort job that is being stopped.
@@ -128,9 +135,6 @@
 	return ""
 }
 
-// hasStarted reports whether a task of the job was placed, also for an earlier submission.
-func (j *job) hasStarted() bool { return j.started || j.startedBefore }
-
 // placedCount returns the number of tasks with a run that is not known to have ended.
 func (j *job) placedCount() int {
 	n := 0
@@ -182,13 +186,13 @@
 		if tk := j.task(d[0], d[1]); tk != nil && tk.phase != taskDone {
 			tk.phase = taskDone
 			j.remaining[d[0]]--
-			j.started = true
+			j.begun = true
 		}
 	}
 	for _, f := range p.Failed {
 		if tk := j.task(f[0], f[1]); tk != nil {
 			tk.failures.count = f[2]
-			j.started = true
+			j.begun = true
 		}
 	}
 	for _, f := range p.FailedRuns {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -271,7 +271,7 @@
 	tk.placedAt = now
 	runTime := time.Duration(float64(estimateOf(tk)) * a.runTimeRatio)
 	tk.overdueAt = now.Add(overdueFactor*runTime + overdueMargin)
-	tk.job.started = true
+	tk.neverBegun = false
 	a.placed[tk] = true
 	a.free = a.free.Sub(tk.resources())
 }
--- a/jobs/restore.go
+++ b/jobs/restore.go
@@ -139,7 +139,7 @@
 	for _, f := range ends.FailedRuns {
 		if tk := j.task(int(f[0]), int(f[1])); tk != nil {
 			tk.failures.add(f[2])
-			j.started = true
+			j.begun = true
 			t.failIfUsedUp(now, tk)
 		}
 	}
--- a/jobs/resubmit.go
+++ b/jobs/resubmit.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if !j.state.Ended() || j.resubmission != nil {
-		t.results = append(t.results, BestEffortResult{Job: j.id, State: work.StateCancelled, Unstarted: !j.hasStarted(), Reason: reasonCancelled})
+		t.results = append(t.results, BestEffortResult{Job: j.id, State: work.StateCancelled, Unstarted: j.neverBegan(), Reason: reasonCancelled})
 		t.logDecision(Decision{Job: j.id, Event: "cancelled", Reason: "its caller asked"})
 	}
 	j.cancelRequested = true
