jobs: back off from agents that hand starts back, and bound run numbers

Cause: an agent's report cleared the pause after a refusal, and starts that an agent handed back as absent had none, so an endpoint that refuses each start with 503 got them as fast as messages travel; nothing bounded the numbers of a task's runs. Change: hand-backs for other causes than a lack of capacity pause the agent for 25 ms, doubled up to 400 ms; from the third in a row it gets one start at a time. From the 100th on the starts of a task are paced, and the number never exceeds the owner's 1,000; the last one is used again only if no run has begun under it. Hand-backs for lack of capacity pause nothing more than before.

--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -69,6 +69,7 @@
 	unconfirmedEnds map[int64]unconfirmedEnd
 	dispatch        *Dispatch
 	pausedUntil     time.Time
+	handBacks       handBacks
 	// suspectsPausedUntil is the time until which the agent gets no tasks of suspect jobs.
 	suspectsPausedUntil time.Time
 	// bias is this coordinator's cost factor for the agent; see maxBias.
@@ -262,7 +263,7 @@
 		return tk
 	}
 	if tk != nil && tk.phase == taskWaiting && tk.job.takeoverPending && !tk.job.state.Ended() {
-		tk.run = key.Number
+		tk.run, tk.inheritedRun = key.Number, max(tk.inheritedRun, key.Number)
 		t.assign(now, tk, a)
 		tk.setSent(true)
 		return tk
@@ -285,6 +286,7 @@
 		a.runTimeRatio, a.runTimeSamples = 1, 0
 		a.unhealthyUntil, a.unhealthyPeriod, a.probing = time.Time{}, 0, false
 		clear(a.failedJobs)
+		a.handBacks = handBacks{}
 	}
 	a.endpoint = r.State
 	if a.generation != r.State.Instance {
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -113,6 +113,9 @@
 	a.free = a.endpoint.Capacity.Sub(a.endpoint.Used).Sub(a.placedResources())
 }
 
+// reasonCapacity is the reason for which an agent refuses a start that its endpoint has no capacity for.
+const reasonCapacity = "room"
+
 // reasonSuspect is the reason for which an agent refuses a start while a run of another suspect job
 // is there; it concerns no other starts.
 const reasonSuspect = "suspect"
@@ -131,10 +134,13 @@
 			continue
 		}
 		t.logDecision(Decision{Job: tk.job.id, Task: key.Task, Run: key.Number, Agent: d.Agent, Event: "not run", Reason: "refused by the agent: " + reason})
-		if reason == reasonSuspect {
+		switch reason {
+		case reasonSuspect:
 			a.suspectsPausedUntil = now.Add(suspectPause)
-		} else {
+		case reasonCapacity, reasonStopped:
 			a.pausedUntil = now.Add(refusalPause)
+		default:
+			t.recordHandBack(now, a)
 		}
 		tk.recordBack(reason != reasonStopped)
 		tk.requireProof(a.attachedAt)
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -24,6 +24,10 @@
 		return
 	}
 	tk.recordBack(neverBegun(e))
+	t.observeEnd(now, a, tk, e)
+	if tk.phase != taskPlaced {
+		tk.inheritedRun = max(tk.inheritedRun, e.Run.Number)
+	}
 	t.unassign(tk)
 	tk.run = max(tk.run, e.Run.Number)
 	tk.requireProof(a.attachedAt)
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -6,8 +6,8 @@
 	"carobpulley/work"
 )
 
-// runsPerEpoch separates the run numbers that different owners assign. It exceeds the
-// number of starts that one owner can make of a task.
+// runsPerEpoch separates the run numbers that different owners assign: each has this many for
+// a task; see mayNumber.
 const runsPerEpoch = 1000
 
 type phase int
@@ -36,9 +36,11 @@
 	index int
 	phase taskPhase
 	// run is the number of the latest run.
-	run      int64
-	failures failures
-	agent    *agentState
+	run int64
+	// inheritedRun is the highest number of a run that an earlier owner started, as far as it is known.
+	inheritedRun int64
+	failures     failures
+	agent        *agentState
 	// avoid is the agent whose run last failed, was lost, did not start or was
 	// overdue.
 	avoid    *agentState
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -180,7 +180,7 @@
 
 // available reports whether tasks can be placed at the agent now.
 func (a *agentState) available(now time.Time) bool {
-	if !a.attached || a.released || !a.endpoint.Ready || a.echo == 0 || now.Before(a.pausedUntil) || now.Before(a.unhealthyUntil) {
+	if !a.attached || a.released || !a.endpoint.Ready || a.echo == 0 || now.Before(a.pausedUntil) || now.Before(a.unhealthyUntil) || a.handBacks.blocks(now) {
 		return false
 	}
 	return !a.probing || a.probe == nil || !now.Before(a.nextProbeAt)
@@ -211,9 +211,11 @@
 	n := 0
 	for _, tk := range g.tasks {
 		var a *agentState
-		if t.provenFor(tk) {
+		switch {
+		case !tk.mayNumber(now):
+		case t.provenFor(tk):
 			a = t.chooseAgent(now, tk, service, agents)
-		} else {
+		default:
 			t.proof.awaited = true
 		}
 		if a == nil {
@@ -239,10 +241,12 @@
 
 // startTask places a task at an agent and adds its start to the agent's next dispatch.
 func (t *Table) startTask(now time.Time, tk *task, a *agentState) {
-	tk.run = max(tk.run, tk.job.runBase) + 1
+	tk.run = tk.nextRun()
 	fits := tk.resources().Fits(a.free)
 	t.assign(now, tk, a)
 	a.recordProbe(now, tk)
+	a.handBacks.recordStart(now)
+	t.logPaced(tk)
 	t.logPlacedAgain(now, tk)
 	t.foundCapacity(now, a)
 	s := tk.start()
