jobs, runs: allocate slices of the new tests once

The linter of scripts/check.sh (prealloc) asked for it in three places; with the change scripts/check.sh passes, and no check or bound of the tests has changed.

--- a/jobs/backoff_test.go
+++ b/jobs/backoff_test.go
@@ -14,7 +14,7 @@
 	before := f.startCount()
 	for n := range int(length / time.Millisecond) {
 		f.now = f.now.Add(time.Millisecond)
-		var ends []work.End
+		ends := make([]work.End, 0, len(f.table.agents["h0"].placed))
 		for tk := range f.table.agents["h0"].placed {
 			ends = append(ends, work.End{Run: tk.key(), Outcome: outcome, NeverBegun: true})
 		}
--- a/jobs/place_test.go
+++ b/jobs/place_test.go
@@ -195,7 +195,7 @@
 		f.submit(testJob(n, 1, false))
 	}
 	f.commit()
-	var ends []work.End
+	ends := make([]work.End, 0, len(f.started["h0"]))
 	for n, s := range f.started["h0"] {
 		ends = append(ends, end(s, int64(n)+1, work.OutcomeFailed))
 	}
--- a/runs/unbegun_test.go
+++ b/runs/unbegun_test.go
@@ -73,8 +73,9 @@
 
 func (f *fixture) checkNeverBegun(name string, want bool) {
 	f.t.Helper()
-	var got []bool
-	for _, e := range f.report("c", nil) {
+	ends := f.report("c", nil)
+	got := make([]bool, 0, len(ends))
+	for _, e := range ends {
 		got = append(got, e.NeverBegun)
 	}
 	if diff := cmp.Diff([]bool{want}, got); diff != "" {
