--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -69,6 +69,7 @@
 	unconfirmedEnds map[int64]unconfirmedEnd
 	dispatch        *Dispatch
 	pausedUntil     time.Time
+	handBacks       handBacks
 	// suspectsPausedUntil is the time until which the agent gets no tasks of suspect jobs.
 	suspectsPausedUntil time.Time
 	// bias is this coordinator's cost factor for the agent; see maxBias.
@@ -83,6 +84,10 @@
 	unhealthyUntil  time.Time
 	unhealthyPeriod time.Duration
 	probing         bool
+	// probe is the task that was placed last as a probe, nil once its run is over, and nextProbeAt the
+	// time from which the endpoint gets another one although that run has not failed.
+	probe       *task
+	nextProbeAt time.Time
 }
 
 // unconfirmedEnd is an end that is acknowledged only after an ownership proof newer
@@ -254,11 +259,13 @@
 			tk.stopping = false
 			t.stopTask(tk)
 		}
+		tk.setSent(true)
 		return tk
 	}
 	if tk != nil && tk.phase == taskWaiting && tk.job.takeoverPending && !tk.job.state.Ended() {
-		tk.run = key.Number
+		tk.run, tk.inheritedRun = key.Number, max(tk.inheritedRun, key.Number)
 		t.assign(now, tk, a)
+		tk.setSent(true)
 		return tk
 	}
 	if t.unreadable(work.JobOfTask(key.Task)) == nil {
@@ -279,6 +286,7 @@
 		a.runTimeRatio, a.runTimeSamples = 1, 0
 		a.unhealthyUntil, a.unhealthyPeriod, a.probing = time.Time{}, 0, false
 		clear(a.failedJobs)
+		a.handBacks = handBacks{}
 	}
 	a.endpoint = r.State
 	if a.generation != r.State.Instance {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -195,14 +195,34 @@
 
 // available reports whether tasks can be placed at the agent now.
 func (a *agentState) available(now time.Time) bool {
-	if !a.attached || a.released || !a.endpoint.Ready || a.echo == 0 || now.Before(a.pausedUntil) || now.Before(a.unhealthyUntil) {
+	if !a.attached || a.released || !a.endpoint.Ready || a.echo == 0 || now.Before(a.pausedUntil) || now.Before(a.unhealthyUntil) || a.handBacks.blocks(now) {
 		return false
 	}
-	return !a.probing || len(a.placed) == 0
+	return !a.probing || a.probe == nil || !now.Before(a.nextProbeAt)
+}
+
+// mayProbe reports whether a task may be placed at an agent although it may be the probe of an unhealthy
+// endpoint. One that may fail only once more gives the others a period's time to be the probe.
+func (t *Table) mayProbe(now time.Time, a *agentState, tk *task) bool {
+	limit := t.maxAttempts(tk.job)
+	if !a.probing || limit <= 0 || tk.failures.count+1 < limit {
+		return true
+	}
+	return !now.Before(a.unhealthyUntil.Add(a.unhealthyPeriod))
+}
+
+// recordProbe records a task that is placed at an unhealthy endpoint as its probe. Runs that were there
+// before, and a probe that goes on for a period without a failure, don't keep the next one away: each may
+// be a task of minutes.
+func (a *agentState) recordProbe(now time.Time, tk *task) {
+	if a.probing {
+		a.probe = tk
+		a.nextProbeAt = now.Add(max(a.unhealthyPeriod, minUnhealthyPeriod))
+	}
 }
 
 // placeGroup places the tasks of a group, the less urgent ones as far as the loads of the services have room
-// for them. Those of a job that has begun are not held back: its runs have used capacity, and are worth
+// for them. Those of a job that may have begun are not held back: its runs have used capacity, and are worth
 // nothing without them.
 func (t *Table) placeGroup(now time.Time, g *taskGroup, agents []*agentState, loads map[string]*shed.Load) {
 	service := t.service(g.job)
@@ -215,7 +235,8 @@
 	for _, tk := range g.tasks {
 		var a *agentState
 		switch {
-		case load != nil && !g.begun() && load.Room(g.class) < tk.cpu():
+		case !tk.mayNumber(now):
+		case load != nil && !g.job.mayHaveBegun() && load.Room(g.class) < tk.cpu():
 		case t.provenFor(tk):
 			a = t.chooseAgent(now, tk, service, agents)
 		default:
@@ -247,9 +268,12 @@
 
 // startTask places a task at an agent and adds its start to the agent's next dispatch.
 func (t *Table) startTask(now time.Time, tk *task, a *agentState) {
-	tk.run = max(tk.run, tk.job.runBase) + 1
+	tk.run = tk.nextRun()
 	fits := tk.resources().Fits(a.free)
 	t.assign(now, tk, a)
+	a.recordProbe(now, tk)
+	a.handBacks.recordStart(now)
+	t.logPaced(tk)
 	t.logPlacedAgain(now, tk)
 	t.foundCapacity(now, a)
 	s := tk.start()
@@ -284,7 +308,7 @@
 	tk.placedAt = now
 	runTime := time.Duration(float64(estimateOf(tk)) * a.runTimeRatio)
 	tk.overdueAt = now.Add(overdueFactor*runTime + overdueMargin)
-	tk.job.started = true
+	tk.neverBegun = false
 	a.placed[tk] = true
 	a.free = a.free.Sub(tk.resources())
 }
@@ -300,7 +324,7 @@
 			t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "stopped", Reason: "far beyond its expected run time"})
 			t.stopTask(tk)
 			tk.avoid = a
-			a.recordFailure(now, tk.job.id)
+			a.recordFailure(now, tk)
 		}
 	}
 }
--- a/jobs/urgency.go
+++ b/jobs/urgency.go
@@ -17,7 +17,7 @@
 
 // loadOf returns the load of a service's endpoints, as seen through the attached agents.
 func (t *Table) loadOf(service string) *shed.Load {
-	l := &shed.Load{}
+	l := &shed.Load{Coordinators: max(t.coordinators, 1)}
 	for _, a := range t.active {
 		if !a.attached || !a.endpoint.Ready || a.endpoint.Service != service || t.outOfService[a.endpoint.Domain] {
 			continue
@@ -34,12 +34,11 @@
 	return l
 }
 
-// begun reports whether tasks of the group's step were placed before.
-func (g *taskGroup) begun() bool { return len(g.tasks) < g.job.spec.Steps[g.step].Count }
-
-// late reports whether the group's tasks come after all that can still be in time. Those of a step of which
-// other tasks were placed come in time: one task more ends a job that has used capacity already.
-func (g *taskGroup) late(now time.Time) bool { return g.latestStart.Before(now) && !g.begun() }
+// late reports whether the group's tasks come after all that can still be in time. Those of a job that may have
+// begun come in their order: its runs have used capacity already.
+func (g *taskGroup) late(now time.Time) bool {
+	return g.latestStart.Before(now) && !g.job.mayHaveBegun()
+}
 
 // cpuAhead returns the CPU capacity that the queued tasks need which come before a task of a class with a
 // latest start. Where queues differ in priority late tasks come after it.
@@ -62,17 +61,6 @@
 	return t.routing != nil && t.routing.Priorities(service) > 1
 }
 
-// servableLate reports whether a job that can't be in time is expected to end before its caller leaves, with
-// the capacity that the work in time leaves over.
-func (t *Table) servableLate(now time.Time, spec *work.Job, l *shed.Load, c shed.Class) bool {
-	if spec.AnswerBy.IsZero() || !t.ranked(spec.Queue.Service) {
-		return false
-	}
-	estimate := spec.CriticalPath()
-	wait := t.waitBehind(l, c, t.waitingCPU(), spec.CPU(), estimate)
-	return wait <= shed.BearableLate(spec.AnswerBy.Sub(now)-estimate)
-}
-
 // waitBehind returns the expected wait of tasks behind work that waits at this coordinator, and as much at each
 // that shares its endpoints.
 func (t *Table) waitBehind(l *shed.Load, c shed.Class, ahead, cpu int64, estimate time.Duration) time.Duration {
--- a/shed/load.go
+++ b/shed/load.go
@@ -1,13 +1,12 @@
 package shed
 
-// Parts of a service's capacity. Coordinators learn of each other's starts up to a report interval late;
-// what less urgent work leaves free is there for more urgent tasks that arrive meanwhile.
+// Parts of a service's capacity.
 const (
-	// firstReserve is the part that the second most urgent queues leave free, and furtherReserve what each
-	// less urgent priority leaves in addition, up to maxReserve.
-	firstReserve   = 0.03
-	furtherReserve = 0.03
-	maxReserve     = 0.24
+	// peerReserve is the part that each less urgent priority leaves free for each further coordinator that
+	// works with the same endpoints, up to maxReserve for all. Coordinators learn of each other's starts up to
+	// a report interval late; what is left free is there for more urgent tasks that arrive meanwhile.
+	peerReserve = 0.006
+	maxReserve  = 0.24
 	// minShare is the part that each priority may hold whatever the demand of the more urgent ones is, so
 	// that none is shut out.
 	minShare = 0.04
@@ -25,6 +24,8 @@
 type Load struct {
 	// Capacity is the CPU capacity in service, Free the part of it that no run holds.
 	Capacity, Free int64
+	// Coordinators is the number of coordinators that work with an endpoint.
+	Coordinators int
 	// used holds the CPU capacity that runs of each priority hold.
 	used map[int]int64
 }
@@ -70,7 +71,7 @@
 
 // limit returns the capacity up to which tasks of a rank are placed.
 func (l *Load) limit(rank int) int64 {
-	reserve := min(firstReserve+furtherReserve*float64(rank-1), maxReserve)
+	reserve := min(peerReserve*float64(max(l.Coordinators-1, 0)*rank), maxReserve)
 	return int64((1 - reserve) * float64(l.Capacity))
 }
 
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -8,7 +8,7 @@
 )
 
 func newLoad(capacity, free int64, used map[int]int64) *Load {
-	l := &Load{Capacity: capacity, Free: free}
+	l := &Load{Capacity: capacity, Free: free, Coordinators: 6}
 	for priority, cpu := range used {
 		l.Use(priority, cpu)
 	}
@@ -24,8 +24,8 @@
 		load *Load
 		want [3]int64
 	}{
-		{"idle", newLoad(10_000, 10_000, nil), [3]int64{10_000, 9_700, 9_000}},
-		{"nearly full", newLoad(10_000, 1_000, map[int]int64{0: 5_000, 9: 4_000}), [3]int64{1_000, 700, 0}},
+		{"idle", newLoad(10_000, 10_000, nil), [3]int64{10_000, 9_700, 9_400}},
+		{"nearly full", newLoad(10_000, 1_000, map[int]int64{0: 5_000, 9: 4_000}), [3]int64{1_000, 700, 400}},
 		{"full of urgent work", newLoad(10_000, 0, map[int]int64{0: 10_000}), [3]int64{0, 400, 400}},
 		{"full, batch beyond its floor", newLoad(10_000, 0, map[int]int64{0: 9_000, 9: 1_000}), [3]int64{0, 400, -600}},
 	} {
@@ -45,7 +45,7 @@
 	}{
 		{Class{0, 0}, 20 * time.Millisecond},
 		{Class{1, 1}, 1_000 * 200 * time.Millisecond / 3_700},
-		{Class{2, 2}, 1_000 * 200 * time.Millisecond / 1_000},
+		{Class{2, 2}, 1_000 * 200 * time.Millisecond / 1_400},
 	} {
 		if got := l.Wait(c.class, 1_000, 200*time.Millisecond); !near(got, c.want) {
 			t.Errorf("wait of %+v: %v, want %v", c.class, got, c.want)
@@ -56,7 +56,7 @@
 	}
 }
 
-func near(a, b time.Duration) bool { return (a-b).Abs() <= 300*time.Microsecond || (a-b).Abs() <= b/3 }
+func near(a, b time.Duration) bool { return (a - b).Abs() < time.Millisecond }
 
 // Guards against urgent jobs that are refused for the long runs of others: the turnover time of a class covers
 // its own and less urgent runs only.
--- a/shed/wait.go
+++ b/shed/wait.go
@@ -7,7 +7,7 @@
 	// the rest covers bad estimates.
 	urgentWaitShare = 0.7
 	// waitShare is that part for less urgent queues, whose wait grows with each more urgent job that arrives
-	// meanwhile, and the part of the time left to its caller for a job that will be late.
+	// meanwhile.
 	waitShare = 0.4
 	// messageTime is the transit time of a start and of the report of an end together.
 	messageTime = 15 * time.Millisecond
@@ -30,11 +30,5 @@
 	if c.Rank <= 0 {
 		share = urgentWaitShare
 	}
-	return time.Duration(share*float64(slack)) - messageTime
-}
-
-// BearableLate returns the longest expected wait with which a job is admitted that will be late, for the time
-// that its caller will wait beyond its run time.
-func BearableLate(left time.Duration) time.Duration {
-	return time.Duration(waitShare*float64(left)) - messageTime
+	return max(time.Duration(share*float64(slack))-messageTime, 0)
 }
