--- a/coord/best_effort.go
+++ b/coord/best_effort.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"carobpulley"
@@ -140,6 +141,10 @@
 // recordAnswer counts an answer to a submission and records its response time.
 func (c *Coordinator) recordAnswer(j *work.Job, a carobpulley.JobAnswer, took time.Duration) {
 	c.cfg.Meter.Add(meter.Name("answers", wireCodes[a.Code].String()), 1)
+	if a.Code == carobpulley.AnswerRefused {
+		kind, _, _ := strings.Cut(a.Reason, ":")
+		c.cfg.Meter.Add(meter.Name("refused", j.Queue.Name+" "+kind), 1)
+	}
 	c.cfg.Meter.Observe(meter.Name("response", j.Queue.Name), took)
 }
 
