intake: bound the memory, connections and time of unfinished requests

Cause: the sum of unfinished bodies and heads and the number of connections were unbounded, so clients within every documented limit could exhaust a process's memory. Change: package intake charges requests against a budget as their bytes arrive, bounds connections per listener and sets deadlines; at the budget or the bound it aborts the slowest unfinished requests. The limits follow from limits.memory-mb and limits.max-fds, which is read now.

--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"carobpulley/guard"
+	"carobpulley/intake"
 	"carobpulley/link"
 	"carobpulley/logs"
 	"carobpulley/platform"
@@ -42,9 +43,9 @@
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewAgentServiceHandler(agent))
 	return p.serve([]listener{
-		{addr: p.settings.Inner, handler: inner},
+		{addr: p.settings.Inner, handler: inner, role: intake.RoleInner},
 		p.metrics(),
-		{addr: p.settings.Beats, handler: platform.NewHeartbeatHandler(p.settings.Service, agent, rejects)},
+		{addr: p.settings.Beats, handler: platform.NewHeartbeatHandler(p.settings.Service, agent, rejects), role: intake.RoleClients},
 	}, func(ctx context.Context, _ closeCallersFunc) error { return agent.Run(p.ctx, ctx) })
 }
 
--- a/cmd/carobd/callerconn.go
+++ b/cmd/carobd/callerconn.go
@@ -7,11 +7,13 @@
 	"os"
 	"sync"
 	"time"
+
+	"carobpulley/intake"
 )
 
 const (
 	// maxAheadBytes bounds what is read ahead on a connection. The end of a connection with more bytes
-	// waiting is not noticed.
+	// waiting, or for whose bytes there is no memory, is not noticed.
 	maxAheadBytes = 64 << 10
 	// aheadChunkBytes is the most that is read ahead at once.
 	aheadChunkBytes = 512
@@ -23,8 +25,8 @@
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp}, err
+	if counted, ok := c.(*intake.Conn); ok {
+		return &callerConn{Conn: counted}, err
 	}
 	return c, err
 }
@@ -33,7 +35,7 @@
 // the connection's end, and reads no further once a byte has come. callerConn then goes on reading, so
 // that the contexts of requests end with the connection also if another request waits on it.
 type callerConn struct {
-	*net.TCPConn
+	*intake.Conn
 	// left ends the contexts of the connection's requests.
 	left context.CancelFunc
 	// ahead is what was read ahead, and aheadErr the error after it. The goroutine that reads ahead
@@ -66,10 +68,12 @@
 	n, err := 0, c.aheadErr
 	switch {
 	case len(c.ahead) > 0:
-		n, err = copy(b, c.ahead), nil
+		n = copy(b, c.ahead)
 		c.ahead = c.ahead[n:]
+		c.Ahead(-n)
+		err = c.Took(n)
 	case err == nil:
-		n, err = c.TCPConn.Read(b)
+		n, err = c.Conn.Read(b)
 	}
 	if n == 1 && len(b) == 1 {
 		c.beginReadingAhead()
@@ -85,14 +89,14 @@
 	if c.done != nil {
 		return nil // set when reading ahead has stopped
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(t)
 }
 
 func (c *callerConn) beginReadingAhead() {
 	done := make(chan struct{})
 	c.mu.Lock()
 	c.done = done
-	err := c.TCPConn.SetReadDeadline(time.Time{})
+	err := c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	if err != nil {
 		close(done) // the connection is closed
@@ -104,11 +108,13 @@
 	}()
 }
 
-// readAhead reads until the connection ends, maxAheadBytes wait, or it is stopped by a deadline.
+// readAhead reads until the connection ends, maxAheadBytes wait, there is no memory for more, or it is
+// stopped by a deadline.
 func (c *callerConn) readAhead() {
 	chunk := make([]byte, aheadChunkBytes)
-	for len(c.ahead) < maxAheadBytes && c.aheadErr == nil {
-		n, err := c.TCPConn.Read(chunk)
+	for len(c.ahead) < maxAheadBytes && c.aheadErr == nil && c.Ahead(len(chunk)) {
+		n, err := c.Conn.Read(chunk)
+		c.Ahead(n - len(chunk))
 		c.ahead = append(c.ahead, chunk[:n]...)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return
@@ -128,10 +134,10 @@
 		return nil
 	}
 	// An error means that the connection is closed, which ends reading ahead too.
-	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-done
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.done = nil
-	return c.TCPConn.SetReadDeadline(c.deadline)
+	return c.Conn.SetReadDeadline(c.deadline)
 }
--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -7,11 +7,13 @@
 	"github.com/urfave/cli/v3"
 
 	"carobpulley/coord"
+	"carobpulley/intake"
 	"carobpulley/link"
 	"carobpulley/logs"
 	"carobpulley/platform"
 	"carobpulley/sched"
 	"carobpulley/wire/relay"
+	"carobpulley/work"
 )
 
 func coordinatorCommand() *cli.Command {
@@ -40,14 +42,31 @@
 		Meter:           p.meter,
 	}, p.clock, sched.New(), p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
 	callers := platform.NewCallerHandler(coordinator, p.log, p.meter)
+	p.gate.SetTimeouts(intake.RoleClients, func() intake.Timeouts { return callerTimeouts(coordinator.Config()) })
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewCoordinatorServiceHandler(coordinator.Handler()))
 	return p.serve([]listener{
-		{addr: p.settings.Inner, handler: inner},
+		{addr: p.settings.Inner, handler: inner, role: intake.RoleInner},
 		p.metrics(),
-		{addr: p.settings.Ready, handler: callers.ReadyHandler()},
-		{addr: p.settings.Callers, handler: callers, callers: true},
+		{addr: p.settings.Ready, handler: callers.ReadyHandler(), role: intake.RoleReady},
+		{addr: p.settings.Callers, handler: callers, callers: true, role: intake.RoleClients},
 	}, func(_ context.Context, closeCallers closeCallersFunc) error {
 		return coordinator.Run(p.ctx, closeCallers)
 	})
 }
+
+// callerTimeouts returns the timeouts for callers with the configuration's values, where it has some.
+func callerTimeouts(config *work.RoutingConfig) intake.Timeouts {
+	t := intake.DefaultTimeouts()
+	if config == nil {
+		return t
+	}
+	if config.HeaderTimeout > 0 {
+		t.Head = config.HeaderTimeout
+	}
+	if config.IdleTimeout > 0 {
+		t.Idle = config.IdleTimeout
+	}
+	t.MaxHeadBytes = config.MaxHeaderBytes
+	return t
+}
--- a/cmd/carobd/leave_test.go
+++ b/cmd/carobd/leave_test.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"carobpulley/intake"
+	"carobpulley/meter"
 )
 
 const (
@@ -36,8 +39,8 @@
 	ctx, stop := context.WithCancel(t.Context())
 	served := make(chan error, 1)
 	go func() {
-		p := &process{log: zerolog.Nop()}
-		served <- p.serve([]listener{{addr: netip.MustParseAddrPort(addr), handler: h, callers: true}},
+		p := &process{log: zerolog.Nop(), gate: testGate(t)}
+		served <- p.serve([]listener{{addr: netip.MustParseAddrPort(addr), handler: h, callers: true, role: intake.RoleClients}},
 			func(_ context.Context, closeCallers closeCallersFunc) error {
 				<-ctx.Done()
 				closeCallers(ctx)
@@ -53,6 +56,16 @@
 	return addr
 }
 
+// testGate returns a gate with the limits of a process without limits in its settings.
+func testGate(t *testing.T) *intake.Gate {
+	t.Helper()
+	limits, err := intake.DeriveLimits(0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return intake.NewGate(limits, zerolog.Nop(), meter.New())
+}
+
 // dialCallers connects to a listener that may not be open yet.
 func dialCallers(t *testing.T, addr string) net.Conn {
 	t.Helper()
--- a/cmd/carobd/process.go
+++ b/cmd/carobd/process.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"carobpulley/boottime"
+	"carobpulley/intake"
 	"carobpulley/logs"
 	"carobpulley/meter"
 	"carobpulley/platform"
@@ -22,8 +23,8 @@
 )
 
 const (
-	// readHeaderTimeout bounds the time to read a request's header.
-	readHeaderTimeout = 3 * time.Second
+	// maxHeaderTimeout bounds the time to read a request's header, also where the configuration sets more.
+	maxHeaderTimeout = 30 * time.Second
 	// closeTimeout bounds the shutdown of the servers that don't serve callers.
 	closeTimeout = 100 * time.Millisecond
 	// graceMargin is subtracted from the platform's grace period, so that the process can
@@ -78,6 +79,8 @@
 	clock    *boottime.Clock
 	shards   int
 	meter    *meter.Set
+	// gate bounds what clients take of the process.
+	gate *intake.Gate
 	// ctx is cancelled on SIGTERM or SIGINT, or by stop.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -116,7 +119,13 @@
 	setMemoryLimit(settings.MemoryMB)
 	p.ctx, p.stop = signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGPIPE)
-	r := &reloader{log: log, hangups: hangups, read: platform.ReadSettings, content: content, settings: settings}
+	limits, err := settings.IntakeLimits()
+	if err != nil {
+		return nil, err
+	}
+	p.gate = intake.NewGate(limits, log, p.meter)
+	go p.gate.Run(context.Background()) // also while the process drains
+	r := &reloader{log: log, hangups: hangups, read: platform.ReadSettings, content: content, settings: settings, maxFDs: settings.MaxFDs, gate: p.gate}
 	go r.watch(p.ctx)
 	p.log.Info().Str("role", cmd.Name).Uint64("incarnation", p.self.Incarnation).Stringer("inner", p.self.Addr).Msg("start")
 	return p, nil
@@ -141,6 +150,8 @@
 	// callers is set if the listener serves callers. Its open requests are completed before
 	// the process ends.
 	callers bool
+	// role is what the listener's connections count for.
+	role intake.Role
 }
 
 // metricsPort is the port for metrics, as set in deploy/system.toml.
@@ -150,7 +161,7 @@
 func (p *process) metrics() listener {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", p.meter)
-	return listener{addr: netip.AddrPortFrom(p.settings.IP, metricsPort), handler: mux}
+	return listener{addr: netip.AddrPortFrom(p.settings.IP, metricsPort), handler: mux, role: intake.RoleMetrics}
 }
 
 // closeCallersFunc shuts down the servers for callers and waits for their open requests
@@ -172,11 +183,17 @@
 		if err != nil {
 			return err
 		}
-		srv := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}
+		srv := &http.Server{
+			Handler: p.gate.Handler(l.handler), ReadHeaderTimeout: maxHeaderTimeout,
+			ConnContext: p.gate.ConnContext, ConnState: p.gate.ConnState,
+		}
+		ln = p.gate.Listener(ln, l.role)
 		servers = append(servers, srv)
 		if l.callers {
 			callers = append(callers, srv)
-			srv.ConnContext = watchCaller
+			srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+				return watchCaller(p.gate.ConnContext(ctx, c), c)
+			}
 			ln = callerListener{ln}
 		}
 		group.Go(func() error {
--- a/cmd/carobd/reload.go
+++ b/cmd/carobd/reload.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"carobpulley/intake"
 	"carobpulley/platform"
 )
 
@@ -19,7 +20,7 @@
 const pollInterval = 2 * time.Second
 
 // reloader applies changes of the settings file. The memory limit is the only setting that
-// takes effect while the process runs; all others, such as addresses and names, take effect
+// takes effect while the process runs, with the limits on clients that follow from it; all others, such as addresses and names, take effect
 // at the next start.
 type reloader struct {
 	log     zerolog.Logger
@@ -28,6 +29,10 @@
 	// content is the newest content of the file that was read, valid or not.
 	content  []byte
 	settings platform.Settings
+	// maxFDs is the limit on descriptors at the start.
+	maxFDs int64
+	// gate gets the limits that follow from the memory limit.
+	gate *intake.Gate
 }
 
 // notifyHangups returns a channel that receives SIGHUP. From then on the signal no longer
@@ -74,11 +79,22 @@
 	old := r.settings
 	r.settings = s
 	setMemoryLimit(s.MemoryMB)
+	r.limitIntake(s.MemoryMB)
 	rest := s
 	rest.MemoryMB = old.MemoryMB
 	r.log.Info().Int64("memory_mb", s.MemoryMB).Bool("rest_at_next_start", rest != old).Msg("settings reloaded")
 }
 
+// limitIntake derives the limits on clients from a new memory limit. The descriptors stay those of the start.
+func (r *reloader) limitIntake(memoryMB int64) {
+	limits, err := intake.DeriveLimits(memoryMB, r.maxFDs)
+	if err != nil {
+		r.log.Error().Err(err).Msg("limits on clients not usable, the old ones stay")
+		return
+	}
+	r.gate.SetLimits(limits)
+}
+
 // setMemoryLimit sets the soft memory limit of the Go runtime to a fraction of mb, the limit
 // above which the process is killed.
 func setMemoryLimit(mb int64) {
--- a/cmd/carobd/reload_test.go
+++ b/cmd/carobd/reload_test.go
@@ -36,7 +36,7 @@
 	content, failure := testSettings, error(nil)
 	var out bytes.Buffer
 	r := &reloader{
-		log: zerolog.New(&out), content: []byte(testSettings), settings: settings,
+		log: zerolog.New(&out), content: []byte(testSettings), settings: settings, gate: testGate(t),
 		read: func() ([]byte, error) { return []byte(content), failure },
 	}
 	for _, tt := range []struct {
--- a/work/routing.go
+++ b/work/routing.go
@@ -27,6 +27,10 @@
 	// IdleTimeout is how long an idle connection of a caller stays open; 0 means
 	// the server's default.
 	IdleTimeout time.Duration
+	// HeaderTimeout is how long a caller may take to send a request's header, and MaxHeaderBytes the most
+	// that it may have; 0 means the server's default.
+	HeaderTimeout  time.Duration
+	MaxHeaderBytes int64
 
 	byHost map[string][]*Route
 	byName map[string]*Route
