--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -55,9 +56,13 @@
 	})
 }
 
+// idleSlack is added to the configuration's time for idle connections, so that a client that keeps to it
+// closes first and does not send a request on a connection that is being closed.
+const idleSlack = time.Second
+
 // callerTimeouts returns the timeouts for callers with the configuration's values, where it has some.
 func callerTimeouts(config *work.RoutingConfig) intake.Timeouts {
-	t := intake.DefaultTimeouts()
+	t := intake.DefaultTimeouts(intake.RoleClients)
 	if config == nil {
 		return t
 	}
@@ -65,7 +70,7 @@
 		t.Head = config.HeaderTimeout
 	}
 	if config.IdleTimeout > 0 {
-		t.Idle = config.IdleTimeout
+		t.Idle = config.IdleTimeout + idleSlack
 	}
 	t.MaxHeadBytes = config.MaxHeaderBytes
 	return t
--- a/cmd/carobd/leave_test.go
+++ b/cmd/carobd/leave_test.go
@@ -29,6 +29,12 @@
 
 // serveCallers serves a handler at a callers' listener until the test ends, and returns its address.
 func serveCallers(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	return serveGated(t, testGate(t), h)
+}
+
+// serveGated is serveCallers with a gate.
+func serveGated(t *testing.T, gate *intake.Gate, h http.HandlerFunc) string {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -39,7 +45,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	served := make(chan error, 1)
 	go func() {
-		p := &process{log: zerolog.Nop(), gate: testGate(t)}
+		p := &process{log: zerolog.Nop(), gate: gate}
 		served <- p.serve([]listener{{addr: netip.MustParseAddrPort(addr), handler: h, callers: true, role: intake.RoleClients}},
 			func(_ context.Context, closeCallers closeCallersFunc) error {
 				<-ctx.Done()
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -33,9 +33,14 @@
 	DefaultIdleTimeout = 2 * time.Minute
 )
 
-// DefaultTimeouts returns the timeouts of a role whose settings have none.
-func DefaultTimeouts() Timeouts {
-	return Timeouts{Head: DefaultHeadTimeout, Body: BodyTimeout, Idle: DefaultIdleTimeout}
+// DefaultTimeouts returns the timeouts of a role whose settings have none. Idle connections of other
+// processes stay open: a call on one that is just being closed would have an unknown outcome.
+func DefaultTimeouts(r Role) Timeouts {
+	t := Timeouts{Head: DefaultHeadTimeout, Body: BodyTimeout, Idle: DefaultIdleTimeout}
+	if r == RoleInner {
+		t.Idle = 0
+	}
+	return t
 }
 
 // Gate applies a Ledger to the connections of net/http servers. Its methods may be called concurrently.
@@ -60,7 +65,7 @@
 	}
 	g.freed = sync.NewCond(&g.mu)
 	for r := range shares {
-		g.ledger.SetTimeouts(r, DefaultTimeouts())
+		g.ledger.SetTimeouts(r, DefaultTimeouts(r))
 	}
 	return g
 }
@@ -73,11 +78,13 @@
 	g.budget = l.BudgetBytes
 }
 
-// SetTimeouts makes source, which is called several times a second, give the timeouts of a role.
+// SetTimeouts makes source, which is called now and then several times a second, give the timeouts of a role.
 func (g *Gate) SetTimeouts(r Role, source func() Timeouts) {
+	t := source()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sources[r] = source
+	g.ledger.SetTimeouts(r, t)
 }
 
 // Run ends connections whose deadline has passed, until ctx ends.
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -135,6 +135,9 @@
 // enter begins a phase.
 func (l *Ledger) enter(now time.Time, e *Entry, p phase) {
 	t := l.timeouts[e.role]
+	if e.phase == phaseServed {
+		l.held -= e.bytes
+	}
 	e.phase, e.progressAt = p, now
 	switch p {
 	case phaseIdle:
@@ -145,6 +148,7 @@
 	case phaseBody:
 		e.deadline = after(now, t.Body)
 	case phaseServed:
+		l.held += e.bytes
 		e.deadline = time.Time{}
 	}
 }
@@ -182,7 +186,7 @@
 		l.enter(now, e, phaseBody)
 		return
 	}
-	l.serve(now, e)
+	l.enter(now, e, phaseServed)
 }
 
 // Body records n bytes of the body, and returns the connections to abort.
@@ -200,13 +204,8 @@
 		return e.phase == phaseServed
 	}
 	fits := float64(l.held+e.bytes) <= float64(l.limits.BudgetBytes)*heldFraction
-	l.serve(now, e)
-	return fits
-}
-
-func (l *Ledger) serve(now time.Time, e *Entry) {
 	l.enter(now, e, phaseServed)
-	l.held += e.bytes
+	return fits
 }
 
 // Ahead records n bytes that were read ahead of a request, or -n that were taken from them. It returns
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -32,7 +32,8 @@
 	// the garbage collector runs more often, at the smallest limit of a deployment, 144 MB.
 	budgetFraction     = 0.125
 	connectionFraction = 0.2
-	// connectionBytes is what net/http keeps for a connection: two buffers of 4 KiB, and stacks.
+	// connectionBytes is what net/http keeps for a connection, with its two buffers of 4 KiB and its stacks:
+	// 13,238 to 16,089 bytes measured for 1,000 connections that are idle or send a head.
 	connectionBytes = 16 << 10
 	// maxRequestBytes is the largest legal request, a heartbeat, with bytesPerByte.
 	maxRequestBytes = bytesPerByte * (4 << 20)
