carobd: accept messages of other processes in one form only; test refusals

Cause: connect also decodes compressed messages and streams, which take far more memory than the bytes that the budget counts. Change: the inner listener answers 415 unless a request is an uncompressed POST of application/proto, which is all that carobd sends.

--- a/cmd/carobd/agent.go
+++ b/cmd/carobd/agent.go
@@ -43,7 +43,7 @@
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewAgentServiceHandler(agent))
 	return p.serve([]listener{
-		{addr: p.settings.Inner, handler: inner, role: intake.RoleInner},
+		{addr: p.settings.Inner, handler: onlyMessages(inner), role: intake.RoleInner},
 		p.metrics(),
 		{addr: p.settings.Beats, handler: platform.NewHeartbeatHandler(p.settings.Service, agent, rejects), role: intake.RoleClients},
 	}, func(ctx context.Context, _ closeCallersFunc) error { return agent.Run(p.ctx, ctx) })
--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -47,7 +47,7 @@
 	inner := http.NewServeMux()
 	inner.Handle(relay.NewCoordinatorServiceHandler(coordinator.Handler()))
 	return p.serve([]listener{
-		{addr: p.settings.Inner, handler: inner, role: intake.RoleInner},
+		{addr: p.settings.Inner, handler: onlyMessages(inner), role: intake.RoleInner},
 		p.metrics(),
 		{addr: p.settings.Ready, handler: callers.ReadyHandler(), role: intake.RoleReady},
 		{addr: p.settings.Callers, handler: callers, callers: true, role: intake.RoleClients},
--- a/cmd/carobd/gate_test.go
+++ b/cmd/carobd/gate_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -107,3 +108,21 @@
 		})
 	}
 }
+
+// Guards against messages in forms that processes do not send and that take far more memory than their bytes.
+func TestOnlyMessagesOfProcesses(t *testing.T) {
+	served := 0
+	h := onlyMessages(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	for _, c := range [][3]string{
+		{"POST", "application/proto", "gzip"}, {"POST", "application/grpc-web", ""}, {"POST", "application/connect+proto", ""},
+		{"GET", "application/proto", ""}, {"POST", "application/json", ""}, {"POST", "application/proto", ""},
+	} {
+		r := httptest.NewRequest(c[0], "/", strings.NewReader(""))
+		r.Header.Set("Content-Type", c[1])
+		r.Header.Set("Content-Encoding", c[2])
+		h.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	if served != 1 {
+		t.Errorf("%d requests served, want the last one", served)
+	}
+}
