--- a/cmd/carobd/gate_test.go
+++ b/cmd/carobd/gate_test.go
@@ -40,7 +40,7 @@
 		<-release
 		_, _ = io.WriteString(w, "done")
 	})
-	var callers []*bufio.Reader
+	callers := make([]*bufio.Reader, 0, waiting)
 	for range waiting {
 		c := dialCallers(t, addr)
 		callers = append(callers, bufio.NewReader(c))
@@ -114,8 +114,12 @@
 	served := 0
 	h := onlyMessages(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
 	for _, c := range [][3]string{
-		{"POST", "application/proto", "gzip"}, {"POST", "application/grpc-web", ""}, {"POST", "application/connect+proto", ""},
-		{"GET", "application/proto", ""}, {"POST", "application/json", ""}, {"POST", "application/proto", ""},
+		{"POST", "application/proto", "gzip"},
+		{"POST", "application/grpc-web", ""},
+		{"POST", "application/connect+proto", ""},
+		{"GET", "application/proto", ""},
+		{"POST", "application/json", ""},
+		{"POST", "application/proto", ""},
 	} {
 		r := httptest.NewRequest(c[0], "/", strings.NewReader(""))
 		r.Header.Set("Content-Type", c[1])
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -94,7 +94,7 @@
 	l.Idle(at(1), idle)
 	served := receive(t, l, at(901), 9)
 	l.Whole(at(901), served)
-	var got []Reason
+	got := make([]Reason, 0, 12)
 	for n := range 3 {
 		e, _ := l.Open(at(1001+n), RoleClients)
 		l.Begin(at(1001+n), e, false)
