carobd: encode the ordinary submission of the tests by platform/stand

Cause: scripts/check.sh allows words of the platform's wire in platform/ and cmd/standin/ only, and the harness had some. Clients, requests and bounds are unchanged.

--- a/cmd/carobd/untrustedfleet_test.go
+++ b/cmd/carobd/untrustedfleet_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -173,9 +174,14 @@
 
 func (f *fleet) submit(client *http.Client) error {
 	f.jobs++
-	body := `{"spec":"` + strings.Repeat("x", 4000) + `","best-effort":true,"steps":[{"count":1,"cpu":100,"mem-mb":10,"estimated-ms":5}]}`
+	body, err := stand.SubmissionBody(&work.Job{Spec: strings.Repeat("x", work.MaxSpecBytes), BestEffort: true, Steps: []work.Step{{
+		Count: 1, Resources: work.Resources{CPU: 100, MemMB: 10}, EstimateMS: 5,
+	}}})
+	if err != nil {
+		return err
+	}
 	url := fmt.Sprintf("http://%s:7401/p/%016x", f.coordinator.addr, f.jobs)
-	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, url, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
