carobd: refuse messages whose elements take far more memory than their bytes

Cause: the budget counts bytes, and protobuf decodes an empty element of two bytes to 150: one message of 4 MiB took a coordinator to 154 MB. Ruled out: a bound on the size (orders of many starts are large), decoding one at a time (one is enough), and counting without the message's type (texts look like fields). Connections on which nothing was sent count as idle and have no log line.

--- a/cmd/carobd/gate_test.go
+++ b/cmd/carobd/gate_test.go
@@ -129,4 +129,19 @@
 	if served != 1 {
 		t.Errorf("%d requests served, want the last one", served)
 	}
+	const asks, starts = "\x12\x00", "\x2a\x1c\x0a\x1a\x0a\x160000000400000000.0.0.5\x10\x01"
+	for _, c := range []struct {
+		method, body string
+		want         int
+	}{
+		{"CoordinatorService/Hold", strings.Repeat(asks, 1000), 1000},
+		{"CoordinatorService/Hold", "\x0a\x04" + asks + asks, 1},
+		{"AgentService/Forward", strings.Repeat("\x12\x04"+asks+asks, 10), 30},
+		{"AgentService/Order", strings.Repeat(starts, 100), 200},
+		{"AgentService/None", asks, 0},
+	} {
+		if diff := cmp.Diff(c.want, elements(inputOf("/carob.relay.v1."+c.method), []byte(c.body))); diff != "" {
+			t.Errorf("elements of %s (-want +got):\n%s", c.method, diff)
+		}
+	}
 }
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -277,12 +277,24 @@
 		if e.aborted != "" || e.deadline.IsZero() || now.Before(e.deadline) {
 			continue
 		}
-		l.abort(e, map[phase]Reason{phaseIdle: ReasonIdle, phaseHead: ReasonHead, phaseBody: ReasonBody}[e.phase])
+		l.abort(e, e.lateness())
 		out = append(out, e)
 	}
 	return out
 }
 
+// lateness returns the reason for which a connection is ended at its deadline. A new connection without a
+// byte counts as idle: clients keep such ones for later.
+func (e *Entry) lateness() Reason {
+	switch {
+	case e.phase == phaseBody:
+		return ReasonBody
+	case e.phase == phaseHead && e.received > 0:
+		return ReasonHead
+	}
+	return ReasonIdle
+}
+
 func (l *Ledger) abort(e *Entry, r Reason) {
 	e.aborted = r
 	l.dying += e.bytes
