Merge the limits on clients

Cause: clients outside the operators' control ended a process by unfinished requests. Change: package intake.

--- a/cmd/carobd/leave_test.go
+++ b/cmd/carobd/leave_test.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"carobpulley/intake"
+	"carobpulley/meter"
 )
 
 const (
@@ -26,6 +29,12 @@
 
 // serveCallers serves a handler at a callers' listener until the test ends, and returns its address.
 func serveCallers(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	return serveGated(t, testGate(t), h)
+}
+
+// serveGated is serveCallers with a gate.
+func serveGated(t *testing.T, gate *intake.Gate, h http.HandlerFunc) string {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,8 +45,8 @@
 	ctx, stop := context.WithCancel(t.Context())
 	served := make(chan error, 1)
 	go func() {
-		p := &process{log: zerolog.Nop()}
-		served <- p.serve([]listener{{addr: netip.MustParseAddrPort(addr), handler: h, callers: true}},
+		p := &process{log: zerolog.Nop(), gate: gate}
+		served <- p.serve([]listener{{addr: netip.MustParseAddrPort(addr), handler: h, callers: true, role: intake.RoleClients}},
 			func(_ context.Context, closeCallers closeCallersFunc) error {
 				<-ctx.Done()
 				closeCallers(ctx)
@@ -53,6 +62,16 @@
 	return addr
 }
 
+// testGate returns a gate with the limits of a process without limits in its settings.
+func testGate(t *testing.T) *intake.Gate {
+	t.Helper()
+	limits, err := intake.DeriveLimits(0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return intake.NewGate(limits, zerolog.Nop(), meter.New())
+}
+
 // dialCallers connects to a listener that may not be open yet.
 func dialCallers(t *testing.T, addr string) net.Conn {
 	t.Helper()
