load: share the plays of a peak between tests

Cause: four plays of a peak took 77 s under the race detector. Change: two plays, whose results the three tests share.

--- a/load/priority_test.go
+++ b/load/priority_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -46,13 +47,18 @@
 	return p
 }
 
+// The plays of a peak, which take seconds each, are shared by the tests.
+var (
+	belowCapacity = sync.OnceValue(func() Result { return Play(peak(0.8)) })
+	atCapacity    = sync.OnceValue(func() Result { return Play(peak(1)) })
+)
+
 func (w Window) part(n int) float64 { return float64(n) / float64(max(w.Asked, 1)) }
 
 // Guards against the most urgent jobs being refused first in an overload since they have the least slack, and
 // against a less urgent queue that is shut out.
 func TestUrgentJobsInAPeak(t *testing.T) {
-	for _, utilization := range []float64{0.8, 1} {
-		r := Play(peak(utilization))
+	for utilization, r := range map[float64]Result{0.8: belowCapacity(), 1: atCapacity()} {
 		urgent, normal, batch := r.Classes[0], r.Classes[1], r.Classes[2]
 		t.Logf("at %.1f: in time %.3f %.3f %.3f, refused %.3f %.3f %.3f, left %.3f %.3f %.3f", utilization,
 			urgent.part(urgent.InTime), normal.part(normal.InTime), batch.part(batch.InTime), urgent.part(urgent.Refused),
@@ -72,7 +78,7 @@
 // Guards against jobs whose callers wait until their own time limit, although it is known that no capacity
 // becomes free for them.
 func TestFewCallersLeaveInAPeak(t *testing.T) {
-	r := Play(peak(1))
+	r := atCapacity()
 	if left := r.part(r.Left); left > 0.01 {
 		t.Errorf("%.3f of the callers left without an answer, want 0.01 at the most", left)
 	}
@@ -81,7 +87,7 @@
 // Guards against starts that several coordinators send for the same free capacity and that are refused while
 // other endpoints have some: a start may wait at its agent for the next end.
 func TestStartsAreSeldomRefused(t *testing.T) {
-	r := Play(peak(0.8))
+	r := belowCapacity()
 	if part := float64(r.RefusedStarts) / float64(r.Starts); part > 0.01 {
 		t.Errorf("%.4f of %d starts were refused, want 0.01 at the most", part, r.Starts)
 	}
