coloc: find kinds of tasks that slow each other down at an endpoint

Kinds of tasks that share an endpoint can slow each other down although its capacity is respected (docs/overload.md, section 6). Agents report what ran beside a run, the table judges pairs of kinds by a regression of log ratios on the share of time together, and the choice of an agent adds the expected slowdown. Off unless the settings' contracts contain sharing.

--- a/cmd/carobd/coordinator.go
+++ b/cmd/carobd/coordinator.go
@@ -37,6 +37,7 @@
 		StatusRetention: p.settings.StatusFor,
 		Shards:          p.shards,
 		DrainTimeout:    p.drainTimeout(),
+		Sharing:         p.settings.Sharing,
 		Meter:           p.meter,
 	}, p.clock, sched.New(), p.log, platform.NewStoreClient(p.settings.Store, rejects), platform.ConfigSource{}, link.NewPeers())
 	callers := platform.NewCallerHandler(coordinator, p.log, p.meter)
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -46,6 +46,8 @@
 	// DrainTimeout bounds the time from the shutdown request until callers' jobs are
 	// abandoned.
 	DrainTimeout time.Duration
+	// Sharing lets the coordinator place kinds of tasks apart that slow each other down.
+	Sharing bool
 	// Meter records counts and times; see docs/metrics.md.
 	Meter *meter.Set
 }
@@ -147,6 +149,7 @@
 			TakeoverWait:    takeoverWait,
 			AuthorityTTL:    AuthorityTTL,
 			Shards:          cfg.Shards,
+			Sharing:         cfg.Sharing,
 		}),
 		agents:           make(map[string]work.Address),
 		coordinators:     make(map[string]work.Address),
@@ -209,6 +212,7 @@
 		c.probeDirectly()
 		c.flush()
 		c.confirmOwnership()
+		c.recordInterference()
 		c.mu.Unlock()
 	}
 }
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -62,6 +62,8 @@
 	free work.Resources
 	// placed holds the tasks with a run at the agent that is not over.
 	placed map[*task]bool
+	// kinds holds the CPU capacity of the placed tasks by kind, if the table looks for pairs.
+	kinds []work.KindLoad
 	// acked holds the numbers of the ends to acknowledge with the next message.
 	acked []int64
 	// unconfirmedEnds holds, by number, ends that are acknowledged once the ownership
--- a/jobs/choose.go
+++ b/jobs/choose.go
@@ -44,6 +44,7 @@
 		agents = t.forSuspect(now, tk, agents, onTime)
 	}
 	unproven := false
+	apart := t.chooseApart(now, tk)
 	for _, a := range agents {
 		if a.endpoint.Service != service || !a.available(now) || !a.hasCapacity(tk.resources(), onTime) || !a.mayRun(tk, step) {
 			continue
@@ -56,6 +57,7 @@
 		if t.suspectsAt[a] != nil && t.suspectsAt[a] != tk.job {
 			cost *= suspectFactor
 		}
+		apart.consider(tk, a, cost)
 		if best == nil || cost < least {
 			best, least = a, cost
 		}
@@ -63,7 +65,7 @@
 	if best == nil && unproven {
 		t.proof.awaited = true
 	}
-	return best
+	return t.choose(tk, apart, best)
 }
 
 // mayRun reports whether the label and the limit for each endpoint that a step asks for admit another task
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -104,7 +104,7 @@
 
 func (t *Table) handleTaskDone(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
-	a.recordSuccess(tk, e)
+	a.recordSuccess(tk, e, t.learnFrom(now, a, tk, e))
 	if e.ElapsedMS > 0 {
 		t.recordTurnover(tk.resources().CPU, time.Duration(e.ElapsedMS)*time.Millisecond)
 	}
@@ -200,6 +200,7 @@
 	a := tk.agent
 	delete(a.placed, tk)
 	a.free = a.free.Add(tk.resources())
+	t.addKind(tk, a, -tk.cpu())
 	tk.phase = taskWaiting
 	tk.agent = nil
 	tk.stopping = false
@@ -217,8 +218,8 @@
 }
 
 // recordSuccess clears the endpoint's failures after a successful run and updates its
-// run time ratio.
-func (a *agentState) recordSuccess(tk *task, e *work.End) {
+// run time ratio, without the factor by which the tasks beside it have slowed the run down.
+func (a *agentState) recordSuccess(tk *task, e *work.End, slowdown float64) {
 	clear(a.failedJobs)
 	a.unhealthyPeriod = 0
 	a.unhealthyUntil = time.Time{}
@@ -227,7 +228,7 @@
 	if estimate <= 0 || e.ElapsedMS <= 0 {
 		return
 	}
-	ratio := min(max(float64(e.ElapsedMS)/estimate, minRunTimeRatio), maxRunTimeRatio)
+	ratio := min(max(float64(e.ElapsedMS)/estimate/slowdown, minRunTimeRatio), maxRunTimeRatio)
 	a.runTimeSamples++
 	weight := max(minRunTimeWeight, 1/float64(a.runTimeSamples))
 	a.runTimeRatio += (ratio - a.runTimeRatio) * weight
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -77,6 +77,8 @@
 	storedState work.State
 	tasks       [][]task
 	remaining   []int
+	// kinds holds the kinds of the steps' tasks once they are asked for.
+	kinds []string
 	// started is set once a task was placed, by this owner or an earlier one.
 	started bool
 	// takeoverPending is set while the job's tasks are not queued because runs of an
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -230,6 +230,7 @@
 		t.suspectsAt[a] = tk.job
 	}
 	latest := tk.job.due.Add(-estimateOf(tk))
+	s.Kind = t.kindOf(tk)
 	s.SlackMS = latest.Sub(now).Milliseconds()
 	if latest.After(now) {
 		s.WaitMS = min(s.SlackMS, maxAgentWait.Milliseconds())
@@ -253,6 +254,7 @@
 	tk.job.started = true
 	a.placed[tk] = true
 	a.free = a.free.Sub(tk.resources())
+	t.addKind(tk, a, tk.cpu())
 }
 
 // stopOverdue stops runs that take far longer than expected, so that they can run at
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/coloc"
 	"carobpulley/work"
 )
 
@@ -22,6 +23,9 @@
 	// AuthorityTTL is how long ownership is proved by a read of the store.
 	AuthorityTTL time.Duration
 	Shards       int
+	// Sharing lets the table look for kinds of tasks that slow each other down at one endpoint, and place
+	// them apart.
+	Sharing bool
 }
 
 // shard is the state of an owned shard.
@@ -90,6 +94,7 @@
 	// endedCPU and endedCPUTime sum the CPU capacity of the latest ended runs, and its product
 	// with their times.
 	endedCPU, endedCPUTime float64
+	interference           interference
 
 	decisions []Decision
 }
@@ -121,7 +126,7 @@
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{
+	t := &Table{
 		cfg:          cfg,
 		outOfService: make(map[string]bool),
 		crashes:      make(map[string]*jobCrashes),
@@ -133,6 +138,10 @@
 		abandoned:    make(map[string]*abandonedJob),
 		displaced:    make(map[string]*job),
 	}
+	if cfg.Sharing {
+		t.interference.model = coloc.New()
+	}
+	return t
 }
 
 // Decisions returns and clears the decisions since the last call.
@@ -269,6 +278,7 @@
 	t.abandonUnstarted(now)
 	t.dropExpired(now)
 	t.forgetCrashes(now)
+	t.expirePairs(now)
 	t.PlaceReady(now)
 }
 
--- a/link/convert.go
+++ b/link/convert.go
@@ -68,7 +68,7 @@
 		out = append(out, &relay.Start{
 			Run: runToWire(s.Run), Spec: s.Spec, Cpu: s.Resources.CPU, MemMb: s.Resources.MemMB,
 			Gpu: s.Resources.GPU, Checkpoint: s.Checkpoint, Kept: s.Durable, SlackMs: s.SlackMS, WaitMs: s.WaitMS,
-			Suspect: s.Suspect,
+			Suspect: s.Suspect, Kind: s.Kind,
 		})
 	}
 	return out
@@ -81,7 +81,7 @@
 			Run: runFromWire(s.GetRun()), Spec: s.GetSpec(), Checkpoint: s.GetCheckpoint(),
 			Resources: boundResources(work.Resources{CPU: s.GetCpu(), MemMB: s.GetMemMb(), GPU: s.GetGpu()}),
 			Durable:   s.GetKept(), SlackMS: boundMS(s.GetSlackMs()), WaitMS: max(boundMS(s.GetWaitMs()), 0),
-			Suspect: s.GetSuspect(),
+			Suspect: s.GetSuspect(), Kind: boundKind(s.GetKind()),
 		})
 	}
 	return out
@@ -99,6 +99,7 @@
 		out.Ends = append(out.Ends, &relay.End{
 			Number: e.Sequence, Run: runToWire(e.Run), How: string(e.Outcome),
 			ElapsedMs: e.ElapsedMS, Checkpoint: e.Checkpoint,
+			Beside: besideToWire(e.Beside), BesideKnown: e.BesideKnown,
 		})
 	}
 	for _, c := range r.Crashes {
@@ -128,6 +129,7 @@
 		Capacity: work.Resources{CPU: r.GetCpu(), MemMB: r.GetMemMb(), GPU: r.GetGpu()},
 		Used:     work.Resources{CPU: r.GetUsedCpu(), MemMB: r.GetUsedMemMb(), GPU: r.GetUsedGpu()},
 		Ready:    r.GetReady(),
+		Kinds:    kindsFromWire(r.GetKinds()),
 	}
 }
 
@@ -137,6 +139,7 @@
 		Instance: s.Instance, Service: s.Service, Zone: s.Domain, Labels: s.Labels,
 		Cpu: s.Capacity.CPU, MemMb: s.Capacity.MemMB, Gpu: s.Capacity.GPU, Ready: s.Ready,
 		UsedCpu: s.Used.CPU, UsedMemMb: s.Used.MemMB, UsedGpu: s.Used.GPU,
+		Kinds: kindsToWire(s.Kinds),
 	}
 }
 
@@ -151,6 +154,7 @@
 		out.Ends = append(out.Ends, work.End{
 			Sequence: e.GetNumber(), Run: runFromWire(e.GetRun()), Outcome: work.Outcome(e.GetHow()),
 			ElapsedMS: max(boundMS(e.GetElapsedMs()), 0), Checkpoint: e.GetCheckpoint(),
+			Beside: besideFromWire(e.GetBeside()), BesideKnown: e.GetBesideKnown(),
 		})
 	}
 	for _, c := range m.GetCrashes() {
--- a/runs/controller.go
+++ b/runs/controller.go
@@ -123,6 +123,8 @@
 	// the end of its time in the queue.
 	latestStart time.Time
 	waitUntil   time.Time
+	// joined is set while the run counts as at the endpoint for the runs beside it.
+	joined *joined
 }
 
 type attachedCoordinator struct {
@@ -242,6 +244,7 @@
 	// found holds the listed runs that this process did not know and that Found has not returned.
 	found    []FoundRun
 	commands []Command
+	company  company
 }
 
 // stopKey identifies a stop by its run and the coordinator that asks for it.
@@ -398,6 +401,7 @@
 // endRun ends a run without an end listed by the endpoint.
 func (c *Controller) endRun(now time.Time, key work.Run, r *run, outcome work.Outcome) {
 	delete(c.runs, key)
+	c.company.leave(now, r)
 	c.recordEnded(now, key, r)
 	c.ends = append(c.ends, newEnd(work.End{Run: key, Outcome: outcome, ElapsedMS: elapsed(now, r)}, r))
 }
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -30,6 +30,7 @@
 		r.phase = phaseRunning
 		r.phaseSince = now
 		r.confirmedAt = now
+		c.company.join(now, r)
 		r.crashed, r.left = nil, false
 		if r.stopping {
 			c.commands = append(c.commands, Command{Stop: key})
@@ -192,7 +193,9 @@
 		// An earlier process of this agent started it, or a command reached a later generation of
 		// the endpoint. It is stopped before anything else starts.
 		c.recordFound(now, key)
-		c.runs[key] = &run{start: work.Start{Run: key}, phase: phaseRunning, phaseSince: now, confirmedAt: now, stopping: true, listedIn: c.unread.lists}
+		r = &run{start: work.Start{Run: key}, phase: phaseRunning, phaseSince: now, confirmedAt: now, stopping: true, listedIn: c.unread.lists}
+		c.runs[key] = r
+		c.company.join(now, r)
 		c.commands = append(c.commands, Command{Stop: key})
 		return
 	}
@@ -202,6 +205,7 @@
 		r.phase = phaseRunning
 		r.phaseSince = now
 		r.confirmedAt = now
+		c.company.join(now, r)
 		r.crashed, r.left = nil, false
 		r.listed = Listing{SentAt: sent.SentAt, HandledAt: now, ClockMS: c.clockMS}
 	}
@@ -235,6 +239,7 @@
 	c.listedEnds[e.Sequence] = true
 	r := c.runs[e.Run]
 	e.ElapsedMS = elapsed(now, r)
+	e.Beside, e.BesideKnown = c.company.leave(now, r)
 	delete(c.runs, e.Run)
 	c.recordEnded(now, e.Run, r)
 	c.ends = append(c.ends, newEnd(e, r))
--- a/runs/state.go
+++ b/runs/state.go
@@ -27,6 +27,7 @@
 		Labels:   c.heartbeat.Labels,
 		Capacity: c.heartbeat.Capacity,
 		Used:     c.reservedByOthers(coordinator),
+		Kinds:    c.kindsOfOthers(coordinator),
 		Ready:    c.Usable() && !c.leaseBlocked(now),
 	}
 }
--- a/work/check.go
+++ b/work/check.go
@@ -61,6 +61,9 @@
 	if s.EstimateMS < 0 || s.EstimateMS > MaxEstimateMS || s.MaxPerEndpoint < 0 {
 		return invalidf("step", "step %d has an estimate or spread out of range", number)
 	}
+	if len(s.Image) > MaxImageBytes {
+		return invalidf("step", "step %d has an image of %d bytes, more than %d", number, len(s.Image), MaxImageBytes)
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= number {
 			return invalidf("step", "step %d is after step %d", number, a)
--- a/work/job.go
+++ b/work/job.go
@@ -79,6 +79,8 @@
 	MaxPerEndpoint int `json:"spread,omitempty"`
 	// Checkpoints is set if the tasks save their progress.
 	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Image names what the tasks run: those of one image behave alike. It may be empty.
+	Image string `json:"image,omitempty"`
 }
 
 // Queue is the part of a queue's configuration that applies to its jobs.
--- a/work/state.go
+++ b/work/state.go
@@ -60,6 +60,9 @@
 	Outcome    Outcome
 	ElapsedMS  int64
 	Checkpoint string
+	// Beside holds the kinds of tasks that ran beside the run, itself excluded, if BesideKnown is set.
+	Beside      []Beside
+	BesideKnown bool
 }
 
 // Start is a request to start a run.
@@ -81,6 +84,9 @@
 	// time are at an endpoint, and its starts are sent one at a time, so that the next crash tells
 	// which job is the cause and which of its tasks were there.
 	Suspect bool
+	// Kind names the kind of the task, see Job.TaskKind. It is empty unless the coordinator asks what ran
+	// beside the run.
+	Kind string
 }
 
 // Crash is the crash of an endpoint that had a run of a task.
@@ -106,6 +112,8 @@
 	Capacity Resources
 	// Used is the capacity taken by runs of other coordinators.
 	Used Resources
+	// Kinds holds the kinds of the runs of other coordinators, at most MaxBeside.
+	Kinds []KindLoad
 	// Ready is false while the agent sends the endpoint no starts: while either drains,
 	// or the endpoint is unresponsive, has not been polled yet or lists an unknown run.
 	Ready bool
