jobs: choose endpoints apart from kinds that slow a task down

The usual load of the slowed kinds now counts too, a second task of a kind does no further harm, and lost time counts twice.

--- a/coloc/model.go
+++ b/coloc/model.go
@@ -23,6 +23,8 @@
 	// kindStep and endpointStep are the steps of the medians of kinds and of endpoints. An endpoint's one
 	// wanders by 0.04 in steady state, a tenth of the spread of single runs.
 	kindStep, endpointStep = 0.02, 0.01
+	// tookWeight is the weight of the newest run in the mean time of a kind's runs.
+	tookWeight = 0.02
 )
 
 // Run is a run that ended with success.
@@ -30,7 +32,8 @@
 	Kind string
 	// Endpoint names the endpoint's generation.
 	Endpoint string
-	// Ratio is its run time over its estimate.
+	// Took is its run time, and Ratio that over its estimate.
+	Took  time.Duration
 	Ratio float64
 	// Counts is set for one run of each step, chosen without regard to its run time. The runs of a step
 	// share the error of its estimate, so more of them would count one error several times.
@@ -73,6 +76,8 @@
 // kind is what is known of the runs of one kind.
 type kind struct {
 	level median
+	// took is the mean time of recent runs.
+	took time.Duration
 	// pairs holds the kinds that ran beside it.
 	pairs map[string]*pair
 }
@@ -111,6 +116,7 @@
 	if k == nil || e == nil {
 		return
 	}
+	k.took += time.Duration(float64(r.Took-k.took) * max(tookWeight, 1/float64(k.level.n+1)))
 	log := min(max(math.Log(r.Ratio), -maxLogRatio), maxLogRatio)
 	// Of a kind whose estimates are wrong by a constant factor the endpoint's speed must not depend.
 	rest := log - k.expected(r.Beside) - k.level.value
--- a/jobs/coloc.go
+++ b/jobs/coloc.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -16,8 +17,15 @@
 	// so that a pair is confirmed or dropped by runs and not only by its age. A job that may be late for it
 	// is left out.
 	exploreEvery = 32
-	// expireInterval is the interval at which pairs that were not confirmed are looked for.
+	// slowdownWeight is the weight of the time that runs are expected to take longer: it delays their jobs, and
+	// holds the capacity that other tasks wait for. With 1, jobs of package load's pattern that are late for a
+	// pair are reduced by a half, with 2 by three quarters, and with 4 by no more.
+	slowdownWeight = 2
+	// expireInterval is the interval at which pairs that were not confirmed are looked for, and the usual load
+	// is measured.
 	expireInterval = time.Second
+	// usualWeight is the weight of the newest measurement in the usual load.
+	usualWeight = 0.2
 )
 
 // interference is what a table knows of kinds of tasks that slow each other down.
@@ -25,6 +33,8 @@
 	// model is nil unless Config.Sharing is set.
 	model    *coloc.Model
 	expireAt time.Time
+	// usual is the mean load of an endpoint by kind.
+	usual []work.KindLoad
 	// moved counts the placements that the pairs in force have changed.
 	moved int64
 }
@@ -92,7 +102,8 @@
 	kind := t.kindOf(tk)
 	slowdown := model.Slowdown(kind, e.Beside)
 	model.Observe(now, coloc.Run{
-		Kind: kind, Endpoint: a.endpoint.Instance, Ratio: float64(e.ElapsedMS) / estimate,
+		Kind: kind, Endpoint: a.endpoint.Instance,
+		Took: time.Duration(e.ElapsedMS) * time.Millisecond, Ratio: float64(e.ElapsedMS) / estimate,
 		Counts: tk.isSample(), Beside: e.Beside,
 	})
 	t.logPairs()
@@ -108,6 +119,37 @@
 	i.expireAt = now.Add(expireInterval)
 	i.model.Expire(now)
 	t.logPairs()
+	if i.model.InForce() > 0 {
+		t.measureUsual()
+	}
+}
+
+// measureUsual measures the mean load of the endpoints of a service by kind.
+func (t *Table) measureUsual() {
+	agents := make(map[string]float64)
+	for _, a := range t.active {
+		agents[a.endpoint.Service]++
+	}
+	sums := make(map[string]float64)
+	for _, a := range t.active {
+		for _, kinds := range [][]work.KindLoad{a.kinds, a.endpoint.Kinds} {
+			for _, l := range kinds {
+				sums[l.Kind] += float64(l.CPU) / agents[a.endpoint.Service]
+			}
+		}
+	}
+	usual := t.interference.usual
+	for i := range usual {
+		l := &usual[i]
+		l.CPU += int64(usualWeight * (sums[l.Kind] - float64(l.CPU)))
+		delete(sums, l.Kind)
+	}
+	usual = slices.DeleteFunc(usual, func(l work.KindLoad) bool { return l.CPU <= 0 })
+	for kind, cpu := range sums {
+		usual = append(usual, work.KindLoad{Kind: kind, CPU: int64(cpu)})
+	}
+	slices.SortFunc(usual, func(a, b work.KindLoad) int { return cmp.Compare(a.Kind, b.Kind) })
+	t.interference.usual = usual
 }
 
 func (t *Table) logPairs() {
@@ -124,8 +166,10 @@
 // apart is the choice of an agent for a task that forms pairs with other kinds.
 type apart struct {
 	partners *coloc.Partners
-	best     *agentState
-	least    float64
+	usual    []work.KindLoad
+	// free is the best agent with free capacity, and soonest the one at which the task is expected to end first.
+	free, soonest         *agentState
+	freeCost, soonestTime float64
 }
 
 // chooseApart returns the state of a choice. It has no partners if the pairs in force don't matter to the task.
@@ -137,7 +181,7 @@
 	if p == nil || t.explores(now, tk, p) {
 		return apart{}
 	}
-	return apart{partners: p}
+	return apart{partners: p, usual: t.interference.usual}
 }
 
 // explores reports whether a task is placed without regard to the pairs in force.
@@ -149,26 +193,37 @@
 	return now.Add(slowed + messageTime).Before(tk.job.due)
 }
 
-// consider adds an agent with its cost. Those without free capacity, at which the task would wait, and the one
-// that it should avoid are left out.
+// consider adds an agent with its cost. The one that the task should avoid is left out.
 func (c *apart) consider(tk *task, a *agentState, cost float64) {
-	if c.partners == nil || a == tk.avoid || !tk.resources().Fits(a.free) {
+	if c.partners == nil || a == tk.avoid {
 		return
 	}
-	cost += float64(estimateOf(tk)) * c.partners.Cost(tk.cpu(), a.kinds, a.endpoint.Kinds)
-	if c.best == nil || cost < c.least {
-		c.best, c.least = a, cost
+	estimate := float64(estimateOf(tk))
+	own, harm := c.partners.Cost(coloc.Task{CPU: tk.cpu(), Estimate: estimateOf(tk)}, c.usual, a.kinds, a.endpoint.Kinds)
+	if end := cost + estimate*own; c.soonest == nil || end < c.soonestTime {
+		c.soonest, c.soonestTime = a, end
+	}
+	cost += slowdownWeight * estimate * (own + harm)
+	if tk.resources().Fits(a.free) && (c.free == nil || cost < c.freeCost) {
+		c.free, c.freeCost = a, cost
 	}
 }
 
 // choose returns the agent for a task, given the one that is best without regard to pairs.
 //
 // Load pattern: endpoints are full but for some that run a kind that the task interferes with. It starts there
-// and does not wait, so pairs only choose among agents with free capacity.
+// and does not wait: a task for which there is free capacity gets free capacity. Where it has to wait in any case,
+// its own end counts alone.
 func (t *Table) choose(tk *task, c apart, best *agentState) *agentState {
-	if best == nil || c.best == nil || c.best == best || best == tk.avoid || !tk.resources().Fits(best.free) {
+	if best == nil || best == tk.avoid || c.soonest == nil {
 		return best
 	}
-	t.interference.moved++
-	return c.best
+	chosen := c.soonest
+	if tk.resources().Fits(best.free) {
+		chosen = c.free
+	}
+	if chosen != best {
+		t.interference.moved++
+	}
+	return chosen
 }
--- /dev/null
+++ b/jobs/coloc_test.go
@@ -0,0 +1,95 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobpulley/coloc"
+	"carobpulley/work"
+)
+
+// Guards against a task that waits since the only free capacity is beside a kind that slows it down, and against
+// one that runs there while another endpoint is free.
+func TestPairChoosesAmongFreeEndpoints(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	table := New(Config{Name: "c", Shards: 1, Sharing: true})
+	for n := range 1000 {
+		run := coloc.Run{Kind: "check#0", Endpoint: "e", Took: 50 * time.Millisecond, Ratio: 1 + 0.1*float64(n%3), Counts: true}
+		if n%2 == 0 {
+			run.Ratio *= 2
+			run.Beside = []work.Beside{{Kind: "report#0", Share: 1}}
+		}
+		table.interference.model.Observe(now, run)
+	}
+	if got := table.interference.model.InForce(); got != 1 {
+		t.Fatalf("%d pairs in force, want 1", got)
+	}
+	spec := &work.Job{
+		ID: "0000000000000001", BestEffort: true, Queue: work.Queue{Name: "check", Service: "s", Stretch: 1, TargetMS: 1},
+		Steps: []work.Step{{Count: 1, Resources: work.Resources{CPU: 10}, EstimateMS: 50}},
+	}
+	agents := []*agentState{}
+	for _, name := range []string{"beside", "alone"} {
+		a := &agentState{name: name, attached: true, echo: 1, runTimeRatio: 1, bias: 1, free: work.Resources{CPU: 50}}
+		a.endpoint = work.EndpointState{Service: "s", Ready: true, Capacity: work.Resources{CPU: 100}}
+		agents = append(agents, a)
+	}
+	agents[0].bias = 0.9 // the better one but for the pair
+	agents[0].endpoint.Kinds = []work.KindLoad{{Kind: "report#0", CPU: 50}}
+	var got []string
+	for _, free := range []int64{50, 0} {
+		agents[1].free.CPU = free
+		tk := &newJob(spec, bestEffortShard, now).tasks[0][0]
+		got = append(got, table.chooseAgent(now, tk, "s", agents).name)
+	}
+	if diff := cmp.Diff([]string{"alone", "beside"}, got); diff != "" {
+		t.Errorf("endpoints (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an endpoint that counts as slow since a kind at it slows a run down.
+func TestPairDoesNotDistortTheEndpointsSpeed(t *testing.T) {
+	spec := &work.Job{ID: "0000000000000001", Steps: []work.Step{{Count: 1, EstimateMS: 100}}}
+	tk := &newJob(spec, bestEffortShard, time.Time{}).tasks[0][0]
+	a := &agentState{runTimeRatio: 1}
+	a.recordSuccess(tk, &work.End{ElapsedMS: 180}, 1.8)
+	if diff := cmp.Diff(1.0, a.runTimeRatio); diff != "" {
+		t.Errorf("run time ratio (-want +got):\n%s", diff)
+	}
+}
+
+// BenchmarkChooseAgent measures the choice among 300 agents of a task that forms a pair (off: that forms none).
+func BenchmarkChooseAgent(b *testing.B) {
+	for name, sharing := range map[string]bool{"off": false, "on": true} {
+		b.Run(name, func(b *testing.B) {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			table := New(Config{Name: "c", Shards: 1, Sharing: sharing})
+			for n := range 1000 {
+				if !sharing {
+					break
+				}
+				run := coloc.Run{Kind: "check#0", Endpoint: "e", Ratio: 1 + 0.1*float64(n%3), Counts: true}
+				if n%2 == 0 {
+					run.Ratio *= 2
+					run.Beside = []work.Beside{{Kind: "report#0", Share: 1}}
+				}
+				table.interference.model.Observe(now, run)
+			}
+			agents := make([]*agentState, 300)
+			for n := range agents {
+				a := &agentState{attached: true, echo: 1, runTimeRatio: 1, bias: 1, free: work.Resources{CPU: 50}}
+				a.endpoint = work.EndpointState{Service: "s", Ready: true, Capacity: work.Resources{CPU: 100}}
+				a.kinds = []work.KindLoad{{Kind: "quote#0", CPU: 5}, {Kind: "check#0", CPU: 5}}
+				a.endpoint.Kinds = []work.KindLoad{{Kind: "quote#0", CPU: 5}, {Kind: "report#0", CPU: 5}, {Kind: "check#0", CPU: 5}}
+				agents[n] = a
+			}
+			spec := &work.Job{ID: "0000000000000001", Queue: work.Queue{Name: "check"}, Steps: []work.Step{{Count: 1, EstimateMS: 50}}}
+			tk := &newJob(spec, bestEffortShard, now).tasks[0][0]
+			for b.Loop() {
+				table.chooseAgent(now, tk, "s", agents)
+			}
+		})
+	}
+}
--- a/load/agent.go
+++ b/load/agent.go
@@ -19,6 +19,7 @@
 	running    []carobpulley.ListedRun
 	ends       int64
 	reported   map[string]time.Time
+	progress   []*progress
 }
 
 func (s *simulation) agentNamed(name string) *agent {
@@ -61,7 +62,9 @@
 }
 
 func (a *agent) convert(r runs.Report) jobs.Report {
-	return jobs.Report{Agent: a.name, Incarnation: incarnation, Attachment: r.Attachment, SentAt: r.SentAt, State: r.State, Ends: r.Ends, Running: r.Running}
+	out := jobs.Report{Agent: a.name, Incarnation: incarnation, Attachment: r.Attachment, SentAt: r.SentAt, State: r.State, Ends: r.Ends, Running: r.Running}
+	a.hideKinds(&out)
+	return out
 }
 
 // order handles a dispatch and sends the reply.
@@ -104,6 +107,10 @@
 			a.execute(now)
 		})
 		took := time.Duration(float64(a.s.runTimes[start.Run.Task]) / a.s.pattern.Speeds[a.n])
+		if len(a.s.pattern.Interference.Slowdowns) > 0 {
+			a.s.at(now.Add(startDelay), func(now time.Time) { a.runBeside(now, start.Run, took) })
+			continue
+		}
 		a.s.at(now.Add(startDelay+took), func(now time.Time) { a.end(now, start.Run, work.OutcomeDone) })
 	}
 }
@@ -113,6 +120,7 @@
 	for i := range a.running {
 		if a.running[i].Run == run && !a.lost(now) {
 			a.running = append(a.running[:i], a.running[i+1:]...)
+			a.endBeside(now, run)
 			a.ends++
 			a.poll(now, []work.End{{Sequence: a.ends, Run: run, Outcome: outcome}})
 			return
--- a/load/load.go
+++ b/load/load.go
@@ -57,14 +57,17 @@
 	Factor func(since time.Duration) float64
 	// Lost returns whether an endpoint is lost from a time since the start on; nil stands for
 	// none.
-	Lost   func(endpoint int, since time.Duration) bool
-	Length time.Duration
-	Seed   uint64
+	Lost         func(endpoint int, since time.Duration) bool
+	Length       time.Duration
+	Seed         uint64
+	Interference Interference
 }
 
 // Window counts the jobs that arrived in one window of time.
 type Window struct {
 	Asked, InTime, Late, Refused int
+	// Took is the sum of the response times of the jobs that were done.
+	Took time.Duration
 }
 
 // Result is the outcome of a pattern.
@@ -76,6 +79,7 @@
 	// Starts counts dispatched starts, RefusedStarts those that an agent refused, and
 	// Dispatches the messages that carried them.
 	Starts, RefusedStarts, Dispatches int
+	Pairs                             Pairs
 }
 
 // WindowLength is the length of a Window.
@@ -119,6 +123,8 @@
 	jobs         int
 	// runTimes holds the run time of each task on an endpoint of speed 1.
 	runTimes map[string]time.Duration
+	// classes holds the class of each job.
+	classes map[string]int
 }
 
 // Play plays a pattern. The same pattern gives the same result.
@@ -127,6 +133,7 @@
 		pattern: p, random: rand.New(rand.NewPCG(p.Seed, 1)),
 		begin:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		runTimes: make(map[string]time.Duration),
+		classes:  make(map[string]int),
 	}
 	s.result.Classes = make([]Window, len(p.Classes))
 	s.result.Windows = make([]Window, int((p.Length+WindowLength-1)/WindowLength))
@@ -147,7 +154,9 @@
 		s.result.InTime += w.InTime
 		s.result.Late += w.Late
 		s.result.Refused += w.Refused
+		s.result.Took += w.Took
 	}
+	s.sumPairs()
 	return s.result
 }
 
@@ -194,8 +203,9 @@
 		j := &work.Job{
 			ID: fmt.Sprintf("%016x", s.jobs), BestEffort: true,
 			Queue: work.Queue{Name: queueName, Service: serviceName, MaxAttempts: 4, Stretch: stretch, TargetMS: target.Milliseconds()},
-			Steps: []work.Step{{Count: c.Tasks, Resources: work.Resources{CPU: c.CPU}, EstimateMS: max(s.runTime(c).Milliseconds(), 1)}},
+			Steps: []work.Step{{Count: c.Tasks, Resources: work.Resources{CPU: c.CPU}, EstimateMS: max(s.runTime(c).Milliseconds(), 1), Image: image(class)}},
 		}
+		s.classes[j.ID] = class
 		longest := time.Duration(0)
 		for task := range c.Tasks {
 			took := s.runTime(c)
@@ -224,7 +234,7 @@
 
 func (s *simulation) addCoordinator(n int) {
 	co := &coordinator{s: s, name: fmt.Sprintf("c-%d", n), arrivals: make(map[string]arrival)}
-	co.table = jobs.New(jobs.Config{Name: co.name, AgentTimeout: 1323 * time.Millisecond, Shards: 1})
+	co.table = jobs.New(jobs.Config{Name: co.name, AgentTimeout: 1323 * time.Millisecond, Shards: 1, Sharing: s.pattern.Interference.Sharing})
 	co.table.SetCoordinatorCount(s.pattern.Coordinators)
 	s.coordinators = append(s.coordinators, co)
 	for _, a := range s.agents {
@@ -265,6 +275,9 @@
 		a := co.arrivals[r.Job]
 		delete(co.arrivals, r.Job)
 		co.s.count(a, func(w *Window) {
+			if r.State == work.StateCompleted {
+				w.Took += now.Sub(a.at)
+			}
 			switch {
 			case r.State == work.StateCancelled:
 				w.Refused++
@@ -275,5 +288,5 @@
 			}
 		})
 	}
-	co.table.Decisions()
+	co.s.countPairs(co.table.Decisions())
 }
