load: coordinators that restart learn pairs again

A coordinator keeps its pairs in memory only, so a restart must lead to the same ones from new evidence.

--- a/load/agent.go
+++ b/load/agent.go
@@ -54,7 +54,7 @@
 }
 
 func (a *agent) attach(now time.Time, co *coordinator) {
-	request := runs.AttachRequest{Coordinator: co.name, Incarnation: incarnation, Addr: co.name, Attachment: co.table.NextAttachment(a.name)}
+	request := runs.AttachRequest{Coordinator: co.name, Incarnation: co.incarnation, Addr: co.name, Attachment: co.table.NextAttachment(a.name)}
 	a.controller.HandleAttach(now, request)
 	full := a.controller.FullReport(now, request)
 	co.table.HandleAttachment(now, a.convert(full), nil)
@@ -73,7 +73,7 @@
 		return
 	}
 	refused, stale := a.controller.HandleDispatch(now, runs.Dispatch{
-		Coordinator: co.name, Incarnation: incarnation, Attachment: d.Attachment, Echo: d.Echo, Starts: d.Starts, Stops: d.Stops,
+		Coordinator: co.name, Incarnation: co.incarnation, Attachment: d.Attachment, Echo: d.Echo, Starts: d.Starts, Stops: d.Stops,
 	})
 	a.execute(now)
 	state := a.controller.State(now, co.name)
--- a/load/beside.go
+++ b/load/beside.go
@@ -32,6 +32,9 @@
 	// Earlier is the number of agents, from the first one on, of an earlier build, which does not tell what ran
 	// beside a run.
 	Earlier int
+	// Restart is the time since the start at which all coordinators restart; 0 if they don't. Their jobs are
+	// lost.
+	Restart time.Duration
 }
 
 // progress is a run at an endpoint whose speed depends on what runs beside it.
@@ -135,6 +138,14 @@
 	r.Ends = ends
 }
 
+// restart begins a new process of the coordinator, which knows nothing of its earlier one.
+func (co *coordinator) restart(now time.Time) {
+	co.s.countPairs(co.table.Decisions())
+	co.incarnation++
+	clear(co.arrivals)
+	co.open(now)
+}
+
 // Pairs counts what coordinators have learned.
 type Pairs struct {
 	// Found and Dropped count the pairs, InForce those at the end, over all coordinators.
--- a/load/beside_test.go
+++ b/load/beside_test.go
@@ -101,3 +101,13 @@
 		t.Errorf("pairs %+v, want 6 found and dropped", r.Pairs)
 	}
 }
+
+// Guards against coordinators that do not learn a pair again after a restart.
+func TestRestartedCoordinatorsLearnAgain(t *testing.T) {
+	p := beside(1, 0.6, 1.8, true)
+	p.Length = 200 * time.Second
+	p.Interference.Restart = 100 * time.Second
+	if r := Play(p); r.Pairs.Found != 12 || r.Pairs.Dropped != 0 || r.Pairs.InForce != 6 {
+		t.Errorf("pairs %+v, want one found by each of 6 coordinators twice", r.Pairs)
+	}
+}
--- a/load/load.go
+++ b/load/load.go
@@ -223,6 +223,8 @@
 	name     string
 	table    *jobs.Table
 	arrivals map[string]arrival
+	// incarnation is that of its process.
+	incarnation uint64
 }
 
 // arrival is a job that has arrived, and the time by which it is in time.
@@ -233,13 +235,11 @@
 }
 
 func (s *simulation) addCoordinator(n int) {
-	co := &coordinator{s: s, name: fmt.Sprintf("c-%d", n), arrivals: make(map[string]arrival)}
-	co.table = jobs.New(jobs.Config{Name: co.name, AgentTimeout: 1323 * time.Millisecond, Shards: 1, Sharing: s.pattern.Interference.Sharing})
-	co.table.SetCoordinatorCount(s.pattern.Coordinators)
+	co := &coordinator{s: s, name: fmt.Sprintf("c-%d", n), arrivals: make(map[string]arrival), incarnation: incarnation}
 	s.coordinators = append(s.coordinators, co)
-	for _, a := range s.agents {
-		co.table.AddAgent(a.name, a.name, nil)
-		a.attach(s.begin, co)
+	co.open(s.begin)
+	if after := s.pattern.Interference.Restart; after > 0 {
+		s.at(s.begin.Add(after), co.restart)
 	}
 	stagger := tickInterval * time.Duration(n) / time.Duration(s.pattern.Coordinators)
 	s.every(s.begin.Add(stagger), tickInterval, func(now time.Time) {
@@ -251,6 +251,17 @@
 	}
 }
 
+// open begins with an empty table and attaches to the agents.
+func (co *coordinator) open(now time.Time) {
+	p := &co.s.pattern
+	co.table = jobs.New(jobs.Config{Name: co.name, AgentTimeout: 1323 * time.Millisecond, Shards: 1, Sharing: p.Interference.Sharing})
+	co.table.SetCoordinatorCount(p.Coordinators)
+	for _, a := range co.s.agents {
+		co.table.AddAgent(a.name, a.name, nil)
+		a.attach(now, co)
+	}
+}
+
 func (co *coordinator) submit(now time.Time, j *work.Job, a arrival) {
 	co.s.count(a, func(w *Window) { w.Asked++ })
 	status, _ := co.table.Submit(now, j)
