--- a/jobs/choose.go
+++ b/jobs/choose.go
@@ -43,6 +43,7 @@
 		agents = t.forSuspect(now, tk, service, agents, onTime)
 	}
 	unproven := false
+	apart := t.chooseApart(now, tk)
 	for _, a := range agents {
 		if !t.canTake(now, a, tk, service, onTime) {
 			continue
@@ -55,6 +56,7 @@
 		if t.suspectsAt[a] != nil && t.suspectsAt[a] != tk.job {
 			cost *= suspectFactor
 		}
+		apart.consider(tk, a, cost)
 		if best == nil || cost < least {
 			best, least = a, cost
 		}
@@ -62,7 +64,7 @@
 	if best == nil && unproven {
 		t.proof.awaited = true
 	}
-	return best
+	return t.choose(tk, apart, best)
 }
 
 // canTake reports whether a task of a service can be placed at the agent now. With wait set the task may
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -88,6 +88,8 @@
 	begun bool
 	// inFlight is the number of placed tasks whose starts may have reached their agents.
 	inFlight int
+	// kinds holds the kinds of the steps' tasks once they are asked for.
+	kinds []string
 	// takeoverPending is set while the job's tasks are not queued because runs of an
 	// earlier owner may continue.
 	takeoverPending bool
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -282,6 +282,7 @@
 		t.suspectsAt[a] = tk.job
 	}
 	latest := tk.job.due.Add(-estimateOf(tk))
+	s.Kind = t.kindOf(tk)
 	s.SlackMS = latest.Sub(now).Milliseconds()
 	s.WaitMS = waitAtAgent(time.Duration(s.SlackMS)*time.Millisecond, fits).Milliseconds()
 	d := t.pendingDispatch(a)
@@ -311,6 +312,7 @@
 	tk.neverBegun = false
 	a.placed[tk] = true
 	a.free = a.free.Sub(tk.resources())
+	t.addKind(tk, a, tk.cpu())
 }
 
 // stopOverdue stops runs that take far longer than expected, so that they can run at
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carobpulley"
+	"carobpulley/coloc"
 	"carobpulley/shed"
 	"carobpulley/work"
 )
@@ -23,6 +24,9 @@
 	// AuthorityTTL is how long ownership is proved by a read of the store.
 	AuthorityTTL time.Duration
 	Shards       int
+	// Sharing lets the table look for kinds of tasks that slow each other down at one endpoint, and place
+	// them apart.
+	Sharing bool
 }
 
 // shard is the state of an owned shard.
@@ -87,8 +91,9 @@
 	// recent holds ended best-effort jobs in the order of their ends.
 	recent []*job
 	// results holds the outcomes of best-effort jobs that Results has not returned.
-	results  []BestEffortResult
-	turnover shed.Turnover
+	results      []BestEffortResult
+	turnover     shed.Turnover
+	interference interference
 
 	decisions []Decision
 }
@@ -120,7 +125,7 @@
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{
+	t := &Table{
 		cfg:          cfg,
 		outOfService: make(map[string]bool),
 		crashes:      make(map[string]*jobCrashes),
@@ -132,6 +137,10 @@
 		abandoned:    make(map[string]*abandonedJob),
 		displaced:    make(map[string]*job),
 	}
+	if cfg.Sharing {
+		t.interference.model = coloc.New()
+	}
+	return t
 }
 
 // Decisions returns and clears the decisions since the last call.
@@ -268,6 +277,7 @@
 	t.abandonUnstarted(now)
 	t.dropExpired(now)
 	t.forgetCrashes(now)
+	t.expirePairs(now)
 	t.PlaceReady(now)
 }
 
--- a/load/load.go
+++ b/load/load.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"time"
 
-	"carobpulley/jobs"
 	"carobpulley/work"
 )
 
@@ -61,15 +60,18 @@
 	Share int
 	// Tail is the part of the jobs whose tasks take TailFactor times as long as others.
 	Tail, TailFactor float64
+	// Uneven is the spread of the tasks' run times around their job's estimate; 0 if they don't depend on it.
+	Uneven float64
 	// Patience is the time after which callers leave; 0 if they don't.
 	Patience time.Duration
 	// Factor returns the multiple of the arrivals at a time since the start; nil stands for 1.
 	Factor func(since time.Duration) float64
 	// Lost returns whether an endpoint is lost from a time since the start on; nil stands for
 	// none.
-	Lost   func(endpoint int, since time.Duration) bool
-	Length time.Duration
-	Seed   uint64
+	Lost         func(endpoint int, since time.Duration) bool
+	Length       time.Duration
+	Seed         uint64
+	Interference Interference
 }
 
 // Window counts the jobs that arrived in one window of time.
@@ -79,6 +81,8 @@
 	Left int
 	// Busy is the CPU time in millicore-seconds that runs used in the window.
 	Busy float64
+	// Took is the sum of the response times of the jobs that were done.
+	Took time.Duration
 }
 
 // Result is the outcome of a pattern.
@@ -96,6 +100,7 @@
 	Reports int
 	// FirstStarts holds the times from the submission of jobs to their first start.
 	FirstStarts []time.Duration
+	Pairs       Pairs
 }
 
 // WindowLength is the length of a Window.
@@ -141,6 +146,8 @@
 	runTimes map[string]time.Duration
 	// unstarted holds the arrivals of the jobs without a start.
 	unstarted map[string]time.Time
+	// classes holds the class of each job.
+	classes map[string]int
 }
 
 // Play plays a pattern. The same pattern gives the same result.
@@ -149,6 +156,7 @@
 		pattern: p, random: rand.New(rand.NewPCG(p.Seed, 1)),
 		begin:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		runTimes: make(map[string]time.Duration), unstarted: make(map[string]time.Time),
+		classes: make(map[string]int),
 	}
 	s.result.Classes = make([]Window, len(p.Classes))
 	s.result.Windows = make([]Window, int((p.Length+WindowLength-1)/WindowLength))
@@ -171,7 +179,9 @@
 		s.result.Refused += w.Refused
 		s.result.Left += w.Left
 		s.result.Busy += w.Busy
+		s.result.Took += w.Took
 	}
+	s.sumPairs()
 	return s.result
 }
 
@@ -202,6 +212,14 @@
 	return time.Duration(float64(c.Mean) * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2))
 }
 
+// taskTime draws the run time of a task of a job with an estimate.
+func (s *simulation) taskTime(c *Class, estimate time.Duration) time.Duration {
+	if s.pattern.Uneven == 0 {
+		return s.runTime(c)
+	}
+	return time.Duration(float64(estimate) * math.Exp(s.pattern.Uneven*s.random.NormFloat64()))
+}
+
 // arrive schedules the next job of a class at a coordinator.
 func (s *simulation) arrive(co *coordinator, class int, last time.Time) {
 	c := &s.pattern.Classes[class]
@@ -219,19 +237,19 @@
 		j := &work.Job{
 			ID: fmt.Sprintf("%016x", s.jobs), BestEffort: true,
 			Queue: s.queueOf(class),
-			Steps: []work.Step{{Count: c.Tasks, Resources: work.Resources{CPU: c.CPU}, EstimateMS: max(size.Milliseconds(), 1)}},
+			Steps: []work.Step{{Count: c.Tasks, Resources: work.Resources{CPU: c.CPU}, EstimateMS: max(size.Milliseconds(), 1), Image: image(class)}},
 		}
 		s.unstarted[j.ID] = now
-		// A long job is long in all its tasks, and its caller's estimate tells so.
 		long := 1.0
-		if s.random.Float64() < s.pattern.Tail {
+		if s.pattern.Tail > 0 && s.random.Float64() < s.pattern.Tail {
+			// A long job is long in all its tasks, and its caller's estimate tells so.
 			long = s.pattern.TailFactor
 			j.Steps[0].EstimateMS = int64(float64(j.Steps[0].EstimateMS) * long)
 		}
+		s.classes[j.ID] = class
 		longest := time.Duration(0)
 		for task := range c.Tasks {
-			took := time.Duration(float64(size) * math.Exp(0.15*s.random.NormFloat64()))
-			took = time.Duration(float64(took) * long)
+			took := time.Duration(float64(s.taskTime(c, size)) * long)
 			s.runTimes[work.TaskName(j.ID, 0, task)] = took
 			longest = max(longest, took)
 		}
@@ -239,126 +257,3 @@
 		s.arrive(co, class, now)
 	})
 }
-
-// coordinator plays one coordinator.
-type coordinator struct {
-	s        *simulation
-	name     string
-	table    *jobs.Table
-	arrivals map[string]arrival
-	agents   map[string]bool
-}
-
-// arrival is a job that has arrived, and the time by which it is in time.
-type arrival struct {
-	at    time.Time
-	due   time.Time
-	class int
-}
-
-func (s *simulation) addCoordinator(n int) {
-	co := &coordinator{s: s, name: fmt.Sprintf("c-%d", n), arrivals: make(map[string]arrival), agents: make(map[string]bool)}
-	co.table = jobs.New(jobs.Config{Name: co.name, AgentTimeout: 1323 * time.Millisecond, Shards: 1})
-	co.table.SetCoordinatorCount(s.share())
-	co.table.SetConfig(s.config())
-	s.coordinators = append(s.coordinators, co)
-	for _, a := range s.agents {
-		if !s.works(n, a.n) {
-			continue
-		}
-		co.agents[a.name] = true
-		co.table.AddAgent(a.name, a.name, nil)
-		a.attach(s.begin, co)
-	}
-	stagger := tickInterval * time.Duration(n) / time.Duration(s.pattern.Coordinators)
-	s.every(s.begin.Add(stagger), tickInterval, func(now time.Time) {
-		co.table.Tick(now)
-		co.flush(now)
-	})
-	for class := range s.pattern.Classes {
-		s.arrive(co, class, s.begin)
-	}
-}
-
-// share returns the number of coordinators that work with an endpoint.
-func (s *simulation) share() int {
-	if s.pattern.Share == 0 {
-		return s.pattern.Coordinators
-	}
-	return s.pattern.Share
-}
-
-// works reports whether a coordinator works with an endpoint.
-func (s *simulation) works(coordinator, endpoint int) bool {
-	first := endpoint * 7 % s.pattern.Coordinators
-	return (coordinator-first+s.pattern.Coordinators)%s.pattern.Coordinators < s.share()
-}
-
-// config returns the configuration with the queues of the classes.
-func (s *simulation) config() *work.RoutingConfig {
-	c := &work.RoutingConfig{Version: 1}
-	for class := range s.pattern.Classes {
-		c.Routes = append(c.Routes, work.Route{Queue: s.queueOf(class)})
-	}
-	c.Index()
-	return c
-}
-
-// queueOf returns the queue of a class.
-func (s *simulation) queueOf(class int) work.Queue {
-	return work.Queue{
-		Name: fmt.Sprintf("%s%d", queueName, class), Service: serviceName, MaxAttempts: 4, Stretch: stretch,
-		TargetMS: target.Milliseconds(), Priority: s.pattern.Classes[class].Priority,
-	}
-}
-
-func (co *coordinator) submit(now time.Time, j *work.Job, a arrival) {
-	co.s.count(a, func(w *Window) { w.Asked++ })
-	if s := co.s; s.pattern.Patience > 0 {
-		j.SubmittedAt, j.AnswerBy = now, now.Add(s.pattern.Patience)
-		s.at(j.AnswerBy, func(now time.Time) {
-			if _, waits := co.arrivals[j.ID]; waits {
-				delete(co.arrivals, j.ID)
-				s.count(a, func(w *Window) { w.Left++ })
-				co.table.Abandon(now, j.ID, "its caller has left")
-				co.flush(now)
-			}
-		})
-	}
-	status, _ := co.table.Submit(now, j)
-	if status == jobs.SubmitRefused {
-		co.s.count(a, func(w *Window) { w.Refused++ })
-		return
-	}
-	co.arrivals[j.ID] = a
-	co.flush(now)
-}
-
-// flush sends the table's dispatches and records the ends of jobs.
-func (co *coordinator) flush(now time.Time) {
-	for _, d := range co.table.Dispatches() {
-		co.s.result.Starts += len(d.Starts)
-		if len(d.Starts) > 0 {
-			co.s.result.Dispatches++
-		}
-		co.s.at(now.Add(messageDelay), func(now time.Time) { co.s.agentNamed(d.Agent).order(now, co, d) })
-	}
-	for _, r := range co.table.Results() {
-		a, waits := co.arrivals[r.Job]
-		if !waits {
-			continue
-		}
-		delete(co.arrivals, r.Job)
-		co.s.count(a, func(w *Window) {
-			switch {
-			case r.State == work.StateCancelled:
-				w.Refused++
-			case r.State == work.StateCompleted && !now.After(a.due):
-				w.InTime++
-			default:
-				w.Late++
-			}
-		})
-	}
-	co.table.Decisions()
-}
--- a/load/priority_test.go
+++ b/load/priority_test.go
@@ -20,7 +20,7 @@
 			{PerSecond: 600, Tasks: 2, CPU: 6_600, Mean: 170 * time.Millisecond, Spread: 0.4, Priority: 1},
 			{PerSecond: 37.5, Tasks: 4, CPU: 6_600, Mean: 760 * time.Millisecond, Spread: 0.4, Priority: 2},
 		},
-		Tail: 0.03, TailFactor: 7, Patience: 2940 * time.Millisecond, Length: 10 * time.Second, Seed: 1,
+		Tail: 0.03, TailFactor: 7, Uneven: 0.15, Patience: 2940 * time.Millisecond, Length: 10 * time.Second, Seed: 1,
 	}
 	lost := func(endpoint int) bool { return float64(endpoint*37%70)/70 < lostShare }
 	capacity, demand := 0.0, 0.0
--- a/work/state.go
+++ b/work/state.go
@@ -64,6 +64,9 @@
 	// begun and never will: each of its starts was refused or not sent. Without it the run may have
 	// begun, as after a start without an answer.
 	NeverBegun bool
+	// Beside holds the kinds of tasks that ran beside the run, itself excluded, if BesideKnown is set.
+	Beside      []Beside
+	BesideKnown bool
 }
 
 // Start is a request to start a run.
@@ -87,6 +90,9 @@
 	Suspect bool
 	// Priority is that of the job's queue; 0 is the most urgent.
 	Priority int
+	// Kind names the kind of the task, see Job.TaskKind. It is empty unless the coordinator asks what ran
+	// beside the run.
+	Kind string
 }
 
 // PriorityUse is the capacity that runs of one priority hold.
@@ -122,6 +128,8 @@
 	// UsedByPriority holds the CPU capacity in Used by the priorities of the runs, the most urgent first. It
 	// is empty from an agent that does not tell them.
 	UsedByPriority []PriorityUse
+	// Kinds holds the kinds of the runs of other coordinators, at most MaxBeside.
+	Kinds []KindLoad
 	// Ready is false while the agent sends the endpoint no starts: while either drains,
 	// or the endpoint is unresponsive, has not been polled yet or lists an unknown run.
 	Ready bool
