--- a/emul/paused_test.go
+++ b/emul/paused_test.go
@@ -42,6 +42,20 @@
 // again, leases end and tasks are placed elsewhere.
 var pauseLengths = []time.Duration{50, 400, 700, 950, 1020, 1180, 1330, 1450, 2000, 3500, 6000}
 
+// goOn lets jobs of playSuspension go on for four seconds. For pauses at stops some are cancelled, so that
+// agents send stops whatever else is stopped.
+func goOn(c Command) func(f *Fleet, _ time.Duration) {
+	return func(f *Fleet, _ time.Duration) {
+		const ticks, interval = 40, 100 * time.Millisecond
+		for n := range ticks {
+			if c == CommandStop {
+				f.coordinator(0).Coordinator.Cancel(f.ctx, testQueue, jobID(n+n/4))
+			}
+			time.Sleep(interval)
+		}
+	}
+}
+
 // Guards against a command that reaches the endpoint after its sender was paused, and takes effect under a
 // lease that was renewed since: a start whose task runs elsewhere, a renewal, a stop of another run.
 func TestPausedSender(t *testing.T) {
@@ -65,7 +79,7 @@
 						for agent := range 2 { // one endpoint of each reading of a start's deadline
 							ends = append(ends, f.pauseAtCommands(agent, c.command, frozen, d))
 						}
-						playSuspension(f, func(*Fleet, time.Duration) { time.Sleep(4 * time.Second) }, d)
+						playSuspension(f, goOn(c.command), d)
 						for agent, end := range ends {
 							if n := end(); n == 0 {
 								t.Errorf("no pause of agent %d", agent)
