jobs: state the rule for telling that a job has not run

Cause: the package comment lists the invariants and lacked that of a refusal, which now rests on what has begun instead of on what was placed. Change: one more invariant; no code.

--- a/jobs/doc.go
+++ b/jobs/doc.go
@@ -14,6 +14,8 @@
 //   - A task is placed again only after its earlier run is over: its agent has
 //     refused the start or reported the end, does not list the run in its answer to
 //     an attachment, or has not reported for AgentTimeout.
+//   - A caller is told that a job has not run only if no run of it has begun or may
+//     have, none of its starts is in flight, and none is sent afterwards.
 //   - After a takeover, tasks of older jobs are not placed until every known agent
 //     has reported what it runs or the ownership proofs of the earlier owner have
 //     expired.
