--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -21,7 +21,7 @@
 	slack := spec.Objective() - spec.CriticalPath()
 	ahead := t.cpuAhead(now, class, service, now.Add(slack))
 	peers := int64(max(t.coordinators, 1))
-	if ahead*peers+spec.CPU() > load.Room(class) {
+	if ahead*peers+spec.CPU() > load.Room(class, spec.Steps[0].Resources.CPU) {
 		moreCores, moreFree := t.extraCapacity(now, service, spec)
 		load.Capacity += moreCores
 		load.Free += moreFree
@@ -41,8 +41,8 @@
 			return "no endpoint is large enough"
 		}
 	}
-	turnover := t.turnover.From(class.Priority, time.Duration(spec.Steps[0].EstimateMS)*time.Millisecond)
-	wait, bearable := load.Wait(class, ahead*peers+spec.CPU(), turnover), shed.Bearable(class, slack)
+	turnover := t.turnover.Time(time.Duration(spec.Steps[0].EstimateMS) * time.Millisecond)
+	wait, bearable := load.Wait(class, spec.Steps[0].Resources.CPU, ahead*peers+spec.CPU(), turnover), shed.Bearable(slack)
 	if wait <= bearable {
 		return ""
 	}
--- a/jobs/late.go
+++ b/jobs/late.go
@@ -27,7 +27,8 @@
 		}
 	}
 	estimate := estimateOf(g.tasks[0])
-	wait := t.waitBehind(loads[service], g.class, ahead, g.cpu(), estimate)
+	cpu := ahead*int64(max(t.coordinators, 1)) + g.cpu()
+	wait := loads[service].Wait(g.class, g.tasks[0].cpu(), cpu, t.turnover.Time(estimate))
 	left := g.job.answerBy.Sub(now) - estimate
 	if wait <= left {
 		return ""
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -236,7 +236,7 @@
 		var a *agentState
 		switch {
 		case !tk.mayNumber(now):
-		case load != nil && !g.job.mayHaveBegun() && load.Room(g.class) < tk.cpu():
+		case load != nil && !g.job.mayHaveBegun() && load.Room(g.class, tk.cpu()) < tk.cpu():
 		case t.provenFor(tk):
 			a = t.chooseAgent(now, tk, service, agents)
 		default:
--- a/jobs/urgency.go
+++ b/jobs/urgency.go
@@ -60,9 +60,3 @@
 func (t *Table) ranked(service string) bool {
 	return t.routing != nil && t.routing.Priorities(service) > 1
 }
-
-// waitBehind returns the expected wait of tasks behind work that waits at this coordinator, and as much at each
-// that shares its endpoints.
-func (t *Table) waitBehind(l *shed.Load, c shed.Class, ahead, cpu int64, estimate time.Duration) time.Duration {
-	return l.Wait(c, ahead*int64(max(t.coordinators, 1))+cpu, t.turnover.From(c.Priority, estimate))
-}
--- a/shed/load.go
+++ b/shed/load.go
@@ -44,35 +44,27 @@
 	l.Use(priority, cpu)
 }
 
-// Room returns the CPU capacity that further tasks of a class may take now.
+// Room returns the CPU capacity that further tasks of a class may take now, each of which needs the given
+// CPU capacity. A reserve that is smaller than one task is not kept: on a small fleet it would leave the
+// capacity for a whole task idle.
 //
 // Answers the pattern of less urgent jobs that fill all endpoints before a burst of urgent short ones, which
 // then wait for the end of long runs.
-func (l *Load) Room(c Class) int64 {
+func (l *Load) Room(c Class, task int64) int64 {
 	if c.Rank <= 0 {
 		return l.Free
 	}
-	return max(l.limit(c.Rank)-(l.Capacity-l.Free), l.floor()-l.used[c.Priority])
-}
-
-// Open returns the CPU capacity that runs of a class and of less urgent ones may hold.
-func (l *Load) Open(c Class) int64 {
-	if c.Rank <= 0 {
-		return l.Capacity
-	}
-	var urgent int64
-	for priority, cpu := range l.used {
-		if priority < c.Priority {
-			urgent += cpu
-		}
+	reserve := l.reserve(c.Rank)
+	if reserve < task {
+		reserve = 0
 	}
-	return max(l.limit(c.Rank)-urgent, l.floor())
+	return max(l.Free-reserve, l.floor()-l.used[c.Priority])
 }
 
-// limit returns the capacity up to which tasks of a rank are placed.
-func (l *Load) limit(rank int) int64 {
-	reserve := min(peerReserve*float64(max(l.Coordinators-1, 0)*rank), maxReserve)
-	return int64((1 - reserve) * float64(l.Capacity))
+// reserve returns the capacity that tasks of a rank leave free.
+func (l *Load) reserve(rank int) int64 {
+	part := min(peerReserve*float64(max(l.Coordinators-1, 0)*rank), maxReserve)
+	return int64(part * float64(l.Capacity))
 }
 
 func (l *Load) floor() int64 { return int64(minShare * float64(l.Capacity)) }
