jobs, shed, work: what a review of the order by priority found

Cause: a reviewer showed ten faults: a queue that holds less than its floor is never placed beside urgent work that fills the fleet; the check for late jobs is cubic in them, refuses jobs while agents are about to be attached and counts the work of other services; stored jobs that have begun are never late; a priority that leaves the configuration becomes the most urgent; one group that no agent can run keeps the share from growing; wide jobs ignore the reserve.

--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -16,7 +16,7 @@
 // before it, and as many at each coordinator that shares its endpoints.
 func (t *Table) refusalReason(now time.Time, spec *work.Job) string {
 	service := spec.Queue.Service
-	class := t.classOf(&spec.Queue)
+	class := t.classOf(service, &spec.Queue)
 	load := t.loadOf(service)
 	slack := spec.Objective() - spec.CriticalPath()
 	ahead := t.cpuAhead(now, class, service, now.Add(slack))
@@ -42,7 +42,7 @@
 		}
 	}
 	turnover := t.turnover.Time(time.Duration(spec.Steps[0].EstimateMS) * time.Millisecond)
-	wait, bearable := load.Wait(class, spec.Steps[0].Resources.CPU, ahead*peers+spec.CPU(), turnover), shed.Bearable(slack)
+	wait, bearable := load.Wait(class, spec.Steps[0].Resources.CPU, ahead*peers+spec.CPU(), turnover), shed.Bearable(class, slack)
 	if wait <= bearable {
 		return ""
 	}
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"carobpulley/shed"
 	"carobpulley/work"
 )
 
@@ -103,31 +102,41 @@
 // which their answer has no value, or while no endpoint can run them, so that their callers are
 // answered at once.
 func (t *Table) abandonUnstarted(now time.Time) {
-	loads := make(map[string]*shed.Load)
-	for n := 0; n < len(t.ready); n++ {
-		g := t.ready[n]
-		if g.job.durable() || g.job.mayHaveBegun() {
-			continue
+	w := t.waitingWork(now)
+	type abandoned struct {
+		job    *job
+		reason string
+	}
+	var all []abandoned
+	for _, g := range t.ready {
+		reason := ""
+		if !g.job.durable() && !g.job.mayHaveBegun() {
+			reason = t.hopeless(now, g, w)
+		}
+		if reason != "" {
+			all = append(all, abandoned{g.job, reason})
+		} else if g.late(now) {
+			w.lateAhead[t.service(g.job)] += g.cpu()
 		}
-		reason := t.hopeless(now, g, loads)
-		if reason == "" {
-			continue
+	}
+	for _, a := range all {
+		if a.job.state.Ended() {
+			continue // for another of its groups
 		}
-		t.results = append(t.results, BestEffortResult{Job: g.job.id, State: work.StateCancelled, Unstarted: g.job.neverBegan(), Reason: reason})
-		t.logDecision(Decision{Job: g.job.id, Event: "given up", Reason: reason})
-		t.rememberAbandoned(now, g.job)
-		t.finishJob(now, g.job, work.StateCancelled)
-		n = -1
+		t.results = append(t.results, BestEffortResult{Job: a.job.id, State: work.StateCancelled, Unstarted: a.job.neverBegan(), Reason: a.reason})
+		t.logDecision(Decision{Job: a.job.id, Event: "given up", Reason: a.reason})
+		t.rememberAbandoned(now, a.job)
+		t.finishJob(now, a.job, work.StateCancelled)
 	}
 }
 
-// hopeless returns why the tasks of a waiting group can't start in time; empty if they can. It adds the loads of
-// services that it needs to those given.
-func (t *Table) hopeless(now time.Time, g *taskGroup, loads map[string]*shed.Load) string {
+// hopeless returns why the tasks of a waiting group can't start in time, beside the work that waits before
+// them; empty if they can.
+func (t *Table) hopeless(now time.Time, g *taskGroup, w *waitingWork) string {
 	if now.After(g.job.abandonAt) {
 		return "no room in time"
 	}
-	if reason := t.tooLate(now, g, loads); reason != "" {
+	if reason := t.tooLate(now, g, w); reason != "" {
 		return reason
 	}
 	service, step := t.service(g.job), &g.job.spec.Steps[g.step]
--- a/jobs/choose.go
+++ b/jobs/choose.go
@@ -17,7 +17,7 @@
 	agentQueueShare = 0.05
 	// crowdingShare is the part of the turnover time that a task is expected to wait at an
 	// endpoint that it fills up, since other coordinators start runs there too.
-	crowdingShare = 0.5
+	crowdingShare = 1.0
 	// remoteDataFactor is the factor on the run time of a task outside its data's rack,
 	// as specified by the platform.
 	remoteDataFactor = 1.5
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -32,8 +32,9 @@
 	job   *job
 	step  int
 	tasks []*task
-	// class is that of the job's queue.
-	class shed.Class
+	// class is that of the job's queue, and ranked is set if the service has queues of other priorities.
+	class  shed.Class
+	ranked bool
 	// latestStart is the latest start time that meets the job's objective.
 	latestStart time.Time
 }
@@ -74,7 +75,8 @@
 	if len(tasks) == 0 || j.takeoverPending {
 		return
 	}
-	g := &taskGroup{job: j, step: step, tasks: tasks, class: t.classOf(&j.spec.Queue), latestStart: j.due.Add(-estimateOf(tasks[0]))}
+	g := &taskGroup{job: j, step: step, tasks: tasks, latestStart: j.due.Add(-estimateOf(tasks[0]))}
+	t.rank(g)
 	at := sort.Search(len(t.ready), func(i int) bool { return g.before(t.ready[i]) })
 	t.ready = slices.Insert(t.ready, at, g)
 }
@@ -144,6 +146,7 @@
 	}
 	remaining := make([]*taskGroup, 0, len(t.ready))
 	loads := make(map[string]*shed.Load)
+	t.placeFloors(now, agents, loads)
 	for _, late := range []bool{false, true} {
 		for _, g := range t.ready {
 			if g.late(now) == late && len(g.tasks) > 0 && t.mayStart(now, g.job) {
@@ -221,40 +224,69 @@
 	}
 }
 
-// placeGroup places the tasks of a group, the less urgent ones as far as the loads of the services have room
-// for them. Those of a job that may have begun are not held back: its runs have used capacity, and are worth
+// placeFloors places tasks of less urgent queues while they hold less than their floor.
+//
+// Answers the pattern of urgent work that needs the whole capacity for long.
+func (t *Table) placeFloors(now time.Time, agents []*agentState, loads map[string]*shed.Load) {
+	for _, g := range t.ready {
+		if g.class.Rank == 0 || g.late(now) || !t.mayStart(now, g.job) {
+			continue
+		}
+		load := t.cachedLoad(t.service(g.job), loads)
+		for len(g.tasks) > 0 && load.BelowFloor(g.class) && t.placeTask(now, g.tasks[0], agents, load) {
+			g.tasks = g.tasks[1:]
+		}
+	}
+}
+
+// cachedLoad returns the load of a service, from those given or added to them.
+func (t *Table) cachedLoad(service string, loads map[string]*shed.Load) *shed.Load {
+	if loads[service] == nil {
+		loads[service] = t.loadOf(service)
+	}
+	return loads[service]
+}
+
+// placeGroup places the tasks of a group, the less urgent ones as far as the load of their service has room
+// for them. Those of a job that is mostly placed are not held back: its runs have used capacity, and are worth
 // nothing without them.
 func (t *Table) placeGroup(now time.Time, g *taskGroup, agents []*agentState, loads map[string]*shed.Load) {
 	service := t.service(g.job)
 	load := loads[service]
-	if load == nil && g.class.Rank > 0 {
-		load = t.loadOf(service)
-		loads[service] = load
+	if g.class.Rank > 0 {
+		load = t.cachedLoad(service, loads)
 	}
 	n := 0
 	for _, tk := range g.tasks {
-		var a *agentState
-		switch {
-		case !tk.mayNumber(now):
-		case load != nil && !g.job.mayHaveBegun() && load.Room(g.class, tk.cpu()) < tk.cpu():
-		case t.provenFor(tk):
-			a = t.chooseAgent(now, tk, service, agents)
-		default:
-			t.proof.awaited = true
-		}
-		if a == nil {
+		held := g.class.Rank > 0 && !g.mostlyPlaced() && load.Room(g.class, tk.cpu()) < tk.cpu()
+		if held || !t.placeTask(now, tk, agents, load) {
 			g.tasks[n] = tk
 			n++
-			continue
-		}
-		t.startTask(now, tk, a)
-		if load != nil {
-			load.Take(g.class.Priority, tk.cpu())
 		}
 	}
 	g.tasks = g.tasks[:n]
 }
 
+// placeTask places a task if an agent can take it, and takes it into the load of its service unless that is nil.
+func (t *Table) placeTask(now time.Time, tk *task, agents []*agentState, load *shed.Load) bool {
+	if !tk.mayNumber(now) {
+		return false
+	}
+	if !t.provenFor(tk) {
+		t.proof.awaited = true
+		return false
+	}
+	a := t.chooseAgent(now, tk, t.service(tk.job), agents)
+	if a == nil {
+		return false
+	}
+	t.startTask(now, tk, a)
+	if load != nil {
+		load.Take(tk.job.spec.Queue.Priority, tk.cpu())
+	}
+	return true
+}
+
 // service returns the service to which the configuration in force routes a job. If the
 // configuration lacks the queue, it is the service at the job's acceptance.
 func (t *Table) service(j *job) string {
--- a/jobs/share.go
+++ b/jobs/share.go
@@ -19,6 +19,9 @@
 	// is busy, and more attachments cost without a gain.
 	growInterval    = 40 * time.Millisecond
 	maxGrowInterval = 2 * time.Second
+	// maxGrowGroups bounds the waiting groups for which agents are looked for in one extension: no agent may
+	// be left that can run the first ones.
+	maxGrowGroups = 16
 	// extraRetention is how long an agent outside the share stays attached after its last
 	// start.
 	extraRetention = 3 * time.Second
@@ -125,8 +128,10 @@
 		return false
 	}
 	added := false
-	if len(timely) > 0 {
-		added = t.addAgentsFor(now, timely[0], cpu)
+	for _, g := range timely[:min(len(timely), maxGrowGroups)] {
+		if added = t.addAgentsFor(now, g, cpu); added {
+			break
+		}
 	}
 	for _, g := range late {
 		// No agent may be left that can run a late task, so the next ones are considered.
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -157,7 +157,10 @@
 func (t *Table) SetCoordinatorCount(n int) { t.coordinators = n }
 
 // SetConfig sets the configuration in force.
-func (t *Table) SetConfig(c *work.RoutingConfig) { t.routing = c }
+func (t *Table) SetConfig(c *work.RoutingConfig) {
+	t.routing = c
+	t.rankReady()
+}
 
 // SetDomainsOutOfService sets the failure domains that get no tasks.
 func (t *Table) SetDomainsOutOfService(domains []string) {
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -11,7 +11,7 @@
 // queueShare is the fraction of an endpoint's CPU capacity that queued runs may need in total, so
 // that the next run starts without a message round trip when one ends. Coordinators queue few runs on
 // purpose; the rest is for starts that several of them send for the same free capacity.
-const queueShare = 0.45
+const queueShare = 0.49
 
 // fitsQueue reports whether one more run may be queued.
 func (c *Controller) fitsQueue(resources work.Resources) bool {
--- a/shed/load.go
+++ b/shed/load.go
@@ -61,6 +61,9 @@
 	return max(l.Free-reserve, l.floor()-l.used[c.Priority])
 }
 
+// BelowFloor reports whether runs of a class hold less than what is kept for them.
+func (l *Load) BelowFloor(c Class) bool { return c.Rank > 0 && l.used[c.Priority] < l.floor() }
+
 // reserve returns the capacity that tasks of a rank leave free.
 func (l *Load) reserve(rank int) int64 {
 	part := min(peerReserve*float64(max(l.Coordinators-1, 0)*rank), maxReserve)
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -55,9 +55,9 @@
 	full, half := newLoad(10_000, 0, map[int]int64{0: 10_000}), newLoad(10_000, 5_000, map[int]int64{0: 5_000})
 	got := []time.Duration{
 		full.Wait(Class{}, 100, 1_000, 200*time.Millisecond), half.Wait(Class{}, 100, 5_000, time.Second),
-		half.Wait(Class{1, 1}, 100, 5_000, time.Second), Bearable(100 * time.Millisecond), Bearable(time.Millisecond),
+		half.Wait(Class{1, 1}, 100, 5_000, time.Second), Bearable(Class{}, 100*time.Millisecond), Bearable(Class{1, 1}, 100*time.Millisecond), Bearable(Class{}, time.Millisecond),
 	}
-	want := []time.Duration{20 * time.Millisecond, 0, 30 * time.Millisecond, 55 * time.Millisecond, 0}
+	want := []time.Duration{20 * time.Millisecond, 0, 30 * time.Millisecond, 55 * time.Millisecond, 35 * time.Millisecond, 0}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("waits (-want +got):\n%s", diff)
 	}
--- a/work/routing.go
+++ b/work/routing.go
@@ -1,7 +1,6 @@
 package work
 
 import (
-	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -36,8 +35,8 @@
 
 	byHost map[string][]*Route
 	byName map[string]*Route
-	// ranks holds the number of more urgent priorities, by service and priority.
-	ranks map[string]map[int]int
+	// priorities holds the priorities of each service's queues, the most urgent first.
+	priorities map[string][]int
 }
 
 // Index builds the lookup tables. It is called once, before the configuration is
@@ -45,7 +44,7 @@
 func (c *RoutingConfig) Index() {
 	c.byHost = make(map[string][]*Route)
 	c.byName = make(map[string]*Route)
-	c.rankPriorities()
+	c.indexPriorities()
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
@@ -75,26 +74,26 @@
 	return r.Queue, true
 }
 
-// Rank returns the number of priorities that are more urgent than a queue's among the queues of its service.
-func (c *RoutingConfig) Rank(q *Queue) int { return c.ranks[q.Service][q.Priority] }
+// Rank returns the number of priorities that are more urgent than one among the served queues of a service.
+func (c *RoutingConfig) Rank(service string, priority int) int {
+	rank, _ := slices.BinarySearch(c.priorities[service], priority)
+	return rank
+}
 
-// Priorities returns the number of priorities of the queues of a service.
-func (c *RoutingConfig) Priorities(service string) int { return len(c.ranks[service]) }
+// Priorities returns the number of priorities of the served queues of a service.
+func (c *RoutingConfig) Priorities(service string) int { return len(c.priorities[service]) }
 
-// rankPriorities numbers the priorities of each service's queues in their order.
-func (c *RoutingConfig) rankPriorities() {
-	c.ranks = make(map[string]map[int]int)
+func (c *RoutingConfig) indexPriorities() {
+	c.priorities = make(map[string][]int)
 	for i := range c.Routes {
-		q := &c.Routes[i].Queue
-		if c.ranks[q.Service] == nil {
-			c.ranks[q.Service] = make(map[int]int)
+		r := &c.Routes[i]
+		if r.Refusal == "" {
+			c.priorities[r.Queue.Service] = append(c.priorities[r.Queue.Service], r.Queue.Priority)
 		}
-		c.ranks[q.Service][q.Priority] = 0
 	}
-	for _, ranks := range c.ranks {
-		for n, priority := range slices.Sorted(maps.Keys(ranks)) {
-			ranks[priority] = n
-		}
+	for service, priorities := range c.priorities {
+		slices.Sort(priorities)
+		c.priorities[service] = slices.Compact(priorities)
 	}
 }
 
