--- a/jobs/urgency_test.go
+++ b/jobs/urgency_test.go
@@ -15,7 +15,7 @@
 }
 
 func configOf(queues ...work.Queue) *work.RoutingConfig {
-	c := &work.RoutingConfig{Version: 1}
+	c := &work.RoutingConfig{Version: 1, Routes: make([]work.Route, 0, len(queues))}
 	for _, q := range queues {
 		c.Routes = append(c.Routes, work.Route{Queue: q, Host: "h", Prefix: "/" + q.Name})
 	}
