--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -96,7 +96,8 @@
 		turnover.Record(0, 1_000, 100*time.Millisecond)
 		turnover.Record(3, 1_000, 300*time.Millisecond)
 	}
-	got := []time.Duration{before, turnover.From(0, 0).Round(time.Millisecond), turnover.From(1, 0).Round(time.Millisecond), turnover.From(4, time.Minute)}
+	got := make([]time.Duration, 0, 5)
+	got = append(got, before, turnover.From(0, 0).Round(time.Millisecond), turnover.From(1, 0).Round(time.Millisecond), turnover.From(4, time.Minute))
 	for range 20_000 {
 		turnover.Record(0, 1_000, 100*time.Millisecond)
 	}
