--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -18,14 +18,8 @@
 )
 
 const (
-	// runners is such that one of them is less than 0.14 of all, the share that a site file gives for crashes.
-	runners = 8
 	// crashTime is for_s of the crashes that the site files name.
 	crashTime = 4500 * time.Millisecond
-	// stableTime is stability-ms.
-	stableTime = 3 * time.Second
-	cancelTime = 3 * time.Second
-	ackTimeout = 4 * time.Second
 	// visibleTime is visible_ms and the 2 s for which a count may be old.
 	visibleTime = 5 * time.Second
 	callTimeout = 4 * time.Second
@@ -59,104 +53,6 @@
 	return kinds
 }
 
-// playCrash lets two runners crash one after the other while they run the one task of a stored job.
-func playCrash(ctx context.Context, dir string, r *record, trouble bool) (string, error) {
-	var f *fleet
-	f, err := newFleet(ctx, dir, r, 3, sameKinds(runners), durationByEstimate(&f))
-	defer f.close()
-	if err != nil {
-		return "", err
-	}
-	j := oneTask(1, 6200, 10_000, "")
-	status, _, err := f.submit(0, j, callTimeout)
-	if err != nil || status != http.StatusOK {
-		return "", errNotAccepted
-	}
-	crashed := 0
-	var back time.Time // the time at which all runners have been up for stableTime
-	var down *runner
-	var downUntil time.Time
-	for ctx.Err() == nil {
-		pause(ctx, 250*time.Millisecond)
-		_, answer, err := f.ask(0, http.MethodGet, j.ID, nil, callTimeout)
-		switch state := stateOf(answer); {
-		case err != nil:
-		case state == work.StateFailed:
-			return fmt.Sprintf("the job is shown as failed; its task ran %d times, none of these runs ended failed, max-attempts is %d; %d runners have crashed", len(r.startsOf(j.ID)), maxAttempts, crashed), nil
-		case state == work.StateCompleted:
-			return "", nil
-		}
-		now := time.Now()
-		if down != nil && now.After(downUntil) {
-			if err := down.restart("a", 0); err != nil {
-				return "", err
-			}
-			down, back = nil, now.Add(stableTime)
-		}
-		starts := r.startsOf(j.ID)
-		if !trouble || down != nil || crashed == 2 || len(starts) != crashed+1 || now.Before(back) || now.Sub(starts[crashed].at) < 2*time.Second {
-			continue
-		}
-		down, downUntil = f.runners[starts[crashed].runner], now.Add(crashTime)
-		down.crash()
-		crashed++
-	}
-	return "", ctx.Err()
-}
-
-// playCancel cancels best-effort jobs of several steps while their clients wait for them.
-func playCancel(ctx context.Context, dir string, r *record, trouble bool) (string, error) {
-	const steps = 14
-	var f *fleet
-	f, err := newFleet(ctx, dir, r, 3, sameKinds(runners), durationByEstimate(&f))
-	defer f.close()
-	if err != nil {
-		return "", err
-	}
-	var wg sync.WaitGroup
-	acked := make([]time.Time, 3)
-	ackedBy := make([]int, 3)
-	for n := range 3 {
-		j := oneTask(n+1, 6200, 1000, "")
-		j.BestEffort = true
-		for i := 1; i < steps; i++ {
-			s := j.Steps[0]
-			s.After = []int{i - 1}
-			j.Steps = append(j.Steps, s)
-		}
-		wg.Go(func() { _, _, _ = f.submit(n, j, 30*time.Second) })
-	}
-	pause(ctx, 2500*time.Millisecond)
-	for n := range 3 {
-		if !trouble {
-			break
-		}
-		status, _, err := f.ask(n, http.MethodDelete, jobID(n+1), nil, callTimeout)
-		if err == nil && (status/100 == 2 || status == http.StatusGone) {
-			acked[n], ackedBy[n] = time.Now(), status
-		}
-	}
-	wg.Wait()
-	broken := ""
-	for n := range 3 {
-		if acked[n].IsZero() {
-			continue
-		}
-		late := 0
-		var last start
-		for _, s := range r.startsOf(jobID(n + 1)) {
-			if s.at.Sub(acked[n]) > cancelTime {
-				late++
-				last = s
-			}
-		}
-		if late > 0 {
-			broken += fmt.Sprintf("job %s: %d tasks began later than cancel_ms after its cancelling was acknowledged with %d, the last one %d ms after it; ", jobID(n+1), late, ackedBy[n], last.at.Sub(acked[n]).Milliseconds())
-		}
-	}
-	return broken, ctx.Err()
-}
-
 // playKind lets a runner crash and come back under its id and address as another kind.
 func playKind(ctx context.Context, dir string, r *record, trouble bool) (string, error) {
 	const (
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -22,8 +22,6 @@
 const runLimit = 110 * time.Second
 
 var cases = map[string]func(ctx context.Context, dir string, r *record, trouble bool) (string, error){
-	"crash":   playCrash,
-	"cancel":  playCancel,
 	"kind":    playKind,
 	"pending": playPending,
 	"long":    playLong,
