--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -62,7 +62,7 @@
 		firstBeat = 200 * time.Millisecond
 	)
 	var f *fleet
-	f, err := newFleet(ctx, dir, r, 3, []string{"a", "a", "b", "b", "b", "b", "b", "b"}, durationByEstimate(&f))
+	f, err := newFleet(ctx, dir, r, smallFronts(), []string{"a", "a", "b", "b", "b", "b", "b", "b"}, durationByEstimate(&f))
 	defer f.close()
 	if err != nil {
 		return "", err
@@ -109,7 +109,7 @@
 		restartDelay = 300 * time.Millisecond
 	)
 	var f *fleet
-	f, err := newFleet(ctx, dir, r, 3, []string{"a", "a", "a", "a", "a", "b"}, durationByEstimate(&f))
+	f, err := newFleet(ctx, dir, r, smallFronts(), []string{"a", "a", "a", "a", "a", "b"}, durationByEstimate(&f))
 	defer f.close()
 	if err != nil {
 		return "", err
--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -74,6 +74,17 @@
 	return f.ask(coordinator, http.MethodPost, j.ID, body, limit)
 }
 
+// submitQuietly is submit without a record of the call.
+func (f *fleet) submitQuietly(coordinator int, j *work.Job, limit time.Duration) (int, []byte, error) {
+	f.jobs.add(j)
+	body, err := submissionBody(j)
+	if err != nil {
+		return 0, nil, err
+	}
+	url := fmt.Sprintf("http://%s%s%s", netip.AddrPortFrom(f.coordinators[coordinator].addr, callersPort), pathPrefix, j.ID)
+	return call(f.ctx, http.MethodPost, url, body, limit, limit)
+}
+
 // submissionBody encodes a job with the labels that its steps require.
 func submissionBody(j *work.Job) ([]byte, error) {
 	b, err := stand.SubmissionBody(j)
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,14 +32,13 @@
 	pathPrefix  = "/rent/"
 	maxAttempts = 4
 	// The figures of a small deployment.
-	coordinatorShare, coordinatorMB = 0.4, 284
-	agentShare, agentMB             = 0.24, 152
-	runnerCPU, runnerMB             = 64_000, 131_072
-	gracePeriod                     = 6 * time.Second
-	maxLease                        = time.Second
-	statusRetention                 = 2 * time.Minute
-	heartbeatInterval               = 1500 * time.Millisecond
-	readyTimeout                    = 20 * time.Second
+	agentShare, agentMB = 0.24, 152
+	runnerCPU, runnerMB = 64_000, 131_072
+	gracePeriod         = 6 * time.Second
+	maxLease            = time.Second
+	statusRetention     = 2 * time.Minute
+	heartbeatInterval   = 1500 * time.Millisecond
+	readyTimeout        = 20 * time.Second
 	// settleTime is the time from the first readiness of all coordinators to the traffic.
 	settleTime = 5 * time.Second
 
@@ -61,6 +61,18 @@
 	servers      []*http.Server
 }
 
+// front is the machine of a coordinator.
+type front struct {
+	share    float64
+	memoryMB int64
+	linkMbps float64
+}
+
+// smallFronts returns the machines of a small deployment's coordinators.
+func smallFronts() []front {
+	return slices.Repeat([]front{{share: 0.4, memoryMB: 284, linkMbps: 1000}}, 3)
+}
+
 // process is one program of the deploy file.
 type process struct {
 	name     string
@@ -80,7 +92,7 @@
 
 // newFleet starts the stand-ins, the runners of the given kinds, and all processes, and waits until the
 // coordinators are ready.
-func newFleet(ctx context.Context, dir string, r *record, coordinators int, kinds []string, work func(s work.Start) time.Duration) (*fleet, error) {
+func newFleet(ctx context.Context, dir string, r *record, fronts []front, kinds []string, work func(s work.Start) time.Duration) (*fleet, error) {
 	f := &fleet{dir: dir, subnet: byte(30 + os.Getpid()%200), record: r, store: emul.NewStore(), jobs: newRegistry()}
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	config, err := stand.ConfigRecord(operatorConfig(1))
@@ -96,12 +108,12 @@
 		if err := runner.start(0); err != nil {
 			return f, err
 		}
-		if err := f.addProcess(&f.agents, "agent", 2, n); err != nil {
+		if err := f.addProcess(&f.agents, "agent", 2, n, front{agentShare, agentMB, 1000}); err != nil {
 			return f, err
 		}
 	}
-	for n := range coordinators {
-		if err := f.addProcess(&f.coordinators, "coordinator", 1, n); err != nil {
+	for n, m := range fronts {
+		if err := f.addProcess(&f.coordinators, "coordinator", 1, n, m); err != nil {
 			return f, err
 		}
 	}
@@ -119,23 +131,34 @@
 	if err != nil {
 		return nil, err
 	}
+	return f.serveOn(ln, h), nil
+}
+
+// serveOver is serve over a link.
+func (f *fleet) serveOver(l *link, addr netip.AddrPort, h http.Handler) (*http.Server, error) {
+	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return f.serveOn(linkListener{ln, l}, h), nil
+}
+
+func (f *fleet) serveOn(ln net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	f.wg.Go(func() { _ = srv.Serve(ln) }) // ends when the server is closed
-	return srv, nil
+	return srv
 }
 
-func (f *fleet) addProcess(to *[]*process, role string, kind, n int) error {
+func (f *fleet) addProcess(to *[]*process, role string, kind, n int, m front) error {
 	addr := f.addr(kind, n)
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(addr, port) }
 	s := platform.Settings{
 		Name: fmt.Sprintf("%s-%d", role, n), IP: addr, Domain: zoneOf(n), Inner: at(innerPort), Store: at(storePort),
-		StatusFor: statusRetention, MaxLease: maxLease, Grace: gracePeriod,
+		StatusFor: statusRetention, MaxLease: maxLease, Grace: gracePeriod, Share: m.share, MemoryMB: m.memoryMB,
 	}
 	if role == "agent" {
-		s.Share, s.MemoryMB = agentShare, agentMB
 		s.Beats, s.Runner, s.Service = at(controlPort), at(runnerPort), service
 	} else {
-		s.Share, s.MemoryMB = coordinatorShare, coordinatorMB
 		s.Callers, s.Ready = at(callersPort), at(readyPort)
 	}
 	b, err := stand.SettingsFile(s)
@@ -149,7 +172,7 @@
 	if p.log, err = os.Create(filepath.Join(f.dir, s.Name+".log")); err != nil {
 		return err
 	}
-	srv, err := f.serve(at(storePort), stand.StoreHandler(p.view))
+	srv, err := f.serveOver(&link{mbps: m.linkMbps}, at(storePort), storeHandler(p.view))
 	if err != nil {
 		return err
 	}
--- a/review/stand3/long.go
+++ b/review/stand3/long.go
@@ -31,7 +31,7 @@
 	)
 	isLong := func(n int) bool { return trouble && n%longEvery == longEvery/2 }
 	var f *fleet
-	f, err := newFleet(ctx, dir, r, 3, sameKinds(6), func(s work.Start) time.Duration {
+	f, err := newFleet(ctx, dir, r, smallFronts(), sameKinds(6), func(s work.Start) time.Duration {
 		var n int
 		if _, err := fmt.Sscanf(work.JobOfTask(s.Run.Task), "5c0e7a21d94b%04x", &n); err == nil && isLong(n-1) {
 			return time.Duration(longFactor * estimateMS * float64(time.Millisecond))
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(ctx context.Context, dir string, r *record, trouble bool) (string, error){
 	"kind":    playKind,
 	"pending": playPending,
+	"load":    playLoad,
 	"long":    playLong,
 }
 
