--- a/review/stand3/load.go
+++ b/review/stand3/load.go
@@ -4,18 +4,21 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"carobpulley"
 	"carobpulley/work"
 )
 
-// playLoad kills the owner of stored jobs whose records take longer to read over its successor's link than the
+// playLoad kills, or with STOP=term stops as planned, the owner of stored jobs whose records take longer to read over its successor's link than the
 // system waits for them.
 func playLoad(ctx context.Context, dir string, r *record, trouble bool) (string, error) {
 	const (
@@ -63,8 +66,13 @@
 	}
 	pause(ctx, 2*time.Second)
 	r.add("coordinator-%d owns the jobs", f.owner())
+	r.add("the store returns their records in %d bytes", f.newestBytes())
 	if trouble {
-		f.end(f.coordinators[0], syscall.SIGKILL)
+		signal := syscall.SIGKILL
+		if os.Getenv("STOP") == "term" {
+			signal = syscall.SIGTERM
+		}
+		f.end(f.coordinators[0], signal)
 		pause(ctx, downTime)
 		if err := f.startProcess(f.coordinators[0]); err != nil {
 			return "", err
@@ -97,3 +105,23 @@
 	}
 	return "", ctx.Err()
 }
+
+// newestBytes returns the size of all pages of the newest records of the jobs.
+func (f *fleet) newestBytes() int {
+	sum, after := 0, ""
+	for {
+		w := httptest.NewRecorder()
+		writeNewest(f.ctx, w, f.store.View(), carobpulley.TopicJobs, "0", after)
+		sum += w.Body.Len()
+		var page struct {
+			Items []struct {
+				Key string `json:"key"`
+			} `json:"items"`
+			More bool `json:"more"`
+		}
+		if json.Unmarshal(w.Body.Bytes(), &page) != nil || !page.More {
+			return sum
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
