Stored jobs: tasks that take far longer than estimated end

Cause: an overdue run tells of an ill endpoint or of an overlong task, and was always taken for the first. The task began again with the same time, so that it could never end, and the endpoint was blamed until it got no tasks. Ruled out: overload (the endpoints are idle), failed runs (there are none).

Change: from a task's second overdue run on each run gets twice the time of the last one, and neither it nor the first one counts against an endpoint. Stops are at most 2 + log2(length / first time), the time of the stopped runs at most twice the task's own. The number of overdue runs is stored with the progress, so that a new owner goes on there. A first overdue run doesn't count against an endpoint that has ended another run since, or while half of the service's endpoints are unhealthy. Lines `unhealthy` and `healthy` are new; `stopped` says what the run counts against, which tells an ill endpoint from an overlong task.

On TestOverlongTasksEnd ("50 of 60 jobs are done"), TestAllTasksOverlong ("0 of 8"), TestOverdueRunsAreKnownToTheNextOwner ("0 of 1 jobs are done, 738 stops") and TestEndpointThatWorksStaysHealthy ("h0 counts as unhealthy 1.7s after the first job") fail; they pass now.

--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -80,7 +80,10 @@
 	// runs.
 	runTimeRatio   float64
 	runTimeSamples int
-	failedJobs     map[string]bool
+	// failedJobs holds the jobs of which runs have failed or were overdue since the last success, and lastDoneAt the
+	// time of that.
+	failedJobs map[string]bool
+	lastDoneAt time.Time
 	// unhealthyUntil is the time from which an unhealthy endpoint gets one task as a
 	// probe.
 	unhealthyUntil  time.Time
@@ -286,7 +289,8 @@
 	a.echo = max(a.echo, r.SentAt)
 	if r.State.Instance != a.endpoint.Instance {
 		a.runTimeRatio, a.runTimeSamples = 1, 0
-		a.unhealthyUntil, a.unhealthyPeriod, a.probing = time.Time{}, 0, false
+		a.recordHealthy()
+		a.lastDoneAt = time.Time{}
 		clear(a.failedJobs)
 		a.handBacks = handBacks{}
 	}
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"time"
 
 	"carobpulley/work"
@@ -110,7 +111,7 @@
 
 func (t *Table) handleTaskDone(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
-	a.recordSuccess(tk, e, t.learnFrom(now, a, tk, e))
+	a.recordSuccess(now, tk, e, t.learnFrom(now, a, tk, e))
 	if e.ElapsedMS > 0 {
 		t.turnover.Record(tk.job.spec.Queue.Priority, tk.resources().CPU, time.Duration(e.ElapsedMS)*time.Millisecond)
 	}
@@ -141,7 +142,7 @@
 // countFailure counts a failed run, and fails the job if its task may fail no more.
 func (t *Table) countFailure(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
-	a.recordFailure(now, tk)
+	t.recordFailure(now, a, tk)
 	tk.failures.add(e.Run.Number)
 	t.ackAfterStore(a, j, e)
 	t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Run: e.Run.Number, Agent: a.name, Event: "failed", Reason: "told by the runner"})
@@ -229,11 +230,10 @@
 
 // recordSuccess clears the endpoint's failures after a successful run and updates its
 // run time ratio, without the factor by which the tasks beside it have slowed the run down.
-func (a *agentState) recordSuccess(tk *task, e *work.End, slowdown float64) {
+func (a *agentState) recordSuccess(now time.Time, tk *task, e *work.End, slowdown float64) {
+	a.lastDoneAt = now
 	clear(a.failedJobs)
-	a.unhealthyPeriod = 0
-	a.unhealthyUntil = time.Time{}
-	a.probing = false
+	a.recordHealthy()
 	estimate := float64(tk.estimate().Milliseconds())
 	if estimate <= 0 || e.ElapsedMS <= 0 {
 		return
@@ -244,11 +244,18 @@
 	a.runTimeRatio += (ratio - a.runTimeRatio) * weight
 }
 
+// recordHealthy ends the time in which the endpoint counts as unhealthy.
+func (a *agentState) recordHealthy() {
+	a.unhealthyPeriod = 0
+	a.unhealthyUntil = time.Time{}
+	a.probing = false
+}
+
 // recordFailure counts a failed or overdue run of a task and marks the endpoint unhealthy after
 // failures of unhealthyAfterJobs jobs, or after the failure of a probe. Runs that were placed before
 // the endpoint counted as unhealthy tell nothing new: with ten of them, which fail together, it would
 // get no probe for maxUnhealthyPeriod.
-func (a *agentState) recordFailure(now time.Time, tk *task) {
+func (t *Table) recordFailure(now time.Time, a *agentState, tk *task) {
 	a.failedJobs[tk.job.id] = true
 	if len(a.failedJobs) < unhealthyAfterJobs && !a.probing || a.probing && tk.placedAt.Before(a.unhealthyUntil) {
 		return
@@ -256,4 +263,8 @@
 	a.unhealthyPeriod = min(max(2*a.unhealthyPeriod, minUnhealthyPeriod), maxUnhealthyPeriod)
 	a.unhealthyUntil = now.Add(a.unhealthyPeriod)
 	a.probing = true
+	t.logDecision(Decision{
+		Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "unhealthy",
+		Reason: fmt.Sprintf("runs of %d jobs have failed or were overdue there without a success; no tasks for %d ms", len(a.failedJobs), a.unhealthyPeriod.Milliseconds()),
+	})
 }
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -48,7 +48,11 @@
 	// overdueAt is the time from which the run counts as overdue: on a healthy
 	// endpoint it would have ended well before.
 	overdueAt time.Time
-	stopping  bool
+	// overdueRuns is the number of runs that were stopped as overdue, also by earlier owners, and blamed the agent
+	// whose endpoint the first of them counts against.
+	overdueRuns int
+	blamed      *agentState
+	stopping    bool
 	// sent is set while the start of a placed run may have reached its agent (see setSent), and neverBegun
 	// once the last run that came back is known not to have begun.
 	sent       bool
@@ -199,6 +203,11 @@
 			j.begun = true
 		}
 	}
+	for _, o := range p.Overdue {
+		if tk := j.task(o[0], o[1]); tk != nil {
+			tk.overdueRuns = o[2]
+		}
+	}
 	for _, f := range p.FailedRuns {
 		if tk := j.task(int(f[0]), int(f[1])); tk != nil {
 			tk.failures.runs = append(tk.failures.runs, f[2])
@@ -229,6 +238,9 @@
 			if tk.failures.count > 0 {
 				p.Failed = append(p.Failed, [3]int{step, i, tk.failures.count})
 			}
+			if tk.overdueRuns > 0 {
+				p.Overdue = append(p.Overdue, [3]int{step, i, tk.overdueRuns})
+			}
 			for _, run := range tk.failures.runs {
 				p.FailedRuns = append(p.FailedRuns, [3]int64{int64(step), int64(i), run})
 			}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// overdueFactor and overdueMargin define when a run counts as overdue: after
-	// overdueFactor times the expected run time plus overdueMargin.
-	overdueFactor = 5
-	overdueMargin = 700 * time.Millisecond
 	// maxAgentWait bounds how long a start may wait at an agent for free capacity; then
 	// the task is placed again. maxCollisionWait is that bound where capacity was free by the
 	// coordinator's view, and collisionWaitShare the part of the slack that such a wait may take: runs of
@@ -339,26 +335,9 @@
 	tk.agent = a
 	tk.stopping = false
 	tk.placedAt = now
-	runTime := time.Duration(float64(estimateOf(tk)) * a.runTimeRatio)
-	tk.overdueAt = now.Add(overdueFactor*runTime + overdueMargin)
+	tk.overdueAt = overdueAt(now, tk, a)
 	tk.neverBegun = false
 	a.placed[tk] = true
 	a.free = a.free.Sub(tk.resources())
 	t.addKind(tk, a, tk.cpu())
 }
-
-// stopOverdue stops runs that take far longer than expected, so that they can run at
-// another endpoint.
-func (t *Table) stopOverdue(now time.Time) {
-	for _, a := range t.active {
-		for tk := range a.placed {
-			if tk.stopping || now.Before(tk.overdueAt) || !a.attached {
-				continue
-			}
-			t.logDecision(Decision{Job: tk.job.id, Task: tk.name(), Run: tk.run, Agent: a.name, Event: "stopped", Reason: "far beyond its expected run time"})
-			t.stopTask(tk)
-			tk.avoid = a
-			a.recordFailure(now, tk)
-		}
-	}
-}
--- a/jobs/unreadable_test.go
+++ b/jobs/unreadable_test.go
@@ -28,6 +28,7 @@
 	`{"state":"queued","done":[null]}`, `{"state":"queued","done":[[0]]}`, `{"state":"queued","done":[[0,null]]}`,
 	`{"state":"queued","done":[[0,0,0]]}`, `{"state":"queued","failed":[[0,0]]}`, `{"state":"queued","failed":[[0,0,0]]}`,
 	`{"state":"queued","failed":[[0,0,9223372036854775807]]}`, `{"state":"queued","failed":[[7,0,1]]}`,
+	`{"state":"queued","overdue":[[0,0]]}`, `{"state":"queued","overdue":[[0,9,1]]}`,
 	`{"state":"queued","failed_runs":[[0,0,-1]]}`, `{"state":"queued","failed_runs":[[9223372036854775807,0,1]]}`,
 	`{"state":"queued","crashed":[{"task":"OTHER.0.0.0","endpoint":"e","certain":true,"alone":true},{"task":"OTHER.0.0.0","endpoint":"f","certain":true,"alone":true}]}`,
 }
--- a/work/progress.go
+++ b/work/progress.go
@@ -33,6 +33,9 @@
 	// FailedRuns lists the latest of these runs, as step, index and run number. Records of earlier
 	// builds lack them.
 	FailedRuns [][3]int64 `json:"failed_runs,omitempty"`
+	// Overdue lists tasks with the number of their runs that were stopped as overdue, as step, index and
+	// number. Earlier builds ignore it.
+	Overdue [][3]int `json:"overdue,omitempty"`
 	// Crashed lists the crashes of endpoints under the job's tasks.
 	Crashed []Crash `json:"crashed,omitempty"`
 	// Reason is why the job has failed, if not by the outcome of its runs.
--- a/work/stored.go
+++ b/work/stored.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 )
 
 // Stored holds what the store has of a job.
@@ -76,21 +77,19 @@
 
 // checkTasks returns an error if the progress names tasks that the job doesn't have.
 func (p *Progress) checkTasks(j *Job) error {
-	has := func(step, index int) bool {
-		return step >= 0 && step < len(j.Steps) && index >= 0 && index < j.Steps[step].Count
-	}
 	for _, d := range p.Done {
-		if !has(d[0], d[1]) {
+		if !j.hasTask(d[0], d[1]) {
 			return invalidf("stored progress", "%s: no task %v", j.ID, d)
 		}
 	}
-	for _, f := range p.Failed {
-		if !has(f[0], f[1]) || f[2] < 1 || f[2] > math.MaxInt32 {
-			return invalidf("stored progress", "%s: no failures %v", j.ID, f)
-		}
+	if err := j.checkCounts("failures", p.Failed); err != nil {
+		return err
+	}
+	if err := j.checkCounts("overdue runs", p.Overdue); err != nil {
+		return err
 	}
 	for _, f := range p.FailedRuns {
-		if !has(int(f[0]), int(f[1])) || f[2] < 1 {
+		if !j.hasTask(int(f[0]), int(f[1])) || f[2] < 1 {
 			return invalidf("stored progress", "%s: no failed run %v", j.ID, f)
 		}
 	}
@@ -102,6 +101,20 @@
 	return nil
 }
 
+// checkCounts returns an error if a row of step, index and number names no task of the job or is no count.
+func (j *Job) checkCounts(what string, rows [][3]int) error {
+	for _, r := range rows {
+		if !j.hasTask(r[0], r[1]) || r[2] < 1 || r[2] > math.MaxInt32 {
+			return invalidf("stored progress", "%s: no %s %v", j.ID, what, r)
+		}
+	}
+	return nil
+}
+
+func (j *Job) hasTask(step, index int) bool {
+	return step >= 0 && step < len(j.Steps) && index >= 0 && index < j.Steps[step].Count
+}
+
 // check returns an error unless the progress has a state that is stored.
 func (p *Progress) check() error {
 	if p.State != StateQueued && !p.State.Ended() {
@@ -120,11 +133,12 @@
 		Done       [][]*int64 `json:"done"`
 		Failed     [][]*int64 `json:"failed"`
 		FailedRuns [][]*int64 `json:"failed_runs"`
+		Overdue    [][]*int64 `json:"overdue"`
 	}
 	if err := json.Unmarshal(b, &rows); err != nil {
 		return invalidf("decode progress", "%v", err)
 	}
-	for length, list := range map[int][][]*int64{2: rows.Done, 3: append(rows.Failed, rows.FailedRuns...)} {
+	for length, list := range map[int][][]*int64{2: rows.Done, 3: slices.Concat(rows.Failed, rows.FailedRuns, rows.Overdue)} {
 		for _, row := range list {
 			whole := len(row) == length
 			for _, n := range row {
