Pending jobs: no count of a shard that is not loaded

Cause: the count was asked for at the address of the last claim's owner, and whatever process listens there answered from its table, which has none of the shard's jobs until it has claimed and loaded it. State and Cancel ask for ownership and its proof; Pending did neither, also not for shards of the asked process itself. Ruled out: a shard that is loaded in parts, and restored jobs that count as begun (21 are given for some ms after `shard owned`, 0 only before it).

Change: the call names the shards, and a process counts those only that it owns, has loaded and can prove to own, or fails.

--- a/coord/calls.go
+++ b/coord/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
@@ -132,37 +131,6 @@
 	return a
 }
 
-// Pending implements carobpulley.JobService. It sums the counts of this process and of the
-// owners of all other shards.
-func (c *Coordinator) Pending(ctx context.Context, queue string) (int, error) {
-	c.lock()
-	n := c.table.PendingCount(queue)
-	owners := make(map[netip.AddrPort]bool)
-	for number := range c.cfg.Shards {
-		if c.journals[number] != nil {
-			continue
-		}
-		claim, known := c.claims[number]
-		if !known {
-			c.mu.Unlock()
-			return 0, &carobpulley.Error{Op: "pending", Kind: carobpulley.KindUnavailable, Msg: "a shard has no owner"}
-		}
-		owners[claim.Owner.Addr] = true
-	}
-	c.mu.Unlock()
-	for addr := range owners {
-		peer := c.peers.At(addr)
-		call, cancel := context.WithTimeout(ctx, forwardTimeout)
-		r, err := peer.Coordinator.Pending(call, connect.NewRequest(&relay.PendingRequest{Queue: queue}))
-		cancel()
-		if err != nil {
-			return 0, peer.CallError("pending", err)
-		}
-		n += int(r.Msg.GetPending())
-	}
-	return n, nil
-}
-
 // ownerCall is a call to the owner of a shard; peer is nil if that is this process.
 type ownerCall func(ctx context.Context, peer *link.Peer) (*relay.JobReply, error)
 
@@ -284,7 +252,7 @@
 func (c *Coordinator) stateAsOwner(queue, id string) carobpulley.JobAnswer {
 	c.lock()
 	defer c.mu.Unlock()
-	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(c.now) {
+	if !c.ownsProven(work.ShardOf(id, c.cfg.Shards)) {
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
 	state, known := c.table.State(queue, id)
@@ -299,7 +267,7 @@
 
 func (c *Coordinator) cancelAsOwner(ctx context.Context, queue, id string) carobpulley.JobAnswer {
 	c.lock()
-	if c.journals[work.ShardOf(id, c.cfg.Shards)] == nil || !c.ownershipProven(c.now) {
+	if !c.ownsProven(work.ShardOf(id, c.cfg.Shards)) {
 		c.mu.Unlock()
 		return carobpulley.JobAnswer{Code: notOwner}
 	}
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -260,3 +260,20 @@
 func (c *Coordinator) ownershipProven(now time.Time) bool {
 	return now.Sub(c.ownershipProof) < AuthorityTTL
 }
+
+// ownsProven reports whether this process owns a shard, has loaded it and has a valid proof of that. The caller
+// holds the lock.
+func (c *Coordinator) ownsProven(number int) bool {
+	return c.journals[number] != nil && c.ownershipProven(c.now)
+}
+
+// provenShards returns the shards for which ownsProven holds. The caller holds the lock.
+func (c *Coordinator) provenShards() []int {
+	numbers := make([]int, 0, len(c.journals))
+	for number := range c.journals {
+		if c.ownsProven(number) {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -81,9 +81,11 @@
 
 // Pending implements relay.CoordinatorServiceHandler.
 func (s server) Pending(_ context.Context, r *connect.Request[relay.PendingRequest]) (*connect.Response[relay.PendingReply], error) {
-	s.c.lock()
-	defer s.c.mu.Unlock()
-	return connect.NewResponse(&relay.PendingReply{Pending: int64(s.c.table.PendingCount(r.Msg.GetQueue()))}), nil
+	n, err := s.c.pendingAsOwner(r.Msg.GetQueue(), r.Msg.GetShards())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&relay.PendingReply{Pending: int64(n)}), nil
 }
 
 // Ping implements relay.CoordinatorServiceHandler.
--- a/jobs/begun_test.go
+++ b/jobs/begun_test.go
@@ -99,7 +99,7 @@
 		if way.begun {
 			want, shown = 0, work.StateRunning
 		}
-		if got := f.table.PendingCount(testQueue); got != want {
+		if got := f.table.PendingCount(testQueue, []int{0}); got != want {
 			t.Errorf("%s: %d jobs pending, want %d", name, got, want)
 		}
 		if state, _ := f.table.State(testQueue, testJob(1, 1, false).ID); state != shown {
--- a/jobs/calls.go
+++ b/jobs/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"carobpulley/work"
@@ -202,12 +203,15 @@
 	return true, false
 }
 
-// PendingCount returns the number of accepted jobs of a queue of which no run has begun or may have, also
-// of those whose starts were refused.
-func (t *Table) PendingCount(queue string) int {
+// PendingCount returns the number of accepted jobs of a queue in the given shards, and of best-effort jobs here, of
+// which no run has begun or may have, also of those whose starts were refused.
+func (t *Table) PendingCount(queue string, shards []int) int {
 	n := 0
 	for _, j := range t.jobs {
-		if j.queue == queue && j.phase == phaseActive && !j.state.Ended() && !j.mayHaveBegun() {
+		if j.queue != queue || j.phase != phaseActive || j.state.Ended() || j.mayHaveBegun() {
+			continue
+		}
+		if !j.durable() || slices.Contains(shards, j.shard) {
 			n++
 		}
 	}
