Review of the diff: failures outlast withdrawn blame, clearer count of pending jobs

Reading the diff showed that a failed run of a job was forgotten with the blame of its other task that turned out to be overlong: the set of jobs that failed at an endpoint did not tell failed from overdue runs. It does now (TestFailureOutlastsWithdrawnBlame). The verdict in the line of a run that is stopped no longer says that hosts are unhealthy where the service has a single one, and the call between coordinators for a count of pending jobs reads in the order of its cases.

--- a/coord/pending.go
+++ b/coord/pending.go
@@ -65,7 +65,7 @@
 		switch {
 		case c.ownsProven(number):
 		case !known || c.claimedBySelf(claim):
-			return 0, nil, c.ownershipChanged, noOwner("pending")
+			return 0, nil, c.ownershipChanged, errNoOwner()
 		default:
 			owners[claim.Owner.Addr] = append(owners[claim.Owner.Addr], uint32(number))
 		}
@@ -73,27 +73,27 @@
 	return c.table.PendingCount(queue, c.provenShards()), owners, c.ownershipChanged, nil
 }
 
-// pendingAsOwner returns the count of shards for another coordinator.
+// pendingAsOwner returns the count of shards for another coordinator. One of an earlier build names none, and gets
+// that of all shards of this process.
 func (c *Coordinator) pendingAsOwner(queue string, shards []uint32) (int, error) {
 	c.lock()
 	defer c.mu.Unlock()
-	proven := c.provenShards()
-	if len(proven) == 0 {
-		return 0, noOwner("pending")
-	}
-	counted := proven
-	if len(shards) > 0 {
-		counted = make([]int, len(shards))
-	}
-	for i, number := range shards {
+	counted := make([]int, 0, len(shards))
+	for _, number := range shards {
 		if !c.ownsProven(int(number)) {
-			return 0, noOwner("pending")
+			return 0, errNoOwner()
 		}
-		counted[i] = int(number)
+		counted = append(counted, int(number))
+	}
+	if len(shards) == 0 {
+		counted = c.provenShards()
+	}
+	if len(counted) == 0 {
+		return 0, errNoOwner()
 	}
 	return c.table.PendingCount(queue, counted), nil
 }
 
-func noOwner(op string) error {
-	return &carobpulley.Error{Op: op, Kind: carobpulley.KindUnavailable, Msg: "a shard has no owner that has loaded it"}
+func errNoOwner() error {
+	return &carobpulley.Error{Op: "pending", Kind: carobpulley.KindUnavailable, Msg: "a shard has no owner that has loaded it"}
 }
--- a/jobs/agent.go
+++ b/jobs/agent.go
@@ -80,8 +80,8 @@
 	// runs.
 	runTimeRatio   float64
 	runTimeSamples int
-	// failedJobs holds the jobs of which runs have failed or were overdue since the last success, and lastDoneAt the
-	// time of that.
+	// failedJobs holds the jobs of which runs have failed, or with false were only overdue, since the last success,
+	// and lastDoneAt the time of that success.
 	failedJobs map[string]bool
 	lastDoneAt time.Time
 	// unhealthyUntil is the time from which an unhealthy endpoint gets one task as a
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -142,7 +142,7 @@
 // countFailure counts a failed run, and fails the job if its task may fail no more.
 func (t *Table) countFailure(now time.Time, a *agentState, tk *task, e *work.End) {
 	j := tk.job
-	t.recordFailure(now, a, tk)
+	t.recordFailure(now, a, tk, false)
 	tk.failures.add(e.Run.Number)
 	t.ackAfterStore(a, j, e)
 	t.logDecision(Decision{Job: j.id, Task: e.Run.Task, Run: e.Run.Number, Agent: a.name, Event: "failed", Reason: "told by the runner"})
@@ -255,8 +255,8 @@
 // failures of unhealthyAfterJobs jobs, or after the failure of a probe. Runs that were placed before
 // the endpoint counted as unhealthy tell nothing new: with ten of them, which fail together, it would
 // get no probe for maxUnhealthyPeriod.
-func (t *Table) recordFailure(now time.Time, a *agentState, tk *task) {
-	a.failedJobs[tk.job.id] = true
+func (t *Table) recordFailure(now time.Time, a *agentState, tk *task, overdue bool) {
+	a.failedJobs[tk.job.id] = a.failedJobs[tk.job.id] || !overdue
 	if len(a.failedJobs) < unhealthyAfterJobs && !a.probing || a.probing && tk.placedAt.Before(a.unhealthyUntil) {
 		return
 	}
--- a/jobs/overdue.go
+++ b/jobs/overdue.go
@@ -60,8 +60,8 @@
 //   - an earlier run of the task was overdue, at another endpoint as a rule. Then the first one no longer counts
 //     against its endpoint either.
 //   - the endpoint has ended another run since this one was late.
-//   - half of the service's endpoints count as unhealthy. Overdue runs don't use up attempts, so that work that
-//     goes to an endpoint in doubt costs less than an idle service.
+//   - half of the service's endpoints count as unhealthy. Overdue runs don't use up attempts, so work at an
+//     endpoint in doubt costs less than an idle service.
 //
 // Answers the patterns of endpoints that stand idle because of a few overlong tasks, and of a service whose
 // estimates are all too low.
@@ -77,18 +77,21 @@
 	case a.lastDoneAt.After(tk.placedAt.Add(a.expectedRunTime(tk) + overdueMargin)):
 		return "its host has ended another run since it was late"
 	case !a.probing && t.halfUnhealthy(a.endpoint.Service):
-		return "half of the hosts are unhealthy already"
+		return "no more hosts of the service may count as unhealthy"
 	}
 	tk.blamed = a
-	t.recordFailure(now, a, tk)
+	t.recordFailure(now, a, tk, true)
 	return "it counts against its host"
 }
 
-// withdrawBlame takes back that the first overdue run of a task counts against its endpoint. The endpoint counts as
-// healthy again if it was unhealthy only by that run.
+// withdrawBlame takes back that the first overdue run of a task counts against its endpoint, unless another task of
+// its job has failed or was overdue there too. The endpoint counts as healthy again if it was unhealthy only by that run.
 func (t *Table) withdrawBlame(tk *task) {
 	a, j := tk.blamed, tk.job
 	tk.blamed = nil
+	if a.failedJobs[j.id] {
+		return
+	}
 	for step := range j.tasks {
 		for i := range j.tasks[step] {
 			if j.tasks[step][i].blamed == a {
--- a/jobs/overdue_test.go
+++ b/jobs/overdue_test.go
@@ -236,3 +236,19 @@
 	r.play(10 * time.Second)
 	checkEnded(t, r)
 }
+
+// Guards against a failed run that no longer counts against its endpoint, since another task of its job that was
+// overdue there is overlong.
+func TestFailureOutlastsWithdrawnBlame(t *testing.T) {
+	f := newOwner(t, 2)
+	f.submit(testJob(1, 2, false))
+	f.commit()
+	a, tasks := f.table.agents["h0"], f.table.jobs[testJob(1, 2, false).ID].tasks[0]
+	f.table.recordFailure(f.now, a, &tasks[0], false)
+	f.table.recordFailure(f.now, a, &tasks[1], true)
+	tasks[1].blamed = a
+	f.table.withdrawBlame(&tasks[1])
+	if len(a.failedJobs) != 1 {
+		t.Errorf("jobs with failures %v, want the one whose other task has failed", a.failedJobs)
+	}
+}
