--- a/jobs/overdue.go
+++ b/jobs/overdue.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// recordOverdue counts an overdue run of a task and decides whether it tells of an ill endpoint or of an overlong
+// recordOverdue counts an overdue run of a task and decides whether it tells of a faulty endpoint or of an overlong
 // task, which it returns for the log. It counts against the endpoint unless
 //   - an earlier run of the task was overdue, at another endpoint as a rule. Then the first one no longer counts
 //     against its endpoint either.
--- a/jobs/overdue_test.go
+++ b/jobs/overdue_test.go
@@ -22,16 +22,18 @@
 	// stops and wasted hold the number of stopped runs and their time, by job.
 	stops  map[string]int
 	wasted map[string]time.Duration
-	done   map[string]time.Time
-	// idle is the longest time in which a job that is not done had no run.
-	idle  time.Duration
-	onEnd map[string]time.Time
+	// done holds the times at which jobs were done.
+	done map[string]time.Time
+	// idleSince holds the time since which a job has no run, zero while it has one, and idle the longest time in
+	// which a job that was not done had none.
+	idleSince map[string]time.Time
+	idle      time.Duration
 }
 
 func newRunTimes(f *fixture, took func(agent string, s work.Start) time.Duration) *runTimes {
 	return &runTimes{
 		fixture: f, took: took, begun: map[work.Run]time.Time{}, running: map[string][]work.Start{}, seen: map[string]int{},
-		stopsSeen: map[string]int{}, stops: map[string]int{}, wasted: map[string]time.Duration{}, done: map[string]time.Time{}, onEnd: map[string]time.Time{},
+		stopsSeen: map[string]int{}, stops: map[string]int{}, wasted: map[string]time.Duration{}, done: map[string]time.Time{}, idleSince: map[string]time.Time{},
 	}
 }
 
@@ -42,14 +44,14 @@
 		r.t.Fatalf("job %s: status %d", j.ID, status)
 	}
 	r.commit()
-	r.onEnd[j.ID] = r.now
+	r.idleSince[j.ID] = r.now
 }
 
 // play moves the clock on until all submitted jobs are done, at most for a time.
 func (r *runTimes) play(limit time.Duration) {
 	r.t.Helper()
 	const step = 20 * time.Millisecond
-	for until := r.now.Add(limit); r.now.Before(until) && len(r.done) < len(r.onEnd); {
+	for until := r.now.Add(limit); r.now.Before(until) && len(r.done) < len(r.idleSince); {
 		r.now = r.now.Add(step)
 		for _, name := range r.agents {
 			r.report(name, r.endsAt(name)...)
@@ -59,7 +61,7 @@
 		for r.table.HasUnstoredChanges(0) {
 			r.commit()
 		}
-		for id, at := range r.onEnd {
+		for id, at := range r.idleSince {
 			if r.done[id].IsZero() && !at.IsZero() {
 				r.idle = max(r.idle, r.now.Sub(at))
 			}
@@ -72,7 +74,7 @@
 	for _, s := range r.started[name][r.seen[name]:] {
 		r.running[name] = append(r.running[name], s)
 		r.begun[s.Run] = r.now
-		r.onEnd[work.JobOfTask(s.Run.Task)] = time.Time{}
+		r.idleSince[work.JobOfTask(s.Run.Task)] = time.Time{}
 	}
 	r.seen[name] = len(r.started[name])
 	stopped := map[work.Run]bool{}
@@ -96,7 +98,7 @@
 			remaining = append(remaining, s)
 			continue
 		}
-		r.onEnd[id] = r.now
+		r.idleSince[id] = r.now
 		r.sequence++
 		ends = append(ends, work.End{Sequence: r.sequence, Run: s.Run, Outcome: outcome, ElapsedMS: took.Milliseconds()})
 	}
@@ -117,8 +119,8 @@
 
 func checkEnded(t *testing.T, r *runTimes) {
 	t.Helper()
-	if len(r.done) < len(r.onEnd) {
-		t.Fatalf("%d of %d jobs are done, stops %v", len(r.done), len(r.onEnd), r.stops)
+	if len(r.done) < len(r.idleSince) {
+		t.Fatalf("%d of %d jobs are done, stops %v", len(r.done), len(r.idleSince), r.stops)
 	}
 	if r.idle >= 3*time.Second {
 		t.Errorf("a job had nothing running for %s beside free capacity, want less than 3 s", r.idle)
@@ -206,7 +208,7 @@
 		next.attachTo(name, nil)
 	}
 	next.prove()
-	next.onEnd[j.ID] = next.now
+	next.idleSince[j.ID] = next.now
 	next.play(1600 * time.Second)
 	checkEnded(t, next)
 	if got := before + next.stops[j.ID]; got > 10 {
